build: CMake tree, HTTP layer, schemas and interfaces of the modules

Cause: the modules need common types and one way to build, test and lint before they can be written side by side. Change: ids and units, record types and Cap'n Proto schemas, interfaces of fold, ownership, peers and roles; HTTP server and client on Beast with typed errors; settings from flags and environment; scripts for build, test and lint. A smuggled, oversized, slow or malformed request is refused and counted.

--- /dev/null
+++ b/include/cowslipmast/fold.h
@@ -0,0 +1,71 @@
+#ifndef COWSLIPMAST_FOLD_H_
+#define COWSLIPMAST_FOLD_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cowslipmast/codec.h"
+#include "cowslipmast/shared_state.h"
+
+namespace cowslipmast {
+
+struct FoldCounters {
+  uint64_t entries = 0;
+  uint64_t records = 0;
+  uint64_t duplicate_batches = 0;
+  uint64_t bad_entries = 0;
+  uint64_t unknown_records = 0;
+  uint64_t void_records = 0;  // for example a claim with an old epoch
+};
+
+/** Folds the `control` stream into ControlState. */
+class ControlFold {
+ public:
+  static std::unique_ptr<ControlFold> Make();
+  ~ControlFold();
+
+  /** Folds the entry at `state().next`, whatever its bytes are. */
+  void Apply(LogOffset offset, std::string_view entry);
+  /** Drops the state; entries from `oldest` follow, with a snapshot. */
+  void Restart(LogOffset oldest);
+  /** False after Restart until a snapshot that is recent enough was found. */
+  bool complete() const;
+
+  const ControlState& state() const;
+  const FoldCounters& counters() const;
+  /** Hash of the state; equal for all processes at the same offset. */
+  uint64_t Digest() const;
+  std::string EncodeSnapshot() const;
+
+ private:
+  struct Impl;
+  explicit ControlFold(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+/** Folds the stream of one data centre into DataCentreState. Outcomes are
+ * void unless their epoch is at least the highest that was seen. */
+class DataCentreFold {
+ public:
+  static std::unique_ptr<DataCentreFold> Make(const DataCentreId& id);
+  ~DataCentreFold();
+
+  void Apply(LogOffset offset, std::string_view entry);
+  void Restart(LogOffset oldest);
+  bool complete() const;
+
+  const DataCentreState& state() const;
+  const FoldCounters& counters() const;
+  std::string EncodeSnapshot() const;
+
+ private:
+  struct Impl;
+  explicit DataCentreFold(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_FOLD_H_
--- /dev/null
+++ b/src/daemon/log.h
@@ -0,0 +1,15 @@
+#ifndef COWSLIPMAST_SRC_DAEMON_LOG_H_
+#define COWSLIPMAST_SRC_DAEMON_LOG_H_
+
+#include <string>
+
+namespace cowslipmast {
+
+enum class LogFormat { kText, kJson };
+
+/** Sends log lines to standard error, each with the process id as a field. */
+void InitLogging(LogFormat format, const std::string& process);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_DAEMON_LOG_H_
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/src/net/beast_message.cc
@@ -0,0 +1,48 @@
+#include "src/net/beast_message.h"
+
+#include <string>
+#include <vector>
+
+namespace cowslipmast {
+
+namespace {
+
+// Headers of one connection (RFC 9110, section 7.6.1); never passed on.
+bool IsHopByHop(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::content_length:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+std::vector<HttpHeader> FromBeastFields(const http::fields& fields) {
+  std::vector<HttpHeader> headers;
+  for (const auto& field : fields) {
+    if (IsHopByHop(field.name()))
+      continue;
+    headers.push_back(HttpHeader{std::string(field.name_string()),
+                                 std::string(field.value())});
+  }
+  return headers;
+}
+
+void AddBeastFields(const std::vector<HttpHeader>& headers,
+                    http::fields& fields) {
+  for (const HttpHeader& header : headers) {
+    if (!IsHopByHop(http::string_to_field(header.name)))
+      fields.insert(header.name, header.value);
+  }
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,58 @@
+#ifndef COWSLIPMAST_SRC_NET_HTTP_CLIENT_H_
+#define COWSLIPMAST_SRC_NET_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "cowslipmast/units.h"
+#include "cowslipmast/vm.h"
+#include "src/net/asio.h"
+#include "src/net/http_message.h"
+#include "src/net/net_error.h"
+
+namespace cowslipmast {
+
+struct HttpClientLimits {
+  size_t answer_bytes = 16 * 1024 * 1024;
+  size_t idle_connections_per_endpoint = 64;
+  /** Kept short, so that a silently dropped connection is rarely reused. */
+  Duration idle_timeout = std::chrono::seconds(15);
+  Duration connect_timeout = std::chrono::seconds(1);
+};
+
+struct HttpClientCounters {
+  uint64_t connects = 0;
+  uint64_t reuses = 0;
+  uint64_t failures = 0;
+};
+
+/** HTTP/1.1 client with a pool of connections; one request at a time each. */
+class HttpClient {
+ public:
+  static std::unique_ptr<HttpClient> Make(asio::io_context& io,
+                                          const HttpClientLimits& limits);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /** Sends a request once and returns the whole answer. Never retries. */
+  asio::awaitable<std::optional<HttpResponse>> Call(Endpoint endpoint,
+                                                    HttpRequest request,
+                                                    Duration timeout,
+                                                    NetError& reason);
+
+  /** Closes the idle connections to an endpoint. */
+  void DropIdle(const Endpoint& endpoint);
+  const HttpClientCounters& counters() const;
+
+ private:
+  struct Impl;
+  explicit HttpClient(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,69 @@
+#ifndef COWSLIPMAST_SRC_NET_HTTP_SERVER_H_
+#define COWSLIPMAST_SRC_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cowslipmast/units.h"
+#include "cowslipmast/vm.h"
+#include "src/net/asio.h"
+#include "src/net/http_message.h"
+#include "src/net/net_error.h"
+
+namespace cowslipmast {
+
+struct HttpServerLimits {
+  size_t header_bytes = 16 * 1024;
+  size_t body_bytes = 1024 * 1024;
+  size_t connections = 4096;
+  Duration idle_timeout = std::chrono::seconds(75);
+  /** Limit for one whole request, so that a slow sender cannot hold memory. */
+  Duration read_timeout = std::chrono::seconds(10);
+  Duration write_timeout = std::chrono::seconds(10);
+};
+
+struct HttpServerCounters {
+  uint64_t requests = 0;
+  uint64_t bad_requests = 0;
+  uint64_t oversized_requests = 0;
+  uint64_t refused_connections = 0;
+};
+
+using HttpHandler = std::function<asio::awaitable<HttpResponse>(HttpRequest)>;
+
+/** HTTP/1.1 server on one io_context; one request at a time per connection. */
+class HttpServer {
+ public:
+  /** Starts to listen. Port 0 takes a free port. */
+  static std::unique_ptr<HttpServer> Make(asio::io_context& io,
+                                          const Endpoint& endpoint,
+                                          const HttpServerLimits& limits,
+                                          HttpHandler handler,
+                                          NetError& reason);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  uint16_t port() const;
+  const HttpServerCounters& counters() const;
+  /** Requests read and not yet fully answered. */
+  size_t in_progress() const;
+  size_t connections() const;
+
+  /** From now on every answer closes its connection. */
+  void CloseAfterAnswer();
+  /** Accepts no new connections and closes those without a request. */
+  void StopAccepting();
+
+ private:
+  struct Impl;
+  explicit HttpServer(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/net/net_error.cc
@@ -0,0 +1,25 @@
+#include "src/net/net_error.h"
+
+namespace cowslipmast {
+
+std::string_view NetErrorName(NetErrorKind kind) {
+  switch (kind) {
+    case NetErrorKind::kBadAddress:
+      return "bad_address";
+    case NetErrorKind::kListenFailed:
+      return "listen_failed";
+    case NetErrorKind::kConnectFailed:
+      return "connect_failed";
+    case NetErrorKind::kConnectionLost:
+      return "connection_lost";
+    case NetErrorKind::kTimeout:
+      return "timeout";
+    case NetErrorKind::kBadAnswer:
+      return "bad_answer";
+    case NetErrorKind::kAnswerTooLarge:
+      return "answer_too_large";
+  }
+  return "unknown";
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/net/peer_set.h
@@ -0,0 +1,81 @@
+#ifndef COWSLIPMAST_SRC_NET_PEER_SET_H_
+#define COWSLIPMAST_SRC_NET_PEER_SET_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cowslipmast/ids.h"
+#include "cowslipmast/record.h"
+#include "cowslipmast/vm.h"
+#include "src/net/asio.h"
+#include "src/net/log_client.h"
+#include "src/net/net_error.h"
+#include "src/net/peer_message.h"
+
+namespace cowslipmast {
+
+enum class PeerLink { kUp, kSuspect, kDown };
+
+/** What is known of one peer. */
+struct PeerView {
+  Member member;
+  PeerLink link = PeerLink::kDown;
+  std::optional<Heartbeat> last;
+  /** When the exchange that brought `last` was started. */
+  std::chrono::steady_clock::time_point asked_at;
+};
+
+/** What a process answers to its peers; all run on the Asio thread. */
+struct PeerHandlers {
+  std::function<Heartbeat()> heartbeat;
+  std::function<asio::awaitable<DeskReply>(DeskRequest)> forward;
+  /** Returns nothing if this process does not follow the stream. */
+  std::function<asio::awaitable<std::optional<LogPage>>(StreamId stream,
+                                                        LogOffset from,
+                                                        uint32_t max_entries,
+                                                        Duration wait)>
+      read_log;
+};
+
+/** Connections to the other processes of the system, over Cap'n Proto RPC. */
+class PeerSet {
+ public:
+  static std::unique_ptr<PeerSet> Make(asio::io_context& io,
+                                       const Endpoint& listen,
+                                       PeerHandlers handlers,
+                                       NetError& reason);
+  ~PeerSet();
+  PeerSet(const PeerSet&) = delete;
+  PeerSet& operator=(const PeerSet&) = delete;
+
+  uint16_t port() const;
+  /** Connects to new members and drops those that are gone. */
+  void SetMembers(std::vector<Member> members);
+  std::vector<PeerView> Peers() const;
+
+  /** A failure with `request_sent` may have run the request. */
+  asio::awaitable<std::optional<DeskReply>> Forward(ProcessId peer,
+                                                    DeskRequest request,
+                                                    Duration timeout,
+                                                    NetError& reason);
+  asio::awaitable<std::optional<LogPage>> ReadLog(ProcessId peer,
+                                                  StreamId stream,
+                                                  LogOffset from,
+                                                  uint32_t max_entries,
+                                                  Duration wait,
+                                                  NetError& reason);
+
+ private:
+  struct Impl;
+  explicit PeerSet(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_NET_PEER_SET_H_
--- /dev/null
+++ b/tests/net/http_test.cc
@@ -0,0 +1,163 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/net/http_client.h"
+#include "src/net/http_server.h"
+
+namespace cowslipmast {
+namespace {
+
+constexpr Duration kTimeout = std::chrono::seconds(5);
+
+asio::awaitable<HttpResponse> Echo(HttpRequest request) {
+  co_return HttpResponse{.status = 200,
+                         .headers = {{"X-Method", request.method}},
+                         .body = request.path + "|" + request.body};
+}
+
+// A server and a client on one loop, run until one call has ended.
+struct Fixture {
+  asio::io_context io;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client = HttpClient::Make(io, HttpClientLimits{});
+  NetError reason;
+
+  explicit Fixture(const HttpServerLimits& limits, HttpHandler handler) {
+    server = HttpServer::Make(io, {"127.0.0.1", 0}, limits, std::move(handler),
+                              reason);
+  }
+
+  std::optional<HttpResponse> Call(const HttpRequest& request,
+                                   Duration timeout = kTimeout) {
+    std::optional<HttpResponse> response;
+    bool done = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          const Endpoint endpoint{"127.0.0.1", server->port()};
+          response = co_await client->Call(endpoint, request, timeout, reason);
+          done = true;
+        },
+        asio::detached);
+    io.restart();
+    while (!done)
+      io.run_one();
+    return response;
+  }
+
+  // Writes bytes that the client would never send and returns the answer.
+  std::string SendRaw(const std::string& bytes) {
+    std::string answer;
+    bool done = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          asio::ip::tcp::socket socket(io);
+          const asio::ip::tcp::endpoint endpoint(
+              asio::ip::address_v4::loopback(), server->port());
+          co_await socket.async_connect(endpoint, asio::use_awaitable);
+          co_await asio::async_write(socket, asio::buffer(bytes),
+                                     asio::use_awaitable);
+          boost::system::error_code error;
+          co_await asio::async_read(
+              socket, asio::dynamic_buffer(answer),
+              asio::redirect_error(asio::use_awaitable, error));
+          done = true;
+        },
+        asio::detached);
+    io.restart();
+    while (!done)
+      io.run_one();
+    return answer;
+  }
+};
+
+TEST_CASE("HTTP server and client on loopback", "[net]") {
+  SECTION("a request is answered whole") {
+    Fixture fixture(HttpServerLimits{}, Echo);
+    REQUIRE(fixture.server);
+    auto response = fixture.Call(
+        {.method = "POST", .path = "/a?b=c", .headers = {}, .body = "body"});
+    REQUIRE(response);
+    CHECK(response->status == 200);
+    CHECK(response->body == "/a?b=c|body");
+    CHECK(FindHeader(response->headers, "x-method") == "POST");
+
+    SECTION("and the next one reuses the connection") {
+      REQUIRE(fixture.Call({.path = "/2", .headers = {}, .body = {}}));
+      CHECK(fixture.client->counters().connects == 1);
+      CHECK(fixture.client->counters().reuses == 1);
+    }
+    SECTION("and a connection that the server closed is not reused") {
+      fixture.server->StopAccepting();
+      fixture.io.restart();
+      fixture.io.run();
+      CHECK_FALSE(fixture.Call({.path = "/2", .headers = {}, .body = {}}));
+      // A refused connect is proof that the request did not run.
+      CHECK(fixture.reason.kind == NetErrorKind::kConnectFailed);
+      CHECK_FALSE(fixture.reason.request_sent);
+    }
+  }
+
+  SECTION("a request whose answer does not come in time may have run") {
+    Fixture fixture(
+        HttpServerLimits{}, [](HttpRequest) -> asio::awaitable<HttpResponse> {
+          asio::steady_timer timer(co_await asio::this_coro::executor,
+                                   std::chrono::seconds(30));
+          co_await timer.async_wait(asio::use_awaitable);
+          co_return HttpResponse{};
+        });
+    CHECK_FALSE(fixture.Call({.path = "/slow", .headers = {}, .body = {}},
+                             std::chrono::milliseconds(50)));
+    CHECK(fixture.reason.kind == NetErrorKind::kTimeout);
+    CHECK(fixture.reason.request_sent);
+  }
+
+  SECTION("a bad request is refused and counted") {
+    HttpServerLimits limits;
+    limits.body_bytes = 16;
+    limits.header_bytes = 512;
+    limits.read_timeout = std::chrono::milliseconds(100);
+    Fixture fixture(limits, Echo);
+
+    SECTION("when the body is too large") {
+      auto response = fixture.Call({.method = "POST",
+                                    .path = "/",
+                                    .headers = {},
+                                    .body = std::string(17, 'x')});
+      REQUIRE(response);
+      CHECK(response->status == 413);
+      CHECK(fixture.server->counters().oversized_requests == 1);
+    }
+    SECTION("when it has both Content-Length and Transfer-Encoding") {
+      // Two framings let a second request be smuggled past the first.
+      const std::string answer = fixture.SendRaw(
+          "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n");
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
+      CHECK(fixture.server->counters().requests == 0);
+    }
+    SECTION("when it is not HTTP") {
+      const std::string answer = fixture.SendRaw("hello\r\n\r\n");
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
+      CHECK(fixture.server->counters().bad_requests == 1);
+    }
+    SECTION("when it is sent a little at a time for too long") {
+      CHECK(fixture.SendRaw("GET / HTTP/1.1\r\nHost:").empty());
+      CHECK(fixture.server->connections() == 0);
+    }
+  }
+
+  SECTION("a listener on an address that is not one is refused") {
+    asio::io_context io;
+    NetError reason;
+    CHECK_FALSE(HttpServer::Make(io, {"nowhere", 1}, {}, Echo, reason));
+    CHECK(reason.kind == NetErrorKind::kBadAddress);
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
