--- /dev/null
+++ b/src/config/config_errors.h
@@ -0,0 +1,37 @@
+#ifndef COWSLIPMAST_SRC_CONFIG_CONFIG_ERRORS_H_
+#define COWSLIPMAST_SRC_CONFIG_CONFIG_ERRORS_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "cowslipmast/config.h"
+#include "src/core/toml_text.h"
+
+namespace cowslipmast {
+
+/** Errors that one check reports; a text of noise would fill the memory. */
+inline constexpr size_t kMaxConfigErrors = 100;
+
+/** Collects the errors of one text. */
+class ConfigErrors {
+ public:
+  void Add(ConfigErrorKind kind,
+           const toml::source_region& source,
+           std::string found,
+           std::string expected);
+  void AddWithoutPlace(ConfigErrorKind kind,
+                       std::string found,
+                       std::string expected);
+
+  bool empty() const { return m_errors.empty(); }
+  /** Returns the errors in the order of the text. */
+  std::vector<ConfigError> TakeSorted();
+
+ private:
+  std::vector<ConfigError> m_errors;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_CONFIG_CONFIG_ERRORS_H_
--- /dev/null
+++ b/src/config/parsed_text.h
@@ -0,0 +1,25 @@
+#ifndef COWSLIPMAST_SRC_CONFIG_PARSED_TEXT_H_
+#define COWSLIPMAST_SRC_CONFIG_PARSED_TEXT_H_
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "src/config/config_draft.h"
+
+namespace cowslipmast {
+
+/** A valid configuration with its TOML nodes, to which the draft refers. */
+struct ParsedText {
+  std::unique_ptr<toml::table> root;
+  ConfigDraft draft;
+};
+
+/** Parses and checks a text, keeping the positions of its values. */
+std::optional<ParsedText> ParseText(std::string_view text,
+                                    std::vector<ConfigError>& reasons);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_CONFIG_PARSED_TEXT_H_
