--- /dev/null
+++ b/src/cli/dc_commands.cc
@@ -0,0 +1,107 @@
+#include <utility>
+
+#include "src/cli/command.h"
+#include "src/cli/log_results.h"
+#include "src/cli/publish.h"
+
+namespace cowslipmast {
+
+namespace {
+
+std::string StateName(DataCentreAvailability availability) {
+  return availability == DataCentreAvailability::kIn ? "in" : "out";
+}
+
+CommandResult MakeDone(const DataCentreId& id,
+                       DataCentreAvailability wanted,
+                       ConfigVersion version,
+                       bool changed) {
+  CommandResult result = MakeResult(
+      ExitCode::kOk,
+      "data centre " + id.value() + " is " + StateName(wanted) +
+          (changed ? ", published as version " : " already, in version ") +
+          std::to_string(version.value()));
+  result.data["data_centre"] = id.value();
+  result.data["state"] = StateName(wanted);
+  result.data["version"] = version.value();
+  result.data["changed"] = changed;
+  return result;
+}
+
+// The command is complete if another operator made the same change.
+std::optional<CommandResult> FindSettled(const ControlState& state,
+                                         const DataCentreId& id,
+                                         DataCentreAvailability wanted) {
+  const auto found = state.config.data_centres.find(id);
+  if (found == state.config.data_centres.end())
+    return MakeResult(ExitCode::kNotFound,
+                      "the configuration has no data centre " + id.value());
+  if (found->second.availability == wanted)
+    return MakeDone(id, wanted, state.config_version, false);
+  return std::nullopt;
+}
+
+CommandResult MakeFailed(PublishOutcome outcome,
+                         const DataCentreId& id,
+                         const NetError& reason) {
+  switch (outcome) {
+    case PublishOutcome::kUnknown:
+      return MakeUnknownOutcome(
+          "the change of data centre " + id.value(),
+          "Run the same command again: it does nothing if the state is already "
+          "so.",
+          reason);
+    case PublishOutcome::kRefused:
+      return MakeResult(ExitCode::kInvalidInput,
+                        "the change was refused by the check of the log");
+    case PublishOutcome::kConflict:
+      return MakeResult(ExitCode::kConflict,
+                        "other operators published before each attempt; "
+                        "nothing was changed");
+    default:
+      return MakeUnavailable(reason);
+  }
+}
+
+// Edits the current text and publishes it, again after each conflict.
+CommandTask SetAvailability(CommandContext context,
+                            DataCentreId id,
+                            DataCentreAvailability wanted) {
+  const auto log = OpenControlLog(context);
+  NetError reason;
+  const bool caught_up = co_await log->CatchUp(reason);
+  if (!caught_up)
+    co_return MakeUnavailable(reason);
+  PublishOutcome outcome = PublishOutcome::kConflict;
+  // A publish has read the log to its end, so the state is the latest.
+  while (outcome == PublishOutcome::kConflict && !log->Expired()) {
+    const ControlState& state = log->state();
+    if (auto settled = FindSettled(state, id, wanted))
+      co_return *settled;
+    ConfigError edit_error;
+    auto text = EditAvailability(state.config_text, id, wanted, edit_error);
+    if (!text)
+      co_return MakeResult(ExitCode::kInvalidInput,
+                           "the text cannot be edited: " + edit_error.found);
+    const ConfigVersion base = state.config_version;
+    ConfigPublished record{base, std::move(*text), context.options.author};
+    outcome = co_await Publish(*log, std::move(record), reason);
+    if (outcome == PublishOutcome::kAccepted)
+      co_return MakeDone(id, wanted, base.Next(), true);
+  }
+  co_return MakeFailed(outcome, id, reason);
+}
+
+}  // namespace
+
+CommandTask DcDrain(CommandContext context, Words words) {
+  return SetAvailability(std::move(context), DataCentreId(words[0]),
+                         DataCentreAvailability::kOut);
+}
+
+CommandTask DcReturn(CommandContext context, Words words) {
+  return SetAvailability(std::move(context), DataCentreId(words[0]),
+                         DataCentreAvailability::kIn);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/cli/publish.h
@@ -0,0 +1,26 @@
+#ifndef COWSLIPMAST_SRC_CLI_PUBLISH_H_
+#define COWSLIPMAST_SRC_CLI_PUBLISH_H_
+
+#include <string>
+
+#include "src/cli/control_log.h"
+#include "src/net/net_error.h"
+
+namespace cowslipmast {
+
+enum class PublishOutcome {
+  kAccepted,
+  kConflict,  // another version became current first
+  kRefused,   // the fold refused the text
+  kNotSent,
+  kUnknown,
+};
+
+/** Appends a publish that names `base` and reads back what became of it. */
+asio::awaitable<PublishOutcome> Publish(ControlLog& log,
+                                        ConfigPublished record,
+                                        NetError& reason);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_CLI_PUBLISH_H_
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -8,7 +8,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/time/time.h"
 #include "src/core/strings.h"
-#include "src/net/asio.h"
+#include "src/net/endpoint.h"
 
 ABSL_FLAG(std::string, role, "", "entry or placer");
 ABSL_FLAG(std::string, vm, "", "name of this VM in the platform's list");
@@ -183,19 +183,4 @@
   return settings;
 }
 
-std::optional<Endpoint> ParseEndpoint(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  std::string address = text.substr(0, colon);
-  if (address.size() > 2 && address.front() == '[' && address.back() == ']')
-    address = address.substr(1, address.size() - 2);
-  boost::system::error_code error;
-  asio::ip::make_address(address, error);
-  const auto port = ParseUnsigned(std::string_view(text).substr(colon + 1));
-  if (error || !port || *port == 0 || *port > 65535)
-    return std::nullopt;
-  return Endpoint{address, static_cast<uint16_t>(*port)};
-}
-
 }  // namespace cowslipmast
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -48,9 +48,6 @@
 /** Checks the parsed flags. */
 std::optional<Settings> MakeSettings(SettingsError& reason);
 
-/** Parses `address:port`; an IPv6 address stands in brackets. */
-std::optional<Endpoint> ParseEndpoint(const std::string& text);
-
 }  // namespace cowslipmast
 
 #endif  // COWSLIPMAST_SRC_DAEMON_SETTINGS_H_
