--- /dev/null
+++ b/src/net/peer_codec.h
@@ -0,0 +1,27 @@
+#ifndef COWSLIPMAST_SRC_NET_PEER_CODEC_H_
+#define COWSLIPMAST_SRC_NET_PEER_CODEC_H_
+
+#include "src/net/log_client.h"
+#include "src/net/peer_message.h"
+#include "src/schema/peer.capnp.h"
+
+namespace cowslipmast {
+
+void Encode(const Heartbeat& heartbeat, schema::Heartbeat::Builder builder);
+Heartbeat Decode(schema::Heartbeat::Reader reader);
+
+void Encode(const DeskRequest& request, schema::DeskRequest::Builder builder);
+DeskRequest Decode(schema::DeskRequest::Reader reader);
+
+void Encode(const DeskReply& reply, schema::DeskReply::Builder builder);
+DeskReply Decode(schema::DeskReply::Reader reader);
+
+/** A page is sent with the age of its proof, since clocks differ. */
+void Encode(const LogPage& page, schema::LogPage::Builder builder);
+/** `asked_at` is when this process asked the peer for the page. */
+LogPage Decode(schema::LogPage::Reader reader,
+               std::chrono::steady_clock::time_point asked_at);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_NET_PEER_CODEC_H_
--- /dev/null
+++ b/src/net/peer_link_msm.h
@@ -0,0 +1,45 @@
+#ifndef COWSLIPMAST_SRC_NET_PEER_LINK_MSM_H_
+#define COWSLIPMAST_SRC_NET_PEER_LINK_MSM_H_
+
+#include <memory>
+
+namespace cowslipmast {
+
+/** What happened to the connections to one peer. */
+enum class PeerLinkEvent {
+  kAnswered,       // on the current connection
+  kFreshAnswered,  // on the connection that is raced against it
+  kSilent,         // no answer for 1.5 s
+  kExpired,        // no answer on either connection for 5 s
+  kRetry,          // time to try a peer that is down
+};
+
+/** Connectivity of one peer; the same values as PeerLink. */
+enum class PeerLinkState { kUp, kSuspect, kDown };
+
+/** What to do with the connections after an event. */
+struct PeerLinkActions {
+  bool open_fresh = false;
+  bool keep_fresh = false;  // it replaces the current one
+  bool drop_fresh = false;
+  bool drop_all = false;
+};
+
+/** State machine of the connections to one peer. */
+class PeerLinkMachine {
+ public:
+  static std::unique_ptr<PeerLinkMachine> Make();
+  ~PeerLinkMachine();
+
+  PeerLinkActions Process(PeerLinkEvent event);
+  PeerLinkState state() const;
+
+ private:
+  struct Impl;
+  explicit PeerLinkMachine(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_NET_PEER_LINK_MSM_H_
--- /dev/null
+++ b/src/net/peer_set.cc
@@ -0,0 +1,290 @@
+#include "src/net/peer_set.h"
+
+#include <map>
+#include <utility>
+
+#include "src/net/peer_link_msm.h"
+#include "src/net/peer_rpc.h"
+
+namespace cowslipmast {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+namespace {
+
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration kSuspectAfter = std::chrono::milliseconds(1500);
+constexpr Duration kDownAfter = std::chrono::seconds(5);
+// A call is given up only some time after its RPC timeout, so that the typed
+// error of the RPC comes first.
+constexpr Duration kCallMargin = std::chrono::seconds(5);
+
+// One peer and its connections; `fresh` is raced against `current`.
+struct Peer {
+  Member member;
+  std::unique_ptr<PeerLinkMachine> link = PeerLinkMachine::Make();
+  PeerChannelPtr current;
+  PeerChannelPtr fresh;
+  std::optional<Heartbeat> last;
+  SteadyTime asked_at;
+  SteadyTime answered_at;
+  bool removed = false;
+};
+using PeerPtr = std::shared_ptr<Peer>;
+
+PeerLink ToPeerLink(PeerLinkState state) {
+  switch (state) {
+    case PeerLinkState::kUp:
+      return PeerLink::kUp;
+    case PeerLinkState::kSuspect:
+      return PeerLink::kSuspect;
+    case PeerLinkState::kDown:
+      return PeerLink::kDown;
+  }
+  return PeerLink::kDown;
+}
+
+// Waits on the Asio thread for a result that arrives by a callback there.
+template <typename T>
+struct PendingCall {
+  explicit PendingCall(asio::io_context& io) : timer(io) {}
+  asio::steady_timer timer;
+  std::optional<RpcResult<T>> result;
+};
+
+template <typename T>
+std::function<void(RpcResult<T>)> Complete(
+    std::shared_ptr<PendingCall<T>> call) {
+  return [call](RpcResult<T> result) {
+    call->result = std::move(result);
+    call->timer.cancel();
+  };
+}
+
+template <typename T>
+asio::awaitable<std::optional<T>> Await(std::shared_ptr<PendingCall<T>> call,
+                                        Duration timeout,
+                                        NetError& reason) {
+  call->timer.expires_after(timeout + kCallMargin);
+  boost::system::error_code ignored;
+  co_await call->timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  if (!call->result) {
+    reason = {NetErrorKind::kTimeout, true, ""};
+    co_return std::nullopt;
+  }
+  if (!call->result->value)
+    reason = call->result->error;
+  co_return std::move(call->result->value);
+}
+
+}  // namespace
+
+struct PeerSet::Impl {
+  Impl(asio::io_context& asio_io, PeerHandlers peer_handlers)
+      : io(asio_io),
+        handlers(std::move(peer_handlers)),
+        alive(std::make_shared<bool>(true)) {}
+
+  void AddPeer(const Member& member);
+  asio::awaitable<void> HeartbeatLoop(PeerPtr peer,
+                                      std::shared_ptr<bool> still_alive);
+  void Beat(const PeerPtr& peer);
+  void SendHeartbeat(const PeerPtr& peer, const PeerChannelPtr& channel);
+  void OnHeartbeat(const PeerPtr& peer,
+                   const PeerChannelPtr& channel,
+                   SteadyTime asked_at,
+                   RpcResult<Heartbeat> result);
+  void DropCurrent(const PeerPtr& peer);
+  void Process(const PeerPtr& peer, PeerLinkEvent event);
+  PeerChannelPtr UsableChannel(const ProcessId& peer, NetError& reason) const;
+
+  asio::io_context& io;
+  PeerHandlers handlers;
+  std::unique_ptr<PeerRpc> rpc;
+  std::map<ProcessId, PeerPtr> peers;
+  std::shared_ptr<bool> alive;  // false once the set is destroyed
+};
+
+void PeerSet::Impl::AddPeer(const Member& member) {
+  auto peer = std::make_shared<Peer>();
+  peer->member = member;
+  peers[member.process] = peer;
+  asio::co_spawn(io, HeartbeatLoop(peer, alive), asio::detached);
+}
+
+asio::awaitable<void> PeerSet::Impl::HeartbeatLoop(
+    PeerPtr peer,
+    std::shared_ptr<bool> still_alive) {
+  asio::steady_timer timer(io);
+  while (*still_alive && !peer->removed) {
+    Beat(peer);
+    timer.expires_after(kHeartbeatInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+void PeerSet::Impl::Beat(const PeerPtr& peer) {
+  const auto silence = std::chrono::steady_clock::now() - peer->answered_at;
+  if (peer->link->state() == PeerLinkState::kDown)
+    Process(peer, PeerLinkEvent::kRetry);
+  else if (silence > kDownAfter)
+    Process(peer, PeerLinkEvent::kExpired);
+  else if (silence > kSuspectAfter)
+    Process(peer, PeerLinkEvent::kSilent);
+  if (peer->current)
+    SendHeartbeat(peer, peer->current);
+  if (peer->fresh)
+    SendHeartbeat(peer, peer->fresh);
+}
+
+void PeerSet::Impl::SendHeartbeat(const PeerPtr& peer,
+                                  const PeerChannelPtr& channel) {
+  const SteadyTime asked_at = std::chrono::steady_clock::now();
+  rpc->CallHeartbeat(channel, handlers.heartbeat(), kSuspectAfter,
+                     [this, peer, channel, asked_at,
+                      still_alive = alive](RpcResult<Heartbeat> result) {
+                       if (*still_alive && !peer->removed)
+                         OnHeartbeat(peer, channel, asked_at,
+                                     std::move(result));
+                     });
+}
+
+void PeerSet::Impl::OnHeartbeat(const PeerPtr& peer,
+                                const PeerChannelPtr& channel,
+                                SteadyTime asked_at,
+                                RpcResult<Heartbeat> result) {
+  const bool is_fresh = channel == peer->fresh;
+  if (!is_fresh && channel != peer->current)
+    return;
+  // Another process may have taken the port of the one that is gone.
+  const bool is_peer =
+      result.value && result.value->process == peer->member.process;
+  if (!is_peer) {
+    if (is_fresh)
+      peer->fresh.reset();
+    else if (!result.value && result.error.kind != NetErrorKind::kTimeout)
+      DropCurrent(peer);
+    return;
+  }
+  peer->answered_at = std::chrono::steady_clock::now();
+  if (asked_at >= peer->asked_at) {
+    peer->asked_at = asked_at;
+    peer->last = std::move(result.value);
+  }
+  Process(peer,
+          is_fresh ? PeerLinkEvent::kFreshAnswered : PeerLinkEvent::kAnswered);
+}
+
+// A broken connection is not used again: a request given to it would count as
+// possibly run.
+void PeerSet::Impl::DropCurrent(const PeerPtr& peer) {
+  peer->current.reset();
+  Process(peer, PeerLinkEvent::kSilent);
+}
+
+void PeerSet::Impl::Process(const PeerPtr& peer, PeerLinkEvent event) {
+  const PeerLinkActions actions = peer->link->Process(event);
+  if (actions.keep_fresh)
+    peer->current = std::exchange(peer->fresh, nullptr);
+  if (actions.drop_fresh || actions.drop_all)
+    peer->fresh.reset();
+  if (actions.drop_all)
+    peer->current.reset();
+  const bool wants_fresh =
+      actions.open_fresh || peer->link->state() == PeerLinkState::kSuspect;
+  if (wants_fresh && !peer->fresh)
+    peer->fresh = rpc->Connect(peer->member.peer_endpoint);
+}
+
+PeerChannelPtr PeerSet::Impl::UsableChannel(const ProcessId& peer,
+                                            NetError& reason) const {
+  const auto found = peers.find(peer);
+  if (found == peers.end() || !found->second->current) {
+    reason = {NetErrorKind::kConnectFailed, false, "no connection to the peer"};
+    return nullptr;
+  }
+  return found->second->current;
+}
+
+PeerSet::PeerSet(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+PeerSet::~PeerSet() {
+  *m_impl->alive = false;
+}
+
+std::unique_ptr<PeerSet> PeerSet::Make(asio::io_context& io,
+                                       const Endpoint& listen,
+                                       PeerHandlers handlers,
+                                       NetError& reason) {
+  auto impl = std::make_unique<Impl>(io, handlers);
+  impl->rpc = PeerRpc::Make(io, listen, std::move(handlers), reason);
+  if (!impl->rpc)
+    return nullptr;
+  return std::unique_ptr<PeerSet>(new PeerSet(std::move(impl)));
+}
+
+uint16_t PeerSet::port() const {
+  return m_impl->rpc->port();
+}
+
+void PeerSet::SetMembers(std::vector<Member> members) {
+  std::map<ProcessId, PeerPtr> kept;
+  for (const Member& member : members) {
+    const auto found = m_impl->peers.find(member.process);
+    if (found != m_impl->peers.end())
+      kept.insert(m_impl->peers.extract(found));
+  }
+  for (const auto& [id, peer] : m_impl->peers)
+    peer->removed = true;
+  m_impl->peers = std::move(kept);
+  for (const Member& member : members) {
+    if (!m_impl->peers.contains(member.process))
+      m_impl->AddPeer(member);
+  }
+}
+
+std::vector<PeerView> PeerSet::Peers() const {
+  std::vector<PeerView> views;
+  for (const auto& [id, peer] : m_impl->peers) {
+    views.push_back({.member = peer->member,
+                     .link = ToPeerLink(peer->link->state()),
+                     .last = peer->last,
+                     .asked_at = peer->asked_at});
+  }
+  return views;
+}
+
+asio::awaitable<std::optional<DeskReply>> PeerSet::Forward(ProcessId peer,
+                                                           DeskRequest request,
+                                                           Duration timeout,
+                                                           NetError& reason) {
+  const PeerChannelPtr channel = m_impl->UsableChannel(peer, reason);
+  if (!channel)
+    co_return std::nullopt;
+  auto call = std::make_shared<PendingCall<DeskReply>>(m_impl->io);
+  m_impl->rpc->CallForward(channel, std::move(request), timeout,
+                           Complete(call));
+  auto reply = co_await Await(call, timeout, reason);
+  co_return reply;
+}
+
+asio::awaitable<std::optional<LogPage>> PeerSet::ReadLog(ProcessId peer,
+                                                         StreamId stream,
+                                                         LogOffset from,
+                                                         uint32_t max_entries,
+                                                         Duration wait,
+                                                         NetError& reason) {
+  const PeerChannelPtr channel = m_impl->UsableChannel(peer, reason);
+  if (!channel)
+    co_return std::nullopt;
+  auto call = std::make_shared<PendingCall<LogPage>>(m_impl->io);
+  m_impl->rpc->CallReadLog(channel, stream, from, max_entries, wait,
+                           Complete(call));
+  auto page = co_await Await(call, wait, reason);
+  co_return page;
+}
+
+}  // namespace cowslipmast
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -35,6 +35,7 @@
   path @5 :Text;
   headers @6 :List(Header);
   body @7 :Data;
+  resend @8 :Bool;
 }
 
 enum DeskOutcome { answered @0; notRun @1; unknown @2; }
--- a/src/schema/peer.capnp.h
+++ b/src/schema/peer.capnp.h
@@ -612,6 +612,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getResend() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -688,6 +690,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getResend();
+  inline void setResend(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2115,6 +2120,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool DeskRequest::Reader::getResend() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool DeskRequest::Builder::getResend() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void DeskRequest::Builder::setResend(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cowslipmast::schema::DeskOutcome DeskReply::Reader::getOutcome() const {
   return _reader.getDataField< ::cowslipmast::schema::DeskOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/schema/record.capnp.h
+++ b/src/schema/record.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
