standins: log, VM list, targets and workers

Cause: the daemons have no platform to run against, and the guarantees need a judge that is not the system itself.

Change: four programs on loopback. The VM list shows changes after a lag. The targets count requests by id and report more requests than slots and repeated non-idempotent ones. Broken-off answers need their own small server, since HttpServer must not be able to produce them.

--- /dev/null
+++ b/standins/common/fault_server.cc
@@ -0,0 +1,162 @@
+#include "standins/common/fault_server.h"
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include "src/net/beast_message.h"
+
+namespace cowslipmast::standins {
+
+using asio::ip::tcp;
+
+namespace {
+
+// Above the daemon's limits, so that the daemon's limits are the ones met.
+constexpr uint64_t kBodyLimitBytes = 64ULL * 1024 * 1024;
+constexpr uint32_t kHeaderLimitBytes = 64 * 1024;
+
+using Parser = http::request_parser<http::string_body>;
+using StreamPtr = std::shared_ptr<beast::tcp_stream>;
+
+HttpRequest TakeRequest(Parser& parser) {
+  http::request<http::string_body> message = parser.release();
+  return HttpRequest{.method = std::string(message.method_string()),
+                     .path = std::string(message.target()),
+                     .headers = FromBeastFields(message),
+                     .body = std::move(message.body())};
+}
+
+http::response<http::string_body> MakeMessage(FaultAnswer answer,
+                                              bool keep_alive) {
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(answer.response.status);
+  AddBeastFields(answer.response.headers, message);
+  message.body() = std::move(answer.response.body);
+  message.keep_alive(keep_alive);
+  message.prepare_payload();
+  // The declared length stays that of the whole body.
+  if (answer.delivery == Delivery::kCutShort)
+    message.body().resize(message.body().size() / 2);
+  return message;
+}
+
+}  // namespace
+
+struct FaultServer::Impl : std::enable_shared_from_this<FaultServer::Impl> {
+  explicit Impl(asio::io_context& io) : acceptor(io) {}
+
+  bool Listen(const Endpoint& endpoint, NetError& reason);
+  asio::awaitable<void> AcceptLoop();
+  asio::awaitable<void> Serve(StreamPtr stream);
+  asio::awaitable<bool> ServeOne(StreamPtr stream, beast::flat_buffer& buffer);
+
+  tcp::acceptor acceptor;
+  FaultHandler handler;
+  std::set<StreamPtr> streams;
+  uint16_t port = 0;
+  bool stopped = false;
+};
+
+bool FaultServer::Impl::Listen(const Endpoint& endpoint, NetError& reason) {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    reason = {NetErrorKind::kBadAddress, false, endpoint.address};
+    return false;
+  }
+  const tcp::endpoint local(address, endpoint.port);
+  acceptor.open(local.protocol(), error);
+  if (!error)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor.bind(local, error);
+  if (!error)
+    acceptor.listen(tcp::acceptor::max_listen_connections, error);
+  if (error) {
+    reason = {NetErrorKind::kListenFailed, false, error.message()};
+    return false;
+  }
+  port = acceptor.local_endpoint().port();
+  return true;
+}
+
+asio::awaitable<void> FaultServer::Impl::AcceptLoop() {
+  const auto self = shared_from_this();
+  while (!stopped) {
+    boost::system::error_code error;
+    tcp::socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (stopped || error)
+      co_return;
+    socket.set_option(tcp::no_delay(true), error);
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    streams.insert(stream);
+    asio::co_spawn(acceptor.get_executor(), Serve(stream), asio::detached);
+  }
+}
+
+asio::awaitable<void> FaultServer::Impl::Serve(StreamPtr stream) {
+  const auto self = shared_from_this();
+  beast::flat_buffer buffer;
+  bool open = true;
+  while (open && !stopped)
+    open = co_await ServeOne(stream, buffer);
+  boost::system::error_code ignored;
+  stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+  stream->socket().close(ignored);
+  streams.erase(stream);
+}
+
+asio::awaitable<bool> FaultServer::Impl::ServeOne(StreamPtr stream,
+                                                  beast::flat_buffer& buffer) {
+  Parser parser;
+  parser.header_limit(kHeaderLimitBytes);
+  parser.body_limit(kBodyLimitBytes);
+  beast::error_code error;
+  co_await http::async_read(*stream, buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error)
+    co_return false;
+  bool keep_alive = parser.get().keep_alive();
+  FaultAnswer answer = co_await handler(TakeRequest(parser));
+  const Delivery delivery = answer.delivery;
+  if (delivery == Delivery::kWholeThenClose)
+    keep_alive = false;
+  if (delivery == Delivery::kClose)
+    co_return false;
+  auto message = MakeMessage(std::move(answer), keep_alive);
+  co_await http::async_write(*stream, message,
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error && keep_alive && delivery == Delivery::kWhole;
+}
+
+FaultServer::FaultServer(std::shared_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+
+FaultServer::~FaultServer() {
+  m_impl->stopped = true;
+  boost::system::error_code ignored;
+  m_impl->acceptor.close(ignored);
+  for (const StreamPtr& stream : m_impl->streams)
+    stream->cancel();
+}
+
+std::unique_ptr<FaultServer> FaultServer::Make(asio::io_context& io,
+                                               const Endpoint& endpoint,
+                                               FaultHandler handler,
+                                               NetError& reason) {
+  auto impl = std::make_shared<Impl>(io);
+  impl->handler = std::move(handler);
+  if (!impl->Listen(endpoint, reason))
+    return nullptr;
+  asio::co_spawn(io, impl->AcceptLoop(), asio::detached);
+  return std::unique_ptr<FaultServer>(new FaultServer(std::move(impl)));
+}
+
+uint16_t FaultServer::port() const {
+  return m_impl->port;
+}
+
+}  // namespace cowslipmast::standins
--- /dev/null
+++ b/standins/target/target_service.h
@@ -0,0 +1,64 @@
+#ifndef COWSLIPMAST_STANDINS_TARGET_TARGET_SERVICE_H_
+#define COWSLIPMAST_STANDINS_TARGET_TARGET_SERVICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/core/random.h"
+#include "src/net/asio.h"
+#include "standins/common/fault_server.h"
+#include "standins/target/service_time.h"
+#include "standins/target/target_fleet.h"
+
+namespace cowslipmast::standins {
+
+struct TargetServiceOptions {
+  Duration service_time = std::chrono::milliseconds(20);
+  Distribution distribution = Distribution::kConstant;
+  uint64_t seed = 1;
+};
+
+enum class TargetMode {
+  kNormal,
+  kSilent,    // accepts and never answers; nothing runs
+  kFailing,   // runs and answers 500
+  kCutShort,  // runs and sends half of the answer
+  kClose,     // runs and closes the connection
+  kLeaving,   // answers 503 with `Connection: close`; nothing runs
+};
+
+/** HTTP interface of all targets and their control port. */
+class TargetService {
+ public:
+  TargetService(asio::io_context& io,
+                const std::vector<VmInfo>& targets,
+                const TargetServiceOptions& options);
+
+  /** Serves a request that arrived on the port of one target. */
+  asio::awaitable<FaultAnswer> Handle(size_t target, HttpRequest request);
+  /** Serves a request that arrived on the control port. */
+  asio::awaitable<FaultAnswer> HandleControl(HttpRequest request);
+
+ private:
+  struct Behaviour {
+    TargetMode mode = TargetMode::kNormal;
+    Duration extra{0};  // added to each service time
+  };
+
+  asio::awaitable<FaultAnswer> Run(size_t target, HttpRequest request);
+  asio::awaitable<void> Sleep(Duration time);
+  HttpResponse Control(const HttpRequest& request);
+  HttpResponse Ran(const HttpRequest& request) const;
+
+  asio::io_context& m_io;
+  TargetFleet m_fleet;
+  std::vector<Behaviour> m_behaviours;
+  TargetServiceOptions m_options;
+  Random m_random;
+};
+
+}  // namespace cowslipmast::standins
+
+#endif  // COWSLIPMAST_STANDINS_TARGET_TARGET_SERVICE_H_
--- /dev/null
+++ b/standins/vm_list/vm_list_service.h
@@ -0,0 +1,28 @@
+#ifndef COWSLIPMAST_STANDINS_VM_LIST_VM_LIST_SERVICE_H_
+#define COWSLIPMAST_STANDINS_VM_LIST_VM_LIST_SERVICE_H_
+
+#include <cstdint>
+
+#include "src/net/asio.h"
+#include "standins/common/fault_server.h"
+#include "standins/vm_list/vm_list.h"
+
+namespace cowslipmast::standins {
+
+/** HTTP interface of the VM list stand-in. */
+class VmListService {
+ public:
+  VmListService(Json rows, Duration lag);
+
+  asio::awaitable<FaultAnswer> Handle(HttpRequest request);
+
+ private:
+  HttpResponse Control(const HttpRequest& request);
+
+  VmList m_list;
+  uint64_t m_reads = 0;
+};
+
+}  // namespace cowslipmast::standins
+
+#endif  // COWSLIPMAST_STANDINS_VM_LIST_VM_LIST_SERVICE_H_
--- /dev/null
+++ b/standins/worker/task.h
@@ -0,0 +1,74 @@
+#ifndef COWSLIPMAST_STANDINS_WORKER_TASK_H_
+#define COWSLIPMAST_STANDINS_WORKER_TASK_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cowslipmast/ids.h"
+#include "cowslipmast/units.h"
+
+namespace cowslipmast::standins {
+
+/** One run of a task. */
+struct TaskRun {
+  TaskId task;
+  Attempt attempt;
+
+  auto operator<=>(const TaskRun&) const = default;
+};
+
+/** Why a worker refuses a command. */
+enum class Refusal {
+  kStaleEpoch,
+  kTooLate,
+  kNoCapacity,
+  kAlreadyHere,
+  kUnknownTask
+};
+
+/** Name of a refusal in the worker's protocol. */
+const char* RefusalName(Refusal refusal);
+
+enum class TaskResult { kDone, kFailed, kEvicted, kLost };
+
+const char* TaskResultName(TaskResult result);
+
+struct StartCommand {
+  Epoch epoch;
+  TaskRun run;
+  std::string kind;
+  Resources resources;
+  WallTime not_after;
+  Duration lease{0};
+  Duration run_time{0};  // 0 runs until it is stopped
+  std::string checkpoint;
+  bool latency_critical = false;
+};
+
+/** A task that runs on a worker. */
+struct Lease {
+  TaskRun run;
+  Epoch epoch;
+  std::string kind;
+  Resources resources;
+  TimePoint expires_at;
+  Duration work_done{0};
+  std::optional<Duration> work;   // in all; nothing for an endless task
+  bool fails = false;             // ends as failed when the work is done
+  uint64_t throttle_percent = 0;  // share of its speed that is taken away
+  std::optional<TimePoint> checkpointed_at;  // set while checkpointing
+  Resources usage;                           // as last sampled
+  TimePoint usage_at;
+};
+
+/** A task that ended and was not acknowledged yet. */
+struct FinishedTask {
+  TaskRun run;
+  TaskResult result = TaskResult::kDone;
+  std::string checkpoint;
+};
+
+}  // namespace cowslipmast::standins
+
+#endif  // COWSLIPMAST_STANDINS_WORKER_TASK_H_
