cli: the operators' tool with config, dc, vm, job, status and dump

Cause: operators had no way to publish a configuration or to take a data centre out of service. Change: config, dc and vm commands fold the control stream, append one batch and read it back; a lost reply is settled by reading and by the same batch again. A publish names its base version, and the loser of a race gets exit code 2 and a diff. Job commands repeat a request whose reply is lost, since its id makes it the same job. Conclusion: a change whose outcome cannot be known in time ends with exit code 4 and a text that says so.

--- /dev/null
+++ b/src/cli/daemon_call.cc
@@ -0,0 +1,115 @@
+#include "src/cli/daemon_call.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace cowslipmast {
+
+namespace {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr Duration kCallTimeout = std::chrono::seconds(5);
+constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+
+// 502 and 504 come from something between the tool and the process.
+ExitCode CodeOfStatus(uint16_t status, bool has_effect) {
+  if (status >= 200 && status < 300)
+    return ExitCode::kOk;
+  switch (status) {
+    case 404:
+      return ExitCode::kNotFound;
+    case 409:
+      return ExitCode::kConflict;
+    case 503:
+      return ExitCode::kUnavailable;
+    case 400:
+    case 413:
+    case 422:
+      return ExitCode::kInvalidInput;
+    default:
+      return has_effect ? ExitCode::kUnknown : ExitCode::kUnavailable;
+  }
+}
+
+CommandResult MakeAnswered(const HttpResponse& response, bool has_effect) {
+  CommandResult result;
+  result.code = CodeOfStatus(response.status, has_effect);
+  const Json body = Json::parse(response.body, nullptr, false);
+  const std::string shown =
+      body.is_discarded()
+          ? response.body
+          : body.dump(2, ' ', false, Json::error_handler_t::replace);
+  if (result.code != ExitCode::kOk)
+    result.text = "the process answered with status " +
+                  std::to_string(response.status) + ": ";
+  result.text += shown;
+  if (result.text.empty() || result.text.back() != '\n')
+    result.text += '\n';
+  result.data["status"] = response.status;
+  result.data["answer"] = body.is_discarded() ? Json(response.body) : body;
+  return result;
+}
+
+CommandResult MakeNotReached(const std::string& change,
+                             bool sent,
+                             const NetError& reason) {
+  std::string why(NetErrorName(reason.kind));
+  if (!reason.detail.empty())
+    why += ": " + reason.detail;
+  CommandResult result =
+      sent && !change.empty()
+          ? MakeResult(ExitCode::kUnknown,
+                       "it is not known whether " + change + " took effect (" +
+                           why + "). Run the same command with this id again.")
+          : MakeResult(ExitCode::kUnavailable,
+                       "the process cannot be reached (" + why +
+                           "); nothing was changed");
+  result.data["error"] = NetErrorName(reason.kind);
+  return result;
+}
+
+// An answer that says nothing about the request's effect is asked for again.
+bool IsFinal(const HttpResponse& response, bool has_effect) {
+  const ExitCode code = CodeOfStatus(response.status, has_effect);
+  return code != ExitCode::kUnavailable && code != ExitCode::kUnknown;
+}
+
+}  // namespace
+
+CommandTask CallDaemon(CommandContext context,
+                       HttpRequest request,
+                       std::string change) {
+  const auto deadline = Clock::now() + context.options.timeout;
+  const bool has_effect = !change.empty();
+  bool sent = false;
+  NetError reason;
+  std::optional<HttpResponse> response;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    const auto left =
+        std::chrono::duration_cast<Duration>(deadline - Clock::now());
+    if (left <= Duration(0))
+      break;
+    const Duration timeout = std::min(left, kCallTimeout);
+    const Endpoint endpoint = *context.options.daemon;
+    reason = NetError();
+    auto answer =
+        co_await context.http.Call(endpoint, request, timeout, reason);
+    if (answer && IsFinal(*answer, has_effect))
+      co_return MakeAnswered(*answer, has_effect);
+    const bool refused = answer && answer->status == 503;
+    sent = sent || (answer ? !refused : reason.request_sent);
+    response = std::move(answer);
+    timer.expires_after(std::min(kRetryPause, left));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  if (response && !(sent && has_effect))
+    co_return MakeAnswered(*response, has_effect);
+  co_return MakeNotReached(change, sent, reason);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/cli/help.h
@@ -0,0 +1,15 @@
+#ifndef COWSLIPMAST_SRC_CLI_HELP_H_
+#define COWSLIPMAST_SRC_CLI_HELP_H_
+
+#include <string>
+
+#include "src/cli/command.h"
+
+namespace cowslipmast {
+
+/** Text of --help for the tool, a group of commands or one command. */
+std::string HelpText(const Words& words);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_CLI_HELP_H_
--- /dev/null
+++ b/src/cli/job_file.h
@@ -0,0 +1,40 @@
+#ifndef COWSLIPMAST_SRC_CLI_JOB_FILE_H_
+#define COWSLIPMAST_SRC_CLI_JOB_FILE_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "src/cli/cli_options.h"
+
+namespace cowslipmast {
+
+/** Longest accepted job file, in bytes. */
+inline constexpr size_t kMaxJobFileBytes = 64 * 1024;
+
+/** Which key of a job is wrong, and what would be right. */
+struct JobFileError {
+  std::string key;
+  std::string expected;
+};
+
+/** Parses a JSON object with the keys of POST /v1/jobs. */
+std::optional<JobRequest> ParseJobFile(std::string_view text,
+                                       JobFileError& reason);
+
+/** Checks what needs no configuration: names, counts, sizes. */
+bool CheckJob(const JobRequest& job, JobFileError& reason);
+
+/** Returns the body of POST /v1/jobs. */
+std::string JobToJson(const JobRequest& job);
+
+/** Returns a new id with 128 random bits. */
+std::string MakeJobId();
+
+/** True for 1 to 128 of `A-Z a-z 0-9 . - _`: ids stand in URL paths. */
+bool IsJobId(std::string_view text);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_CLI_JOB_FILE_H_
--- /dev/null
+++ b/tests/cli/fake_log.h
@@ -0,0 +1,90 @@
+#ifndef COWSLIPMAST_TESTS_CLI_FAKE_LOG_H_
+#define COWSLIPMAST_TESTS_CLI_FAKE_LOG_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "cowslipmast/codec.h"
+#include "src/core/strings.h"
+#include "standins/common/fault_server.h"
+#include "standins/common/json.h"
+#include "standins/log/log_store.h"
+
+namespace cowslipmast {
+
+enum class AppendFault { kNone, kLoseReply, kDropRequest };
+
+/** Log service of one stream on a free port, with faults by request. */
+struct FakeLog {
+  asio::io_context& io;
+  standins::LogStore store{1000};
+  std::unique_ptr<standins::FaultServer> server;
+  std::deque<AppendFault> faults;       // of the next appends
+  std::function<void()> before_append;  // called once
+  bool down = false;                    // closes every connection
+  bool down_after_append = false;
+  size_t appends = 0;  // that took effect
+  uint64_t other_producers = 0;
+
+  explicit FakeLog(asio::io_context& loop) : io(loop) {
+    NetError reason;
+    server = standins::FaultServer::Make(
+        io, {"127.0.0.1", 0},
+        [this](HttpRequest request) { return Handle(std::move(request)); },
+        reason);
+  }
+
+  Endpoint endpoint() const { return {"127.0.0.1", server->port()}; }
+
+  // Appends a record as another operator or process would.
+  void Add(Record record) {
+    const ProducerId producer{.high = 7, .low = ++other_producers};
+    store.Append(
+        "control",
+        EncodeBatch({producer, BatchSequence(1), {std::move(record)}}));
+  }
+
+  asio::awaitable<standins::FaultAnswer> Handle(HttpRequest request) {
+    if (down)
+      co_return standins::FaultAnswer{{}, standins::Delivery::kClose};
+    co_return request.method == "POST" ? Append(request) : Read(request);
+  }
+
+  standins::FaultAnswer Append(const HttpRequest& request) {
+    if (auto hook = std::exchange(before_append, nullptr))
+      hook();
+    AppendFault fault = AppendFault::kNone;
+    if (!faults.empty()) {
+      fault = faults.front();
+      faults.pop_front();
+    }
+    down = down_after_append;
+    if (fault == AppendFault::kDropRequest)
+      return {{}, standins::Delivery::kClose};
+    ++appends;
+    const uint64_t offset = store.Append("control", request.body);
+    if (fault == AppendFault::kLoseReply)
+      return {{}, standins::Delivery::kClose};
+    return {MakeJsonResponse(200, standins::Json{{"offset", offset}}.dump())};
+  }
+
+  standins::FaultAnswer Read(const HttpRequest& request) const {
+    const auto from = QueryParameter(request.path, "from").value_or("0");
+    const auto slice =
+        store.Read("control", ParseUnsigned(from).value_or(0), 4);
+    standins::Json entries = standins::Json::array();
+    for (size_t i = 0; i < slice.entries.size(); ++i)
+      entries.push_back({{"offset", slice.first + i},
+                         {"data", Base64Encode(slice.entries[i])}});
+    const standins::Json page = {
+        {"oldest", slice.oldest}, {"end", slice.end}, {"entries", entries}};
+    return {MakeJsonResponse(slice.expired ? 410 : 200, page.dump())};
+  }
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_TESTS_CLI_FAKE_LOG_H_
