--- /dev/null
+++ b/src/daemon/lifecycle.cc
@@ -0,0 +1,101 @@
+#include "src/daemon/lifecycle.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr std::array<std::pair<LifecycleState, std::string_view>, 5> kStates = {
+    {
+        {LifecycleState::kStarting, "starting"},
+        {LifecycleState::kCatchingUp, "catching_up"},
+        {LifecycleState::kServing, "serving"},
+        {LifecycleState::kDraining, "draining"},
+        {LifecycleState::kStopped, "stopped"},
+    }};
+
+constexpr std::array<std::pair<LifecycleEvent, std::string_view>, 5> kEvents = {
+    {
+        {LifecycleEvent::kPortsOpen, "ports_open"},
+        {LifecycleEvent::kCaughtUp, "caught_up"},
+        {LifecycleEvent::kSigterm, "sigterm"},
+        {LifecycleEvent::kDrained, "drained"},
+        {LifecycleEvent::kDrainTimeout, "drain_timeout"},
+    }};
+
+constexpr std::array<std::pair<LifecycleAction, std::string_view>, 4> kActions =
+    {{
+        {LifecycleAction::kFollowLog, "follow_log"},
+        {LifecycleAction::kJoin, "join"},
+        {LifecycleAction::kStartDrain, "start_drain"},
+        {LifecycleAction::kExit, "exit"},
+    }};
+
+template <typename Key, size_t Size>
+Key KeyOf(const std::array<std::pair<Key, std::string_view>, Size>& names,
+          std::string_view name,
+          Key otherwise) {
+  for (const auto& [key, known] : names) {
+    if (known == name)
+      return key;
+  }
+  return otherwise;
+}
+
+template <typename Key, size_t Size>
+std::string_view NameOf(
+    const std::array<std::pair<Key, std::string_view>, Size>& names,
+    Key wanted) {
+  for (const auto& [key, name] : names) {
+    if (key == wanted)
+      return name;
+  }
+  return "";
+}
+
+}  // namespace
+
+Lifecycle::Lifecycle(const Chart& chart)
+    : m_chart(chart), m_state(chart.initial) {}
+
+std::optional<Lifecycle> Lifecycle::Make(const Chart& chart,
+                                         std::string& missing) {
+  for (const auto& [state, name] : kStates) {
+    missing = name;
+    if (!FindChartState(chart, name))
+      return std::nullopt;
+  }
+  for (const auto& [event, name] : kEvents) {
+    missing = name;
+    if (!FindChartEvent(chart, name))
+      return std::nullopt;
+  }
+  missing.clear();
+  return Lifecycle(chart);
+}
+
+LifecycleAction Lifecycle::Process(LifecycleEvent event) {
+  const auto handle = FindChartEvent(m_chart, NameOf(kEvents, event));
+  const auto transition = Step(m_chart, m_state, *handle);
+  if (!transition)
+    return LifecycleAction::kNone;
+  m_state = transition->to;
+  if (!transition->action)
+    return LifecycleAction::kNone;
+  const std::string& action =
+      m_chart.actions[static_cast<size_t>(*transition->action)];
+  return KeyOf(kActions, action, LifecycleAction::kNone);
+}
+
+LifecycleState Lifecycle::state() const {
+  return KeyOf(kStates, StateName(m_chart, m_state), LifecycleState::kStarting);
+}
+
+const std::string& Lifecycle::state_name() const {
+  return StateName(m_chart, m_state);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/daemon/membership.cc
@@ -0,0 +1,81 @@
+#include "src/daemon/membership.h"
+
+#include <utility>
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration kRemoteHeartbeatInterval = std::chrono::seconds(2);
+
+// The table of the own region and role; an empty one if there is none yet.
+MemberTable OwnTable(const ControlState& state, const Member& self) {
+  const auto found = state.members.find({self.region, self.role});
+  return found == state.members.end() ? MemberTable{} : found->second;
+}
+
+}  // namespace
+
+bool IsMember(const ControlState& state, const Member& self) {
+  return OwnTable(state, self).members.contains(self.process);
+}
+
+std::optional<Record> PlanJoin(const ControlState& state, const Member& self) {
+  const MemberTable table = OwnTable(state, self);
+  if (table.members.contains(self.process) || table.settled != table.version)
+    return std::nullopt;
+  return Join{.member = self, .base_version = table.version};
+}
+
+std::optional<Record> PlanLeave(const ControlState& state, const Member& self) {
+  const MemberTable table = OwnTable(state, self);
+  if (!table.members.contains(self.process) || table.settled != table.version)
+    return std::nullopt;
+  return Leave{.process = self.process,
+               .region = self.region,
+               .role = self.role,
+               .base_version = table.version};
+}
+
+std::vector<Record> PlanReleases(const ControlState& state,
+                                 const ProcessId& self) {
+  std::vector<Record> records;
+  for (const auto& [resource, ownership] : state.ownership) {
+    if (ownership.owner == self)
+      records.push_back(Release{resource, ownership.epoch});
+  }
+  return records;
+}
+
+std::vector<PeerSpec> ChoosePeers(const ControlState& state,
+                                  const Member& self) {
+  std::vector<PeerSpec> peers;
+  for (const auto& [key, table] : state.members) {
+    const auto& [region, role] = key;
+    const bool is_local = region == self.region;
+    if (role != self.role || (!is_local && role != Role::kEntry))
+      continue;
+    for (const auto& [process, member] : table.members) {
+      if (process == self.process)
+        continue;
+      peers.push_back(
+          {member, is_local ? kHeartbeatInterval : kRemoteHeartbeatInterval});
+    }
+  }
+  return peers;
+}
+
+std::vector<ProcessId> LogSources(const std::vector<PeerView>& peers,
+                                  const Member& self) {
+  std::vector<ProcessId> sources;
+  for (const PeerView& peer : peers) {
+    const bool is_local = peer.member.region == self.region;
+    if (is_local && peer.link == PeerLink::kUp &&
+        peer.member.process < self.process)
+      sources.push_back(peer.member.process);
+  }
+  return sources;
+}
+
+}  // namespace cowslipmast
--- a/src/net/peer_set.cc
+++ b/src/net/peer_set.cc
@@ -12,16 +12,16 @@
 
 namespace {
 
-constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
-constexpr Duration kSuspectAfter = std::chrono::milliseconds(1500);
-constexpr Duration kDownAfter = std::chrono::seconds(5);
+// In heartbeat intervals without an answer.
+constexpr int kSuspectAfter = 3;
+constexpr int kDownAfter = 10;
 // A call is given up only some time after its RPC timeout, so that the typed
 // error of the RPC comes first.
 constexpr Duration kCallMargin = std::chrono::seconds(5);
 
 // One peer and its connections; `fresh` is raced against `current`.
 struct Peer {
-  Member member;
+  PeerSpec spec;
   std::unique_ptr<PeerLinkMachine> link = PeerLinkMachine::Make();
   PeerChannelPtr current;
   PeerChannelPtr fresh;
@@ -86,7 +86,7 @@
         handlers(std::move(peer_handlers)),
         alive(std::make_shared<bool>(true)) {}
 
-  void AddPeer(const Member& member);
+  void AddPeer(const PeerSpec& spec);
   asio::awaitable<void> HeartbeatLoop(PeerPtr peer,
                                       std::shared_ptr<bool> still_alive);
   void Beat(const PeerPtr& peer);
@@ -106,10 +106,10 @@
   std::shared_ptr<bool> alive;  // false once the set is destroyed
 };
 
-void PeerSet::Impl::AddPeer(const Member& member) {
+void PeerSet::Impl::AddPeer(const PeerSpec& spec) {
   auto peer = std::make_shared<Peer>();
-  peer->member = member;
-  peers[member.process] = peer;
+  peer->spec = spec;
+  peers[spec.member.process] = peer;
   asio::co_spawn(io, HeartbeatLoop(peer, alive), asio::detached);
 }
 
@@ -119,7 +119,7 @@
   asio::steady_timer timer(io);
   while (*still_alive && !peer->removed) {
     Beat(peer);
-    timer.expires_after(kHeartbeatInterval);
+    timer.expires_after(peer->spec.heartbeat_interval);
     boost::system::error_code ignored;
     co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
@@ -128,11 +128,12 @@
 
 void PeerSet::Impl::Beat(const PeerPtr& peer) {
   const auto silence = std::chrono::steady_clock::now() - peer->answered_at;
+  const Duration interval = peer->spec.heartbeat_interval;
   if (peer->link->state() == PeerLinkState::kDown)
     Process(peer, PeerLinkEvent::kRetry);
-  else if (silence > kDownAfter)
+  else if (silence > kDownAfter * interval)
     Process(peer, PeerLinkEvent::kExpired);
-  else if (silence > kSuspectAfter)
+  else if (silence > kSuspectAfter * interval)
     Process(peer, PeerLinkEvent::kSilent);
   if (peer->current)
     SendHeartbeat(peer, peer->current);
@@ -143,7 +144,8 @@
 void PeerSet::Impl::SendHeartbeat(const PeerPtr& peer,
                                   const PeerChannelPtr& channel) {
   const SteadyTime asked_at = std::chrono::steady_clock::now();
-  rpc->CallHeartbeat(channel, handlers.heartbeat(), kSuspectAfter,
+  rpc->CallHeartbeat(channel, handlers.heartbeat(),
+                     kSuspectAfter * peer->spec.heartbeat_interval,
                      [this, peer, channel, asked_at,
                       still_alive = alive](RpcResult<Heartbeat> result) {
                        if (*still_alive && !peer->removed)
@@ -161,7 +163,7 @@
     return;
   // Another process may have taken the port of the one that is gone.
   const bool is_peer =
-      result.value && result.value->process == peer->member.process;
+      result.value && result.value->process == peer->spec.member.process;
   if (!is_peer) {
     if (is_fresh)
       peer->fresh.reset();
@@ -196,7 +198,7 @@
   const bool wants_fresh =
       actions.open_fresh || peer->link->state() == PeerLinkState::kSuspect;
   if (wants_fresh && !peer->fresh)
-    peer->fresh = rpc->Connect(peer->member.peer_endpoint);
+    peer->fresh = rpc->Connect(peer->spec.member.peer_endpoint);
 }
 
 PeerChannelPtr PeerSet::Impl::UsableChannel(const ProcessId& peer,
@@ -230,26 +232,26 @@
   return m_impl->rpc->port();
 }
 
-void PeerSet::SetMembers(std::vector<Member> members) {
+void PeerSet::SetPeers(std::vector<PeerSpec> peers) {
   std::map<ProcessId, PeerPtr> kept;
-  for (const Member& member : members) {
-    const auto found = m_impl->peers.find(member.process);
+  for (const PeerSpec& spec : peers) {
+    const auto found = m_impl->peers.find(spec.member.process);
     if (found != m_impl->peers.end())
       kept.insert(m_impl->peers.extract(found));
   }
   for (const auto& [id, peer] : m_impl->peers)
     peer->removed = true;
   m_impl->peers = std::move(kept);
-  for (const Member& member : members) {
-    if (!m_impl->peers.contains(member.process))
-      m_impl->AddPeer(member);
+  for (const PeerSpec& spec : peers) {
+    if (!m_impl->peers.contains(spec.member.process))
+      m_impl->AddPeer(spec);
   }
 }
 
 std::vector<PeerView> PeerSet::Peers() const {
   std::vector<PeerView> views;
   for (const auto& [id, peer] : m_impl->peers) {
-    views.push_back({.member = peer->member,
+    views.push_back({.member = peer->spec.member,
                      .link = ToPeerLink(peer->link->state()),
                      .last = peer->last,
                      .asked_at = peer->asked_at});
--- a/src/net/peer_set.h
+++ b/src/net/peer_set.h
@@ -30,6 +30,13 @@
   std::chrono::steady_clock::time_point asked_at;
 };
 
+/** A peer to keep a connection to. */
+struct PeerSpec {
+  Member member;
+  /** A peer is suspect after 3 and down after 10 of these without an answer. */
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+};
+
 /** What a process answers to its peers; all run on the Asio thread. */
 struct PeerHandlers {
   std::function<Heartbeat()> heartbeat;
@@ -54,8 +61,8 @@
   PeerSet& operator=(const PeerSet&) = delete;
 
   uint16_t port() const;
-  /** Connects to new members and drops those that are gone. */
-  void SetMembers(std::vector<Member> members);
+  /** Connects to new peers and drops those that are gone. */
+  void SetPeers(std::vector<PeerSpec> peers);
   std::vector<PeerView> Peers() const;
 
   /** A failure with `request_sent` may have run the request. */
--- a/tests/net/peer_set_test.cc
+++ b/tests/net/peer_set_test.cc
@@ -59,10 +59,10 @@
                     reason);
 
   void ConnectThrough(uint16_t port, const char* process = "server") {
-    Member member;
-    member.process = ProcessId(process);
-    member.peer_endpoint = {"127.0.0.1", port};
-    client->SetMembers({member});
+    PeerSpec spec;
+    spec.member.process = ProcessId(process);
+    spec.member.peer_endpoint = {"127.0.0.1", port};
+    client->SetPeers({spec});
   }
 
   bool RunUntil(const std::function<bool()>& condition) {
@@ -81,7 +81,7 @@
     std::optional<T> value;
     bool done = false;
     asio::co_spawn(io, std::move(call),
-                   [&](std::exception_ptr, std::optional<T> result) {
+                   [&](const std::exception_ptr&, std::optional<T> result) {
                      value = std::move(result);
                      done = true;
                    });
