--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -115,8 +115,9 @@
   std::unique_ptr<PeerSet> peers;
   std::unique_ptr<HttpServer> admin;
   std::optional<Lifecycle> lifecycle;
-  RoleHooks role;
   std::vector<VmInfo> vms;
+  std::shared_ptr<void> role_keep;
+  RoleHooks role;
   OwnershipMemory ownership_memory;
   OwnershipDecision decision;
   ConfigVersion logged_version;
@@ -134,10 +135,11 @@
   const RoleContext context{io,           settings, self.process, *http,
                             *log,         *metrics, random,       *control,
                             *control_log, *peers,   vms};
-  auto made = make_role(context, charts, reason);
+  auto made = make_role(context, reason);
   if (!made)
     return false;
-  role = std::move(*made);
+  role = std::move(made->hooks);
+  role_keep = std::move(made->keep);
   RegisterMetrics();
   return OpenAdmin(reason);
 }
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/daemon/chart_files.h"
@@ -26,11 +27,16 @@
   std::string detail;
 };
 
+/** A role and what keeps its hooks valid. */
+struct MadeRole {
+  RoleHooks hooks;
+  std::shared_ptr<void> keep;
+};
+
 /** Makes the role of a process; nothing on failure, with `reason` set. */
 using RoleFactory =
-    std::function<std::optional<RoleHooks>(const RoleContext&,
-                                           const ChartSet&,
-                                           ProcessError& reason)>;
+    std::function<std::optional<MadeRole>(const RoleContext&,
+                                          ProcessError& reason)>;
 
 /** One cowslipmastd process: what both roles share. */
 class Process {
