--- a/src/net/append_queue.cc
+++ b/src/net/append_queue.cc
@@ -31,7 +31,7 @@
   if (m_queue.empty() && !m_snapshot)
     return false;
   m_sequence = m_sequence.Next();
-  m_in_flight.emplace();
+  m_in_flight = InFlight{};
   m_in_flight->sequence = m_sequence;
   std::vector<Record> records;
   // First, because under a steady load the queue is never empty.
--- a/tests/fold/fold_test.cc
+++ b/tests/fold/fold_test.cc
@@ -14,6 +14,26 @@
 
 const ProcessId kA = MakeProcess("a");
 const ProcessId kB = MakeProcess("b");
+const std::string kText = R"([[region]]
+id = "luzon"
+[[data_centre]]
+id = "cebu"
+region = "luzon"
+state = "in"
+[[service]]
+id = "desk"
+deadline_ms = 1000
+slots = 4
+[[worker_class]]
+id = "standard"
+cores = 64
+memory_mib = 256000
+rack_size = 8
+[[team]]
+id = "quotes"
+cores = 100
+memory_mib = 4000
+)";
 
 struct Scenario {
   FakeStream stream;
@@ -62,8 +82,8 @@
 
 TEST_CASE("a publish on an old version is void", "[fold]") {
   Scenario s;
-  REQUIRE(s.Add({ConfigPublished{ConfigVersion(0), "", "ana"}}));
-  CHECK_FALSE(s.Add({ConfigPublished{ConfigVersion(0), "", "ben"}}));
+  REQUIRE(s.Add({ConfigPublished{ConfigVersion(0), kText, "ana"}}));
+  CHECK_FALSE(s.Add({ConfigPublished{ConfigVersion(0), kText, "ben"}}));
   CHECK_FALSE(s.Add({ConfigPublished{ConfigVersion(1), "bad", "ana"}}));
   CHECK(s.fold->state().config_version == ConfigVersion(1));
 }
@@ -237,7 +257,7 @@
     case 7:
       return JobPlaced{job, cebu, Epoch(number(3))};
     default:
-      return ConfigPublished{ConfigVersion(number(3)), "", vm};
+      return ConfigPublished{ConfigVersion(number(3)), kText, vm};
   }
 }
 
--- a/tests/record/codec_test.cc
+++ b/tests/record/codec_test.cc
@@ -62,7 +62,6 @@
 // Encodes a batch whose header fields are set by `change`.
 template <typename Change>
 std::string EncodeWith(Change change) {
-  DecodeError reason;
   const std::string entry = EncodeBatch(MakeFullBatch());
   auto words = kj::heapArray<capnp::word>(entry.size() / sizeof(capnp::word));
   memcpy(words.begin(), entry.data(), entry.size());
