desk: route requests to owned targets and peers; entry role

The entry process had no request path.

Adds the routing decisions as free functions over plain structs (slots, queue by deadline, forwarding, retries within a budget, back-off, memory of ids) and the entry role that runs them on Asio. The message types of the desk move to include/cowslipmast/, because the library needs them. HttpResponse gains `closes`, since a 503 with `Connection: close` says that a target is leaving. OwnershipDecision gains `permit_until`, so that a process that was paused does not act on an old decision. RoleHooks gains `begin_grace`.

The plain path and one forward are tested on loopback; routing has no tests of its own yet.

--- /dev/null
+++ b/include/cowslipmast/desk_message.h
@@ -0,0 +1,71 @@
+#ifndef COWSLIPMAST_DESK_MESSAGE_H_
+#define COWSLIPMAST_DESK_MESSAGE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cowslipmast/http.h"
+#include "cowslipmast/ids.h"
+#include "cowslipmast/units.h"
+
+namespace cowslipmast {
+
+using FreeSlots = std::map<ServiceId, Slots>;
+
+enum class DeskOutcome { kAnswered, kNotRun, kUnknown };
+
+/** Why a request was refused or its outcome is unknown. The numbers are part
+ * of the peer protocol; new ones are added at the end. */
+enum class DeskRefusal : uint16_t {
+  kNone,
+  kBadRequest,
+  kUnknownService,
+  kNoFreeSlot,
+  kQueueFull,
+  kDeadlinePassed,
+  kDataCentreOut,
+  kNoTarget,
+  kDuplicateId,
+  kResendNotKnown,
+  kTargetUnreachable,
+  kTargetConnectionLost,
+  kTargetTimeout,
+  kTargetBadAnswer,
+  kPeerUnreachable,
+  kPeerReplyLost,
+  kDraining,
+  kPeerTimeout,
+};
+
+/** Returns a stable name for callers, logs and metrics. */
+std::string_view DeskRefusalName(DeskRefusal refusal);
+
+/** Returns the value of the `Cowslipmast-Outcome` header. */
+std::string_view DeskOutcomeName(DeskOutcome outcome);
+
+/** A caller's request after its headers were checked. */
+struct DeskRequest {
+  RequestId id;
+  ServiceId service;
+  bool idempotent = false;
+  bool resend = false;
+  Duration remaining{0};  // until the caller's deadline
+  std::string method;
+  std::string path;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+struct DeskReply {
+  DeskOutcome outcome = DeskOutcome::kNotRun;
+  DeskRefusal refusal = DeskRefusal::kNone;
+  HttpResponse response;  // only with kAnswered
+  FreeSlots free_slots;   // of the process that replied
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_DESK_MESSAGE_H_
--- a/include/cowslipmast/ownership.h
+++ b/include/cowslipmast/ownership.h
@@ -56,6 +56,9 @@
   std::vector<Record> records;
   /** Owned, with the epoch; new work may start on it now. */
   std::map<ResourceId, Epoch> usable;
+  /** Nothing new may start on `usable` resources after this moment, so that a
+   * process that was paused does not act on an old decision. */
+  TimePoint permit_until = TimePoint::max();
   /** Owned, but to be released once no work is in progress on it. */
   std::map<ResourceId, Epoch> hand_over;
 };
--- /dev/null
+++ b/src/daemon/caller_reply.h
@@ -0,0 +1,17 @@
+#ifndef COWSLIPMAST_SRC_DAEMON_CALLER_REPLY_H_
+#define COWSLIPMAST_SRC_DAEMON_CALLER_REPLY_H_
+
+#include "cowslipmast/desk_message.h"
+#include "src/daemon/caller_headers.h"
+
+namespace cowslipmast {
+
+/** Makes the answer to a caller; see docs/protocol.md. */
+HttpResponse MakeCallerResponse(DeskReply reply, const RequestId& id);
+
+/** Makes the answer to a request with a header that is wrong. */
+HttpResponse MakeBadHeaderResponse(const BadHeader& bad);
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_DAEMON_CALLER_REPLY_H_
--- /dev/null
+++ b/src/daemon/desk_runner.cc
@@ -0,0 +1,211 @@
+#include "src/daemon/desk_runner.h"
+
+#include <chrono>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/daemon/role.h"
+#include "src/daemon/target_message.h"
+
+namespace cowslipmast {
+
+namespace {
+
+// A peer replies at the deadline; this leaves time for its reply to arrive.
+constexpr Duration kPeerReplyGrace = std::chrono::seconds(1);
+
+TimePoint Now() {
+  return ToTimePoint(std::chrono::steady_clock::now());
+}
+
+// Holds the reply until the coroutine of the request takes it.
+struct Waiter {
+  explicit Waiter(asio::io_context& io)
+      : timer(io, asio::steady_timer::time_point::max()) {}
+  asio::steady_timer timer;
+  std::optional<DeskReply> reply;
+};
+
+}  // namespace
+
+struct DeskRunner::Impl : std::enable_shared_from_this<DeskRunner::Impl> {
+  Impl(asio::io_context& io_context,
+       HttpClient& http_client,
+       Random& random_numbers,
+       PeerForward peer_forward,
+       const DeskLimits& limits)
+      : io(io_context),
+        http(http_client),
+        random(random_numbers),
+        forward(std::move(peer_forward)),
+        state(MakeDeskState(limits)),
+        timer(io_context) {}
+
+  template <typename Decide>
+  void Step(const Decide& decide);
+  void Perform(std::vector<DeskAction> actions);
+  void Do(SendToTarget action);
+  void Do(ForwardToPeer action);
+  void Do(ReplyToCaller action);
+  void Do(const DropIdleConnections& action);
+  asio::awaitable<void> CallTarget(SendToTarget action);
+  asio::awaitable<void> CallPeer(ForwardToPeer action);
+  void SetTimer(TimePoint now);
+  void OnTimer();
+
+  asio::io_context& io;
+  HttpClient& http;
+  Random& random;
+  PeerForward forward;
+  DeskState state;
+  asio::steady_timer timer;
+  std::optional<TimePoint> timer_at;
+  absl::flat_hash_map<DeskTicket, std::shared_ptr<Waiter>> waiters;
+};
+
+template <typename Decide>
+void DeskRunner::Impl::Step(const Decide& decide) {
+  std::vector<DeskAction> actions;
+  DeskStep step{Now(), random, actions};
+  decide(step);
+  Perform(std::move(actions));
+  SetTimer(step.now);
+}
+
+void DeskRunner::Impl::Perform(std::vector<DeskAction> actions) {
+  for (DeskAction& action : actions)
+    std::visit([this](auto& each) { Do(std::move(each)); }, action);
+}
+
+void DeskRunner::Impl::Do(SendToTarget action) {
+  asio::co_spawn(io, CallTarget(std::move(action)), asio::detached);
+}
+
+void DeskRunner::Impl::Do(ForwardToPeer action) {
+  asio::co_spawn(io, CallPeer(std::move(action)), asio::detached);
+}
+
+void DeskRunner::Impl::Do(ReplyToCaller action) {
+  const auto found = waiters.find(action.ticket);
+  if (found == waiters.end())
+    return;
+  found->second->reply = std::move(action.reply);
+  found->second->timer.cancel();
+  waiters.erase(found);
+}
+
+void DeskRunner::Impl::Do(const DropIdleConnections& action) {
+  http.DropIdle(action.endpoint);
+}
+
+asio::awaitable<void> DeskRunner::Impl::CallTarget(SendToTarget action) {
+  const auto self = shared_from_this();
+  HttpRequest request = MakeTargetRequest(state.calls.at(action.ticket).request,
+                                          action.remaining);
+  NetError reason;
+  std::optional<HttpResponse> response = co_await http.Call(
+      action.endpoint, std::move(request), kTargetCallLimit, reason);
+  Step([&](DeskStep& step) {
+    if (response)
+      TargetAnswered(state, step, action.ticket, *std::move(response));
+    else
+      TargetFailed(state, step, action.ticket, MakeTargetFailure(reason));
+  });
+}
+
+asio::awaitable<void> DeskRunner::Impl::CallPeer(ForwardToPeer action) {
+  const auto self = shared_from_this();
+  DeskRequest request = state.calls.at(action.ticket).request;
+  request.remaining = action.remaining;
+  NetError reason;
+  std::optional<DeskReply> reply =
+      co_await forward(action.peer, std::move(request),
+                       action.remaining + kPeerReplyGrace, reason);
+  Step([&](DeskStep& step) {
+    if (reply)
+      PeerReplied(state, step, action.ticket, *std::move(reply));
+    else
+      PeerFailed(state, step, action.ticket, reason.request_sent);
+  });
+}
+
+void DeskRunner::Impl::SetTimer(TimePoint now) {
+  const auto next = NextTimer(state, now);
+  if (!next || (timer_at && *timer_at <= *next))
+    return;
+  timer_at = next;
+  timer.expires_after(*next - now);
+  timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    if (error)
+      return;
+    if (const auto self = weak.lock())
+      self->OnTimer();
+  });
+}
+
+void DeskRunner::Impl::OnTimer() {
+  timer_at.reset();
+  Step([&](DeskStep& step) { HandleTimer(state, step); });
+}
+
+DeskRunner::DeskRunner(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+DeskRunner::~DeskRunner() {
+  m_impl->timer.cancel();
+}
+
+std::unique_ptr<DeskRunner> DeskRunner::Make(asio::io_context& io,
+                                             HttpClient& http,
+                                             Random& random,
+                                             PeerForward forward,
+                                             const DeskLimits& limits) {
+  return std::unique_ptr<DeskRunner>(new DeskRunner(
+      std::make_shared<Impl>(io, http, random, std::move(forward), limits)));
+}
+
+asio::awaitable<DeskReply> DeskRunner::Serve(DeskRequest request,
+                                             DeskOrigin origin) {
+  const auto impl = m_impl;
+  const auto waiter = std::make_shared<Waiter>(impl->io);
+  impl->Step([&](DeskStep& step) {
+    const DeskTicket ticket =
+        AcceptRequest(impl->state, step, std::move(request), origin);
+    impl->waiters.emplace(ticket, waiter);
+  });
+  if (!waiter->reply) {
+    boost::system::error_code ignored;
+    co_await waiter->timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return *std::move(waiter->reply);
+}
+
+void DeskRunner::SetTargets(const std::set<ServiceId>& known_services,
+                            const std::vector<DeskTargetInfo>& targets) {
+  m_impl->Step([&](DeskStep& step) {
+    cowslipmast::SetTargets(m_impl->state, step, known_services, targets);
+  });
+}
+
+void DeskRunner::SetUsableTargets(const std::set<TargetId>& usable,
+                                  TimePoint until) {
+  m_impl->Step([&](DeskStep& step) {
+    cowslipmast::SetUsableTargets(m_impl->state, step, usable, until);
+  });
+}
+
+void DeskRunner::SetPeers(const std::vector<DeskPeerInfo>& peers) {
+  m_impl->Step([&](DeskStep& step) {
+    cowslipmast::SetPeers(m_impl->state, step, peers);
+  });
+}
+
+void DeskRunner::BeginDrain() {
+  cowslipmast::BeginDrain(m_impl->state);
+}
+
+const DeskState& DeskRunner::state() const {
+  return m_impl->state;
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/daemon/entry_metrics.cc
@@ -0,0 +1,102 @@
+#include "src/daemon/entry_metrics.h"
+
+#include <functional>
+#include <string>
+
+namespace cowslipmast {
+
+namespace {
+
+using ReadService = std::function<double(const DeskState&, const DeskService&)>;
+
+double SlotsInUse(const DeskState& state, const DeskService& service) {
+  Slots sum;
+  for (const TargetId& id : service.targets)
+    sum += state.targets.at(id).in_flight;
+  return static_cast<double>(sum.count());
+}
+
+double QueueLength(const DeskState&, const DeskService& service) {
+  return static_cast<double>(service.queue.size());
+}
+
+double UsableSlots(const DeskState& state, const DeskService& service) {
+  Slots sum;
+  for (const TargetId& id : service.targets) {
+    const DeskTarget& target = state.targets.at(id);
+    if (target.usable)
+      sum += target.info.slots;
+  }
+  return static_cast<double>(sum.count());
+}
+
+// The metrics outlive the desk, so the gauge holds no strong pointer.
+std::function<double()> MakeGauge(const std::shared_ptr<DeskRunner>& desk,
+                                  const ServiceId& service,
+                                  ReadService read) {
+  return [weak = std::weak_ptr<DeskRunner>(desk), service,
+          read = std::move(read)]() -> double {
+    const auto strong = weak.lock();
+    if (!strong)
+      return 0;
+    const DeskState& state = strong->state();
+    const auto found = state.services.find(service);
+    return found == state.services.end() ? 0 : read(state, found->second);
+  };
+}
+
+}  // namespace
+
+std::unique_ptr<EntryMetrics> EntryMetrics::Make(Metrics& metrics) {
+  return std::unique_ptr<EntryMetrics>(new EntryMetrics(metrics));
+}
+
+void EntryMetrics::CountReply(DeskOutcome outcome,
+                              DeskRefusal refusal,
+                              Duration latency) {
+  const std::string outcome_name(DeskOutcomeName(outcome));
+  ++m_metrics.Counter("cowslipmast_requests_total",
+                      {{"outcome", outcome_name},
+                       {"reason", std::string(DeskRefusalName(refusal))}});
+  m_metrics.Latency("cowslipmast_request_seconds", {{"outcome", outcome_name}})
+      .Record(latency);
+}
+
+void EntryMetrics::CountForwarded(DeskOutcome outcome) {
+  ++m_metrics.Counter("cowslipmast_peer_requests_total",
+                      {{"outcome", std::string(DeskOutcomeName(outcome))}});
+}
+
+void EntryMetrics::CopyCounters(const DeskCounters& counters) {
+  const auto copy = [this](const char* name, uint64_t value) {
+    m_metrics.Counter(name, {}) = value;
+  };
+  copy("cowslipmast_retries_total", counters.retries);
+  copy("cowslipmast_retries_over_budget_total", counters.retries_over_budget);
+  copy("cowslipmast_forwards_in_region_total", counters.forwards_in_region);
+  copy("cowslipmast_forwards_to_other_regions_total",
+       counters.forwards_to_other_regions);
+  copy("cowslipmast_late_answers_total", counters.late_answers);
+  copy("cowslipmast_duplicate_ids_total", counters.duplicate_ids);
+  copy("cowslipmast_ids_dropped_total", counters.ids_dropped);
+  copy("cowslipmast_id_answers_dropped_total", counters.answers_dropped);
+  copy("cowslipmast_target_failures_total", counters.target_failures);
+  copy("cowslipmast_leaving_answers_total", counters.leaving_answers);
+}
+
+void EntryMetrics::RegisterServices(const std::set<ServiceId>& services,
+                                    const std::shared_ptr<DeskRunner>& desk) {
+  for (const ServiceId& service : services) {
+    if (!m_services.insert(service).second)
+      continue;
+    const MetricLabels labels = {{"service", service.value()}};
+    m_metrics.Gauge("cowslipmast_queue_length", labels,
+                    MakeGauge(desk, service, QueueLength));
+    m_metrics.Gauge("cowslipmast_slots_in_use", labels,
+                    MakeGauge(desk, service, SlotsInUse));
+    m_metrics.Gauge("cowslipmast_slots_usable", labels,
+                    MakeGauge(desk, service, UsableSlots));
+  }
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/daemon/entry_metrics.h
@@ -0,0 +1,36 @@
+#ifndef COWSLIPMAST_SRC_DAEMON_ENTRY_METRICS_H_
+#define COWSLIPMAST_SRC_DAEMON_ENTRY_METRICS_H_
+
+#include <memory>
+#include <set>
+
+#include "cowslipmast/desk.h"
+#include "src/daemon/desk_runner.h"
+#include "src/daemon/metrics.h"
+
+namespace cowslipmast {
+
+/** Metrics of an entry; see docs/protocol.md for outcomes and reasons. */
+class EntryMetrics {
+ public:
+  /** `metrics` must outlive the result. */
+  static std::unique_ptr<EntryMetrics> Make(Metrics& metrics);
+
+  /** Counts a reply to a caller. */
+  void CountReply(DeskOutcome outcome, DeskRefusal refusal, Duration latency);
+  /** Counts a reply to a peer. */
+  void CountForwarded(DeskOutcome outcome);
+  void CopyCounters(const DeskCounters& counters);
+  /** Adds gauges for services that have none yet. */
+  void RegisterServices(const std::set<ServiceId>& services,
+                        const std::shared_ptr<DeskRunner>& desk);
+
+ private:
+  explicit EntryMetrics(Metrics& metrics) : m_metrics(metrics) {}
+  Metrics& m_metrics;
+  std::set<ServiceId> m_services;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_DAEMON_ENTRY_METRICS_H_
--- /dev/null
+++ b/src/daemon/entry_role.h
@@ -0,0 +1,36 @@
+#ifndef COWSLIPMAST_SRC_DAEMON_ENTRY_ROLE_H_
+#define COWSLIPMAST_SRC_DAEMON_ENTRY_ROLE_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "src/daemon/role.h"
+#include "src/net/net_error.h"
+
+namespace cowslipmast {
+
+/** Serves callers' requests on `settings.listen`. */
+class EntryRole {
+ public:
+  /** Starts to listen. `context` is copied; what it refers to must outlive
+   * the last handler of its io_context. */
+  static std::unique_ptr<EntryRole> Make(const RoleContext& context,
+                                         NetError& reason);
+  ~EntryRole();
+  EntryRole(const EntryRole&) = delete;
+  EntryRole& operator=(const EntryRole&) = delete;
+
+  /** The hooks keep what they need alive. */
+  RoleHooks hooks();
+  /** Port for callers. */
+  uint16_t port() const;
+
+ private:
+  struct Impl;
+  explicit EntryRole(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_SRC_DAEMON_ENTRY_ROLE_H_
--- a/src/daemon/role.h
+++ b/src/daemon/role.h
@@ -57,6 +57,8 @@
   std::function<asio::awaitable<std::optional<HttpResponse>>(HttpRequest)>
       admin;
   std::function<nlohmann::json()> dump;
+  /** A planned stop began; new work is still taken. May be absent. */
+  std::function<void()> begin_grace;
   /** Stops taking new work; called after the grace time of a planned stop. */
   std::function<void()> begin_drain;
   /** True once nothing is in progress. */
--- /dev/null
+++ b/src/daemon/target_message.cc
@@ -0,0 +1,50 @@
+#include "src/daemon/target_message.h"
+
+#include <string>
+
+#include "src/daemon/caller_headers.h"
+
+namespace cowslipmast {
+
+namespace {
+
+TargetFailureKind KindOf(const NetError& error) {
+  if (!error.request_sent)
+    return TargetFailureKind::kUnreachable;
+  switch (error.kind) {
+    case NetErrorKind::kTimeout:
+      return TargetFailureKind::kTimeout;
+    case NetErrorKind::kBadAnswer:
+      return TargetFailureKind::kBadAnswer;
+    case NetErrorKind::kAnswerTooLarge:
+      return TargetFailureKind::kAnswerTooLarge;
+    case NetErrorKind::kBadAddress:
+    case NetErrorKind::kListenFailed:
+    case NetErrorKind::kConnectFailed:
+    case NetErrorKind::kConnectionLost:
+      return TargetFailureKind::kConnectionLost;
+  }
+  return TargetFailureKind::kConnectionLost;
+}
+
+}  // namespace
+
+HttpRequest MakeTargetRequest(const DeskRequest& request, Duration remaining) {
+  HttpRequest message{.method = request.method,
+                      .path = request.path,
+                      .headers = request.headers,
+                      .body = request.body};
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
+  message.headers.push_back(
+      {std::string(kRequestIdHeader), request.id.value()});
+  message.headers.push_back(
+      {std::string(kDeadlineHeader), std::to_string(left.count())});
+  return message;
+}
+
+TargetFailure MakeTargetFailure(const NetError& error) {
+  return TargetFailure{KindOf(error), error.request_sent};
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/desk/id_memory.cc
@@ -0,0 +1,91 @@
+#include "src/desk/id_memory.h"
+
+#include <functional>
+#include <string_view>
+#include <utility>
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr uint64_t kMultiplier = 0x9e3779b97f4a7c15;  // 2^64 / golden ratio
+
+size_t AnswerBytes(const DeskReply& reply) {
+  size_t bytes = reply.response.body.size();
+  for (const HttpHeader& header : reply.response.headers)
+    bytes += header.name.size() + header.value.size();
+  return bytes;
+}
+
+void DropOldestAnswer(DeskIdMemory& ids) {
+  const auto found = ids.entries.find(ids.answered.front());
+  ids.answer_bytes -= AnswerBytes(*found->second.answer);
+  found->second.answer.reset();
+  ids.answered.pop_front();
+}
+
+void DropOldest(DeskIdMemory& ids) {
+  const RequestId& id = ids.ended.front().second;
+  // Both lists are in order of ending, so the oldest id has the oldest answer.
+  if (!ids.answered.empty() && ids.answered.front() == id)
+    DropOldestAnswer(ids);
+  ids.entries.erase(id);
+  ids.ended.pop_front();
+}
+
+}  // namespace
+
+uint64_t Fingerprint(const DeskRequest& request) {
+  uint64_t hash = 0;
+  for (const std::string_view part :
+       {std::string_view(request.method), std::string_view(request.path),
+        std::string_view(request.body)})
+    hash = (hash ^ std::hash<std::string_view>()(part)) * kMultiplier;
+  return hash;
+}
+
+void NoteRunning(DeskState& state, const DeskRequest& request) {
+  state.ids.entries.emplace(request.id,
+                            DeskIdEntry{.fingerprint = Fingerprint(request),
+                                        .running = true,
+                                        .answer = std::nullopt});
+}
+
+void ForgetId(DeskState& state, const RequestId& id) {
+  state.ids.entries.erase(id);
+}
+
+void NoteEnded(DeskState& state,
+               TimePoint now,
+               const RequestId& id,
+               const DeskReply& reply) {
+  DeskIdMemory& ids = state.ids;
+  DeskIdEntry& entry = ids.entries.at(id);
+  entry.running = false;
+  ids.ended.emplace_back(now, id);
+  const bool keep = reply.outcome == DeskOutcome::kAnswered &&
+                    AnswerBytes(reply) <= state.limits.id_answer_body;
+  if (keep) {
+    entry.answer = reply;
+    entry.answer->free_slots.clear();
+    ids.answered.push_back(id);
+    ids.answer_bytes += AnswerBytes(reply);
+  }
+  while (ids.answer_bytes > state.limits.id_answer_bytes) {
+    DropOldestAnswer(ids);
+    ++state.counters.answers_dropped;
+  }
+  while (ids.ended.size() > state.limits.id_entries) {
+    DropOldest(ids);
+    ++state.counters.ids_dropped;
+  }
+}
+
+void ExpireIds(DeskState& state, TimePoint now) {
+  DeskIdMemory& ids = state.ids;
+  while (!ids.ended.empty() &&
+         now - ids.ended.front().first >= state.limits.id_memory)
+    DropOldest(ids);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/desk/inputs.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+#include <utility>
+
+#include "cowslipmast/desk.h"
+#include "src/desk/reply.h"
+#include "src/desk/route.h"
+#include "src/desk/targets.h"
+
+namespace cowslipmast {
+
+namespace {
+
+void UnlistAll(DeskState& state) {
+  for (auto& [id, target] : state.targets)
+    target.listed = false;
+  for (auto& [id, service] : state.services)
+    service.targets.clear();
+}
+
+void DropUnlisted(DeskState& state) {
+  std::erase_if(state.targets, [](const auto& entry) {
+    return !entry.second.listed && entry.second.in_flight == Slots(0);
+  });
+  std::erase_if(state.services, [](const auto& entry) {
+    return entry.second.targets.empty() && entry.second.queue.empty();
+  });
+}
+
+void HandleDeadline(DeskState& state, DeskStep& step, DeskTicket ticket) {
+  const DeskCall& call = state.calls.at(ticket);
+  switch (call.place) {
+    case DeskPlace::kTarget:
+      NoteMissedDeadline(state, step, call);
+      ReplyUnknown(state, step, ticket, DeskRefusal::kTargetTimeout);
+      return;
+    case DeskPlace::kPeer:
+      ReplyUnknown(state, step, ticket, DeskRefusal::kPeerTimeout);
+      return;
+    case DeskPlace::kQueue:
+    case DeskPlace::kNowhere:
+      Refuse(state, step, ticket,
+             call.last_failure == DeskRefusal::kNone
+                 ? DeskRefusal::kDeadlinePassed
+                 : call.last_failure);
+      return;
+  }
+}
+
+void SetEarlier(std::optional<TimePoint>& next, TimePoint now, TimePoint time) {
+  if (time > now && (!next || time < *next))
+    next = time;
+}
+
+}  // namespace
+
+void SetTargets(DeskState& state,
+                DeskStep& step,
+                const std::set<ServiceId>& known_services,
+                const std::vector<DeskTargetInfo>& targets) {
+  state.known_services = known_services;
+  UnlistAll(state);
+  for (const DeskTargetInfo& info : targets) {
+    DeskTarget& target = state.targets[info.id];
+    target.info = info;
+    target.listed = true;
+    state.services[info.service].targets.insert(info.id);
+  }
+  DropUnlisted(state);
+  ServeAllQueues(state, step);
+}
+
+void SetUsableTargets(DeskState& state,
+                      DeskStep& step,
+                      const std::set<TargetId>& usable,
+                      TimePoint until) {
+  for (auto& [id, target] : state.targets)
+    target.usable = usable.count(id) > 0;
+  state.usable_until = until;
+  ServeAllQueues(state, step);
+}
+
+void SetPeers(DeskState& state,
+              DeskStep& step,
+              const std::vector<DeskPeerInfo>& peers) {
+  std::map<ProcessId, DeskPeer> next;
+  for (const DeskPeerInfo& info : peers) {
+    const auto found = state.peers.find(info.process);
+    const bool is_new = found == state.peers.end() ||
+                        info.reported_at > found->second.info.reported_at;
+    next.emplace(
+        info.process,
+        DeskPeer{info, is_new ? info.free_slots : found->second.free_slots});
+  }
+  state.peers = std::move(next);
+  ServeAllQueues(state, step);
+}
+
+void BeginDrain(DeskState& state) {
+  state.draining = true;
+}
+
+void HandleTimer(DeskState& state, DeskStep& step) {
+  while (!state.deadlines.empty() && state.deadlines.begin()->first <= step.now)
+    HandleDeadline(state, step, state.deadlines.begin()->second);
+  ServeAllQueues(state, step);
+}
+
+std::optional<TimePoint> NextTimer(const DeskState& state, TimePoint now) {
+  std::optional<TimePoint> next;
+  if (!state.deadlines.empty())
+    next = state.deadlines.begin()->first;
+  for (const auto& [id, service] : state.services) {
+    if (service.queue.empty())
+      continue;
+    for (const TargetId& target_id : service.targets) {
+      const DeskTarget& target = state.targets.at(target_id);
+      SetEarlier(next, now, target.retry_at);
+      SetEarlier(next, now, target.leaving_until);
+    }
+    for (const auto& [deadline, ticket] : service.queue)
+      SetEarlier(next, now,
+                 state.calls.at(ticket).arrived_at +
+                     state.limits.remote_forward_delay);
+  }
+  return next;
+}
+
+FreeSlots CountFreeSlots(const DeskState& state, TimePoint now) {
+  FreeSlots free;
+  if (state.draining)
+    return free;
+  for (const auto& [id, target] : state.targets) {
+    if (target.listed && target.usable && !target.info.data_centre_out)
+      free[target.info.service] += FreeSlotsOf(state, target, now);
+  }
+  return free;
+}
+
+bool IsIdle(const DeskState& state, const TargetId& target) {
+  const auto found = state.targets.find(target);
+  return found == state.targets.end() || found->second.in_flight == Slots(0);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/desk/targets.cc
@@ -0,0 +1,130 @@
+#include "src/desk/targets.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cowslipmast {
+
+namespace {
+
+bool MayGetWork(const DeskState& state,
+                const DeskTarget& target,
+                TimePoint now) {
+  return target.listed && target.usable && now < state.usable_until &&
+         !target.info.leaving && !target.info.data_centre_out &&
+         now >= target.leaving_until && now >= target.retry_at;
+}
+
+}  // namespace
+
+Slots FreeSlotsOf(const DeskState& state,
+                  const DeskTarget& target,
+                  TimePoint now) {
+  if (!MayGetWork(state, target, now))
+    return Slots(0);
+  const Slots free = std::max(Slots(0), target.info.slots - target.in_flight);
+  if (target.back_off == Duration(0))
+    return free;
+  return target.probing ? Slots(0) : std::min(free, Slots(1));
+}
+
+Slots OwnedSlots(const DeskState& state, const DeskService& service) {
+  Slots sum;
+  for (const TargetId& id : service.targets) {
+    const DeskTarget& target = state.targets.at(id);
+    if (target.listed && target.usable)
+      sum += target.info.slots;
+  }
+  return sum;
+}
+
+std::optional<TargetId> PickTarget(const DeskState& state,
+                                   DeskStep& step,
+                                   const DeskService& service) {
+  std::vector<const DeskTarget*> free;
+  for (const TargetId& id : service.targets) {
+    const DeskTarget& target = state.targets.at(id);
+    if (FreeSlotsOf(state, target, step.now) > Slots(0))
+      free.push_back(&target);
+  }
+  if (free.empty())
+    return std::nullopt;
+  if (free.size() == 1)
+    return free.front()->info.id;
+  std::uniform_int_distribution<size_t> any(0, free.size() - 1);
+  std::uniform_int_distribution<size_t> any_other(0, free.size() - 2);
+  const size_t first = any(step.random);
+  size_t second = any_other(step.random);
+  if (second >= first)
+    ++second;
+  const bool take_first = free[first]->in_flight <= free[second]->in_flight;
+  return free[take_first ? first : second]->info.id;
+}
+
+void TakeSlot(DeskState& state, DeskStep& step, DeskCall& call, TargetId id) {
+  DeskTarget& target = state.targets.at(id);
+  target.in_flight += Slots(1);
+  call.probe = target.back_off != Duration(0);
+  if (call.probe)
+    target.probing = true;
+  call.place = DeskPlace::kTarget;
+  call.target = std::move(id);
+  call.sent_at = step.now;
+}
+
+void ReturnSlot(DeskState& state, const DeskCall& call) {
+  const auto found = state.targets.find(call.target);
+  DeskTarget& target = found->second;
+  target.in_flight -= Slots(1);
+  if (call.probe)
+    target.probing = false;
+  if (!target.listed && target.in_flight == Slots(0))
+    state.targets.erase(found);
+}
+
+void NoteAnswer(DeskState& state, TimePoint now, const DeskCall& call) {
+  DeskTarget& target = state.targets.at(call.target);
+  target.answered_at = now;
+  target.back_off = Duration(0);
+  target.retry_at = TimePoint();
+}
+
+void NoteFailure(DeskState& state, DeskStep& step, const DeskCall& call) {
+  ++state.counters.target_failures;
+  DeskTarget& target = state.targets.at(call.target);
+  step.actions.emplace_back(DropIdleConnections{target.info.endpoint});
+  // Requests that were in progress together fail together; they count once.
+  const bool same_failure =
+      target.back_off != Duration(0) && call.sent_at <= target.failed_at;
+  if (same_failure)
+    return;
+  target.back_off =
+      target.back_off == Duration(0)
+          ? state.limits.first_back_off
+          : std::min(target.back_off * 2, state.limits.longest_back_off);
+  target.failed_at = step.now;
+  target.retry_at = step.now + target.back_off;
+}
+
+void NoteMissedDeadline(DeskState& state,
+                        DeskStep& step,
+                        const DeskCall& call) {
+  DeskTarget& target = state.targets.at(call.target);
+  const bool mute = target.answered_at < call.sent_at &&
+                    step.now - call.sent_at >= state.limits.mute_limit;
+  if (!mute && !call.probe)
+    return;
+  NoteFailure(state, step, call);
+  // The probe's slot stays in use, but another probe may follow.
+  if (call.probe)
+    target.probing = false;
+}
+
+void NoteLeaving(DeskState& state, TimePoint now, const DeskCall& call) {
+  ++state.counters.leaving_answers;
+  state.targets.at(call.target).leaving_until =
+      now + state.limits.leaving_answer_hold;
+}
+
+}  // namespace cowslipmast
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -152,7 +152,8 @@
   HttpResponse response{
       .status = static_cast<uint16_t>(parser.get().result_int()),
       .headers = FromBeastFields(parser.get()),
-      .body = std::move(parser.get().body())};
+      .body = std::move(parser.get().body()),
+      .closes = !parser.get().keep_alive()};
   co_return response;
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -7,27 +7,9 @@
 #include <string_view>
 #include <vector>
 
-namespace cowslipmast {
+#include "cowslipmast/http.h"
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
-
-/** A whole HTTP/1.1 request; headers that frame the body are left out. */
-struct HttpRequest {
-  std::string method = "GET";
-  std::string path;  // with the query
-  std::vector<HttpHeader> headers;
-  std::string body;
-};
-
-/** A whole HTTP/1.1 answer; headers that frame the body are left out. */
-struct HttpResponse {
-  uint16_t status = 200;
-  std::vector<HttpHeader> headers;
-  std::string body;
-};
+namespace cowslipmast {
 
 /** Returns the first header of that name, compared without case. */
 std::optional<std::string_view> FindHeader(
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -2,20 +2,15 @@
 #define COWSLIPMAST_SRC_NET_PEER_MESSAGE_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <string>
-#include <vector>
 
+#include "cowslipmast/desk_message.h"
 #include "cowslipmast/ids.h"
 #include "cowslipmast/record.h"
 #include "cowslipmast/units.h"
-#include "src/net/http_message.h"
 
 namespace cowslipmast {
 
-using FreeSlots = std::map<ServiceId, Slots>;
-
 /** What a process tells its peers every 500 ms. */
 struct Heartbeat {
   ProcessId process;
@@ -28,48 +23,6 @@
   bool draining = false;
 };
 
-enum class DeskOutcome { kAnswered, kNotRun, kUnknown };
-
-/** Why a request was refused or its outcome is unknown. */
-enum class DeskRefusal : uint16_t {
-  kNone,
-  kBadRequest,
-  kUnknownService,
-  kNoFreeSlot,
-  kQueueFull,
-  kDeadlinePassed,
-  kDataCentreOut,
-  kNoTarget,
-  kDuplicateId,
-  kResendNotKnown,
-  kTargetUnreachable,
-  kTargetConnectionLost,
-  kTargetTimeout,
-  kTargetBadAnswer,
-  kPeerUnreachable,
-  kPeerReplyLost,
-};
-
-/** A caller's request after its headers were checked. */
-struct DeskRequest {
-  RequestId id;
-  ServiceId service;
-  bool idempotent = false;
-  bool resend = false;
-  Duration remaining{0};  // until the caller's deadline
-  std::string method;
-  std::string path;
-  std::vector<HttpHeader> headers;
-  std::string body;
-};
-
-struct DeskReply {
-  DeskOutcome outcome = DeskOutcome::kNotRun;
-  DeskRefusal refusal = DeskRefusal::kNone;
-  HttpResponse response;  // only with kAnswered
-  FreeSlots free_slots;   // of the process that replied
-};
-
 }  // namespace cowslipmast
 
 #endif  // COWSLIPMAST_SRC_NET_PEER_MESSAGE_H_
--- /dev/null
+++ b/tests/daemon/desk_runner_test.cc
@@ -0,0 +1,112 @@
+#include "src/daemon/desk_runner.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/net/http_server.h"
+
+namespace cowslipmast {
+namespace {
+
+const ServiceId kService("refill-desk");
+const TargetId kTarget("target-1");
+const ProcessId kPeer("peer-1");
+
+DeskRequest MakeRequest(const std::string& id) {
+  DeskRequest request;
+  request.id = RequestId(id);
+  request.service = kService;
+  request.remaining = std::chrono::seconds(5);
+  request.method = "POST";
+  request.path = "/refill-desk/quote";
+  request.body = id;
+  return request;
+}
+
+asio::awaitable<HttpResponse> Echo(HttpRequest request) {
+  co_return HttpResponse{.headers = {},
+                         .body = request.path + "|" + request.body};
+}
+
+// A desk with one target of one slot, on loopback.
+struct Fixture {
+  asio::io_context io;
+  Random random{20261204};
+  std::unique_ptr<HttpClient> client = HttpClient::Make(io, HttpClientLimits{});
+  std::unique_ptr<HttpServer> target;
+  std::unique_ptr<DeskRunner> desk;
+  std::vector<DeskRequest> forwarded;
+
+  explicit Fixture(HttpHandler handler) {
+    NetError reason;
+    target =
+        HttpServer::Make(io, {"127.0.0.1", 0}, {}, std::move(handler), reason);
+    REQUIRE(target);
+    desk = DeskRunner::Make(
+        io, *client, random,
+        [this](ProcessId, DeskRequest request, Duration,
+               NetError&) -> asio::awaitable<std::optional<DeskReply>> {
+          forwarded.push_back(std::move(request));
+          DeskReply reply;
+          reply.outcome = DeskOutcome::kAnswered;
+          reply.response.body = "from the peer";
+          co_return reply;
+        },
+        DeskLimits{});
+    const DeskTargetInfo info{.id = kTarget,
+                              .service = kService,
+                              .slots = Slots(1),
+                              .endpoint = {"127.0.0.1", target->port()}};
+    desk->SetTargets({kService}, {info});
+    desk->SetUsableTargets({kTarget}, TimePoint::max());
+  }
+
+  void Start(const DeskRequest& request, std::vector<DeskReply>& replies) {
+    asio::co_spawn(
+        io,
+        [this, &replies, request]() -> asio::awaitable<void> {
+          replies.push_back(co_await desk->Serve(request, DeskOrigin::kCaller));
+        },
+        asio::detached);
+  }
+
+  void RunUntil(const std::vector<DeskReply>& replies, size_t count) {
+    io.restart();
+    while (replies.size() < count)
+      io.run_one();
+  }
+};
+
+TEST_CASE("the desk of an entry on loopback", "[daemon]") {
+  std::vector<DeskReply> replies;
+
+  SECTION("a request is answered by an owned target") {
+    Fixture fixture(Echo);
+    fixture.Start(MakeRequest("a"), replies);
+    fixture.RunUntil(replies, 1);
+    CHECK(replies[0].outcome == DeskOutcome::kAnswered);
+    CHECK(replies[0].response.body == "/refill-desk/quote|a");
+
+    SECTION("and the next one by a peer if the slot may no longer be used") {
+      // Guards against an owner that goes on after it lost the target.
+      fixture.desk->SetUsableTargets({}, TimePoint::max());
+      fixture.desk->SetPeers({{.process = kPeer,
+                               .own_region = true,
+                               .free_slots = {{kService, Slots(1)}},
+                               .reported_at = TimePoint(Duration(1))}});
+      fixture.Start(MakeRequest("b"), replies);
+      fixture.RunUntil(replies, 2);
+      CHECK(replies[1].response.body == "from the peer");
+      CHECK(fixture.forwarded.size() == 1);
+      CHECK(fixture.target->counters().requests == 1);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast
