--- a/src/daemon/membership.h
+++ b/src/daemon/membership.h
@@ -19,9 +19,8 @@
 /** The record that removes `self`, once the previous change was settled. */
 std::optional<Record> PlanLeave(const ControlState& state, const Member& self);
 
-/** Records that give up all that `self` owns. */
-std::vector<Record> PlanReleases(const ControlState& state,
-                                 const ProcessId& self);
+/** True if `self` owns any resource, whether it may use it or not. */
+bool OwnsAnything(const ControlState& state, const ProcessId& self);
 
 /** Peers of the own role: all of the own region, and for entries those of the
  * other regions, with fewer heartbeats because the link is billed. */
