placement: decisions, worker client and placer role

Cause: jobs need an owner that starts their tasks on workers without running one twice, and operators submit them over HTTP. Change: DecidePlacement and ApplyReply fence, list and renew workers, start and evict tasks, and record results; PlacerRole runs them for each owned data centre and answers /v1/jobs. Task and lease lifecycles are tables for now.

--- /dev/null
+++ b/src/daemon/placer_metrics.cc
@@ -0,0 +1,57 @@
+#include "src/daemon/placer_metrics.h"
+
+#include <utility>
+
+namespace cowslipmast {
+
+namespace {
+
+struct CounterSeries {
+  uint64_t PlacementCounters::*member;
+  const char* name;
+  const char* label;
+  const char* value;
+};
+
+constexpr char kStarts[] = "cowslipmast_task_starts_total";
+constexpr char kOutcomes[] = "cowslipmast_task_outcomes_total";
+
+constexpr CounterSeries kSeries[] = {
+    {&PlacementCounters::starts_sent, kStarts, "result", "sent"},
+    {&PlacementCounters::starts, kStarts, "result", "started"},
+    {&PlacementCounters::starts_refused, kStarts, "result", "refused"},
+    {&PlacementCounters::start_replies_lost, kStarts, "result", "reply_lost"},
+    {&PlacementCounters::done, kOutcomes, "result", "done"},
+    {&PlacementCounters::failed, kOutcomes, "result", "failed"},
+    {&PlacementCounters::evicted, kOutcomes, "result", "evicted"},
+    {&PlacementCounters::lost, kOutcomes, "result", "lost"},
+    {&PlacementCounters::foreign_stopped, "cowslipmast_unwanted_tasks_total",
+     "action", "stopped"},
+    {&PlacementCounters::throttled, "cowslipmast_throttles_total", "reason",
+     "interference"},
+    {&PlacementCounters::quarantines, "cowslipmast_quarantines_total", "cause",
+     "failed_starts"},
+};
+
+}  // namespace
+
+void ReportPlacement(Metrics& metrics,
+                     Placement& placement,
+                     PlacementCounters& reported) {
+  for (const CounterSeries& series : kSeries) {
+    const uint64_t count = placement.counters.*series.member;
+    if (count == reported.*series.member)
+      continue;
+    metrics.Counter(series.name, {{series.label, series.value}}) +=
+        count - reported.*series.member;
+  }
+  reported = placement.counters;
+  if (placement.start_delays.empty())
+    return;
+  LatencyHistogram& delays =
+      metrics.Latency("cowslipmast_submission_to_start_seconds", {});
+  for (const Duration delay : std::exchange(placement.start_delays, {}))
+    delays.Record(delay);
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/daemon/placer_role.cc
@@ -0,0 +1,245 @@
+#include "src/daemon/placer_role.h"
+
+#include <spdlog/spdlog.h>
+
+#include <map>
+#include <utility>
+#include <variant>
+
+#include "src/daemon/job_api.h"
+#include "src/daemon/job_view_json.h"
+#include "src/daemon/owned_data_centre.h"
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr auto kDecisionInterval = std::chrono::milliseconds(100);
+// Replies and records that arrive together lead to one decision.
+constexpr auto kChangeDelay = std::chrono::milliseconds(10);
+
+using DataCentres = std::map<DataCentreId, std::unique_ptr<OwnedDataCentre>>;
+
+size_t CountPlaces(const DataCentres& owned) {
+  size_t count = 0;
+  for (const auto& [id, data_centre] : owned) {
+    if (data_centre->placement())
+      count += data_centre->placement()->places.size();
+  }
+  return count;
+}
+
+size_t CountWaiting(const DataCentres& owned) {
+  size_t count = 0;
+  for (const auto& [id, data_centre] : owned) {
+    if (!data_centre->placement())
+      continue;
+    for (const auto& [job_id, job] : data_centre->placement()->jobs)
+      count += job.waiting.size();
+  }
+  return count;
+}
+
+}  // namespace
+
+struct PlacerRole::Impl : std::enable_shared_from_this<PlacerRole::Impl> {
+  Impl(const RoleContext& role_context, const PlacementPolicy& policy)
+      : context(role_context),
+        timer(context.io),
+        workers(WorkerClient::Make(context.http)),
+        shared{context, *workers, addresses, policy, {}, false} {}
+
+  void Init();
+  asio::awaitable<void> Run();
+  void DecideAll();
+  void NoteChange();
+  void OnOwnership(const OwnershipDecision& ownership);
+  void SyncOwned();
+  void SyncAddresses();
+  std::set<ResourceId> Resources() const;
+  bool IsIdle(const ResourceId& resource) const;
+  bool IsDrained() const;
+  nlohmann::json Dump() const;
+  RoleHooks MakeHooks();
+
+  RoleContext context;
+  asio::steady_timer timer;
+  std::unique_ptr<WorkerClient> workers;
+  WorkerAddresses addresses;
+  OwnedDataCentre::Shared shared;
+  DataCentres owned;
+  std::unique_ptr<JobApi> api;
+  bool change_pending = false;
+  bool stopped = false;
+};
+
+void PlacerRole::Impl::Init() {
+  shared.changed = [this] { NoteChange(); };
+  api = JobApi::Make(context, [this](const DataCentreId& id) {
+    const auto found = owned.find(id);
+    return found == owned.end() ? nullptr : &found->second->state();
+  });
+  context.metrics.Gauge("cowslipmast_placed_tasks", {}, [this] {
+    return static_cast<double>(CountPlaces(owned));
+  });
+  context.metrics.Gauge("cowslipmast_waiting_tasks", {}, [this] {
+    return static_cast<double>(CountWaiting(owned));
+  });
+}
+
+asio::awaitable<void> PlacerRole::Impl::Run() {
+  const auto self = shared_from_this();
+  while (!stopped) {
+    timer.expires_after(change_pending ? kChangeDelay : kDecisionInterval);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    // A change cancels the long wait; the short one runs to its end.
+    if (error && !stopped && change_pending)
+      continue;
+    change_pending = false;
+    if (!stopped)
+      DecideAll();
+  }
+}
+
+void PlacerRole::Impl::NoteChange() {
+  if (std::exchange(change_pending, true))
+    return;
+  timer.cancel();
+}
+
+void PlacerRole::Impl::DecideAll() {
+  SyncOwned();
+  for (auto& [id, data_centre] : owned)
+    data_centre->Decide();
+}
+
+// The fold is ahead of the ownership rules: the stream of a claimed data centre
+// is followed while the rules still make its new owner wait.
+void PlacerRole::Impl::SyncOwned() {
+  const auto& ownership = context.control.state().ownership;
+  std::erase_if(owned, [&](const auto& item) {
+    const auto found = ownership.find(ResourceId(item.first));
+    const bool lost = found == ownership.end() ||
+                      found->second.owner != context.self ||
+                      found->second.epoch != item.second->epoch();
+    if (lost)
+      spdlog::info("data centre {} is no longer owned", item.first.value());
+    return lost;
+  });
+  for (const auto& [resource, entry] : ownership) {
+    const auto* id = std::get_if<DataCentreId>(&resource);
+    if (!id || entry.owner != context.self || owned.contains(*id))
+      continue;
+    spdlog::info("data centre {} owned with epoch {}", id->value(),
+                 entry.epoch.value());
+    owned.emplace(*id, OwnedDataCentre::Make(shared, *id, entry.epoch));
+  }
+}
+
+void PlacerRole::Impl::SyncAddresses() {
+  for (const VmInfo& vm : context.vms) {
+    if (vm.kind == VmKind::kWorker)
+      addresses[vm.id] = {vm.endpoint, vm.base_path};
+  }
+}
+
+void PlacerRole::Impl::OnOwnership(const OwnershipDecision& ownership) {
+  SyncOwned();
+  for (auto& [id, data_centre] : owned) {
+    const auto usable = ownership.usable.find(ResourceId(id));
+    data_centre->SetPermitted(usable != ownership.usable.end() &&
+                              usable->second == data_centre->epoch());
+  }
+}
+
+std::set<ResourceId> PlacerRole::Impl::Resources() const {
+  std::set<ResourceId> resources;
+  for (const auto& [id, data_centre] :
+       context.control.state().config.data_centres) {
+    if (data_centre.region == context.settings.region)
+      resources.insert(id);
+  }
+  return resources;
+}
+
+bool PlacerRole::Impl::IsIdle(const ResourceId& resource) const {
+  const auto* id = std::get_if<DataCentreId>(&resource);
+  if (!id)
+    return true;
+  const auto found = owned.find(*id);
+  return found == owned.end() || found->second->idle();
+}
+
+bool PlacerRole::Impl::IsDrained() const {
+  for (const auto& [id, data_centre] : owned) {
+    if (!data_centre->idle())
+      return false;
+  }
+  return true;
+}
+
+nlohmann::json PlacerRole::Impl::Dump() const {
+  const TimePoint now = ToTimePoint(std::chrono::steady_clock::now());
+  nlohmann::json data_centres = nlohmann::json::object();
+  for (const auto& [id, data_centre] : owned) {
+    const Placement* placement = data_centre->placement();
+    data_centres[id.value()] =
+        placement ? PlacementToJson(*placement, now)
+                  : nlohmann::json{{"epoch", data_centre->epoch().value()}};
+  }
+  return {{"data_centres", std::move(data_centres)},
+          {"draining", shared.draining}};
+}
+
+RoleHooks PlacerRole::Impl::MakeHooks() {
+  RoleHooks hooks;
+  hooks.on_ownership = [this](const OwnershipDecision& ownership) {
+    OnOwnership(ownership);
+  };
+  hooks.resources = [this] { return Resources(); };
+  hooks.idle = [this](const ResourceId& resource) { return IsIdle(resource); };
+  hooks.on_change = [this] {
+    SyncAddresses();
+    NoteChange();
+  };
+  hooks.free_slots = [] { return FreeSlots(); };
+  hooks.forward = [](DeskRequest) -> asio::awaitable<DeskReply> {
+    co_return DeskReply{};  // a placer serves no callers
+  };
+  hooks.admin = [this](HttpRequest request) {
+    return api->Handle(std::move(request));
+  };
+  hooks.dump = [this] { return Dump(); };
+  hooks.begin_drain = [this] {
+    shared.draining = true;
+    api->BeginDrain();
+  };
+  hooks.drained = [this] { return IsDrained(); };
+  return hooks;
+}
+
+PlacerRole::PlacerRole(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+PlacerRole::~PlacerRole() {
+  m_impl->stopped = true;
+  m_impl->timer.cancel();
+  m_impl->owned.clear();
+}
+
+std::unique_ptr<PlacerRole> PlacerRole::Make(const RoleContext& context,
+                                             const PlacementPolicy& policy) {
+  auto impl = std::make_shared<Impl>(context, policy);
+  impl->Init();
+  return std::unique_ptr<PlacerRole>(new PlacerRole(std::move(impl)));
+}
+
+void PlacerRole::Start() {
+  asio::co_spawn(m_impl->context.io, m_impl->Run(), asio::detached);
+}
+
+RoleHooks PlacerRole::hooks() {
+  return m_impl->MakeHooks();
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/placement/placement.cc
@@ -0,0 +1,127 @@
+#include "cowslipmast/placement.h"
+
+#include <utility>
+
+#include "src/placement/lifecycle.h"
+#include "src/placement/places.h"
+#include "src/placement/quarantine.h"
+#include "src/placement/steps.h"
+
+namespace cowslipmast {
+
+namespace {
+
+// Bounds the size of one log entry; the rest follows 200 ms later.
+constexpr size_t kMaxOutcomesOfRecord = 500;
+
+void RecordOutcomes(Placement& placement,
+                    const PlacementView& view,
+                    PlacementDecision& decision) {
+  if (placement.outcomes_in_flight || view.now < placement.next_outcomes ||
+      placement.ending.empty())
+    return;
+  TaskOutcomes record{placement.data_centre, placement.epoch, {}};
+  for (const TaskId& task : placement.ending) {
+    if (record.outcomes.size() >= kMaxOutcomesOfRecord)
+      break;
+    record.outcomes.push_back(placement.places.at(task).outcome);
+  }
+  decision.outcomes.emplace_back(std::move(record));
+  placement.outcomes_in_flight = true;
+  placement.next_outcomes = view.now + kOutcomeInterval;
+}
+
+TaskEvent RecordedEvent(const TaskProgress& progress) {
+  if (progress.finished && !progress.failed)
+    return TaskEvent::kRecordedDone;
+  if (progress.finished || progress.failures >= kMaxFailures)
+    return TaskEvent::kRecordedFailed;
+  return TaskEvent::kRecordedAgain;
+}
+
+}  // namespace
+
+Placement MakePlacement(const DataCentreId& data_centre,
+                        Epoch epoch,
+                        const PlacementPolicy& policy,
+                        TimePoint now) {
+  Placement placement;
+  placement.data_centre = data_centre;
+  placement.epoch = epoch;
+  placement.policy = policy;
+  placement.gained_at = now;
+  return placement;
+}
+
+PlacementDecision DecidePlacement(Placement& placement,
+                                  const PlacementView& view) {
+  PlacementDecision decision;
+  if (!view.permitted || placement.superseded)
+    return decision;
+  SyncWorkers(placement, view);
+  SyncJobs(placement, view);
+  ExpireLeases(placement, view);
+  UpdateSettled(placement, view);
+  CompleteRecorded(placement, view);
+  ContactWorkers(placement, view, decision);
+  EvictTasks(placement, view, decision);
+  ReleaseJobs(placement, view, decision);
+  TakeJobs(placement, view, decision);
+  DecideQuarantine(placement, view, decision);
+  StartTasks(placement, view, decision);
+  RecordOutcomes(placement, view, decision);
+  return decision;
+}
+
+void OutcomesAppended(Placement& placement) {
+  placement.outcomes_in_flight = false;
+}
+
+void Send(const Placement& placement,
+          const PlacementView& view,
+          const VmId& worker,
+          WorkerAction action,
+          PlacementDecision& decision) {
+  decision.commands.push_back(
+      {worker, placement.epoch, view.now, std::move(action)});
+}
+
+bool IsDataCentreIn(const Config& config, const DataCentreId& data_centre) {
+  const auto found = config.data_centres.find(data_centre);
+  return found != config.data_centres.end() &&
+         found->second.availability == DataCentreAvailability::kIn;
+}
+
+bool IsJobSettled(const Placement& placement,
+                  const PlacementView& view,
+                  const JobView& job) {
+  if (job.fresh)
+    return true;
+  // An earlier owner may have recorded and acknowledged a result just before
+  // the worker was fenced; the own fold must include that record.
+  return placement.settled_at && view.outcome_proof &&
+         *view.outcome_proof >= *placement.settled_at;
+}
+
+void CompleteRecorded(Placement& placement, const PlacementView& view) {
+  const std::set<TaskId> ending = placement.ending;
+  for (const TaskId& task : ending) {
+    TaskPlace& place = placement.places.at(task);
+    const auto job = placement.jobs.find(task.job);
+    if (job == placement.jobs.end()) {
+      DropPlace(placement, task);
+      continue;
+    }
+    const TaskProgress progress =
+        ProgressOfTask(job->second, view.data_centre, task);
+    if (progress.attempt < place.attempt && !progress.finished)
+      continue;
+    const TaskEvent event = RecordedEvent(progress);
+    StepTask(event, place.phase);
+    DropPlace(placement, task);
+    if (event == TaskEvent::kRecordedAgain && !job->second.cancelled)
+      job->second.waiting.insert(task.index);
+  }
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/placement/ramp.cc
@@ -0,0 +1,62 @@
+#include "src/placement/ramp.h"
+
+#include <algorithm>
+
+#include "src/placement/steps.h"
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr double kRampShareOfSecond = 0.25;
+// By then 0.75^16, or 1%, of the capacity that was free at first is left.
+constexpr Duration kRampTime = std::chrono::seconds(16);
+
+double FreeMilliCores(const Placement& placement) {
+  int64_t free = 0;
+  for (const auto& [id, worker] : placement.workers) {
+    if (worker.listed_vm && worker.listed_at)
+      free += std::max<int64_t>(
+          0, (worker.capacity.cpu - worker.counted.cpu).count());
+  }
+  return static_cast<double>(free);
+}
+
+}  // namespace
+
+void UpdateRamp(const PlacementView& view, Placement& placement) {
+  if (!IsDataCentreIn(view.control.config, placement.data_centre)) {
+    placement.was_out = true;
+    placement.ramp_since.reset();
+    return;
+  }
+  if (placement.was_out) {
+    placement.was_out = false;
+    placement.ramp_since = view.now;
+    placement.ramp_updated = view.now;
+    placement.ramp_cpu = 0;
+  }
+  if (!placement.ramp_since)
+    return;
+  if (view.now - *placement.ramp_since >= kRampTime) {
+    placement.ramp_since.reset();
+    return;
+  }
+  const double per_second = kRampShareOfSecond * FreeMilliCores(placement);
+  const double seconds =
+      std::chrono::duration<double>(view.now - placement.ramp_updated).count();
+  placement.ramp_updated = view.now;
+  placement.ramp_cpu =
+      std::min(per_second, placement.ramp_cpu + per_second * seconds);
+}
+
+void SpendRamp(const Resources& resources, Placement& placement) {
+  if (placement.ramp_since)
+    placement.ramp_cpu -= static_cast<double>(resources.cpu.count());
+}
+
+bool IsRampSpent(const Placement& placement) {
+  return placement.ramp_since && placement.ramp_cpu <= 0;
+}
+
+}  // namespace cowslipmast
--- /dev/null
+++ b/src/placement/workers.cc
@@ -0,0 +1,141 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/placement/places.h"
+#include "src/placement/quarantine.h"
+#include "src/placement/steps.h"
+
+namespace cowslipmast {
+
+namespace {
+
+// A silent worker is asked this often, so that its tasks are renewed in time
+// when it answers again.
+constexpr Duration kSilentListInterval = std::chrono::milliseconds(500);
+
+// The VM list lags: a worker that an earlier owner used may be missing from it
+// for a few polls of 1 s.
+constexpr Duration kVmListLag = std::chrono::seconds(2);
+
+bool IsWorkerOf(const VmInfo& vm, const DataCentreId& data_centre) {
+  return vm.kind == VmKind::kWorker && vm.data_centre == data_centre;
+}
+
+bool IsForgettable(const WorkerView& worker, TimePoint now) {
+  return !worker.listed_vm && worker.tasks.empty() && worker.foreign.empty() &&
+         now > worker.lease_until + kLeaseMargin;
+}
+
+// The time a renewal may wait on its way is part of the lease, so that every
+// lease has ended kLongestLease after the last renewal left.
+RenewCommand MakeRenewal(const PlacementView& view) {
+  return {kLongestLease - kRenewWindow - kClockErrorBound,
+          view.wall_now + kRenewWindow};
+}
+
+void Renew(Placement& placement,
+           const PlacementView& view,
+           WorkerView& worker,
+           PlacementDecision& decision) {
+  if (worker.silent || worker.renew_in_flight || worker.tasks.empty() ||
+      view.now < worker.next_renew)
+    return;
+  worker.renew_in_flight = true;
+  worker.next_renew = view.now + kRenewInterval;
+  worker.lease_until = std::max(worker.lease_until, view.now + kLongestLease);
+  Send(placement, view, worker.id, MakeRenewal(view), decision);
+}
+
+void Acknowledge(Placement& placement,
+                 const PlacementView& view,
+                 WorkerView& worker,
+                 PlacementDecision& decision) {
+  if (worker.to_acknowledge.empty())
+    return;
+  Send(placement, view, worker.id,
+       AckCommand{std::exchange(worker.to_acknowledge, {})}, decision);
+}
+
+void ListOrFence(Placement& placement,
+                 const PlacementView& view,
+                 WorkerView& worker,
+                 PlacementDecision& decision) {
+  if (worker.fence_in_flight || worker.list_in_flight ||
+      view.now < worker.next_contact)
+    return;
+  if (!worker.fenced) {
+    worker.fence_in_flight = true;
+    Send(placement, view, worker.id, FenceCommand{}, decision);
+    return;
+  }
+  worker.list_in_flight = true;
+  const bool busy = !worker.tasks.empty() || !worker.foreign.empty();
+  worker.next_contact = view.now + (worker.silent ? kSilentListInterval
+                                    : busy        ? kListInterval
+                                                  : kIdleListInterval);
+  Send(placement, view, worker.id, ListCommand{}, decision);
+}
+
+}  // namespace
+
+void SyncWorkers(Placement& placement, const PlacementView& view) {
+  for (auto& [id, worker] : placement.workers)
+    worker.listed_vm = false;
+  for (const VmInfo& vm : view.vms) {
+    if (!IsWorkerOf(vm, placement.data_centre))
+      continue;
+    const auto [found, added] = placement.workers.try_emplace(vm.id);
+    WorkerView& worker = found->second;
+    worker.id = vm.id;
+    worker.listed_vm = vm.state == VmListState::kLive;
+    // An earlier owner may have granted leases there until it lost its epoch.
+    if (added)
+      worker.lease_until = placement.gained_at + kLongestLease;
+  }
+  std::erase_if(placement.workers, [&view](const auto& item) {
+    return IsForgettable(item.second, view.now);
+  });
+  for (auto& [id, worker] : placement.workers)
+    SyncWorkerState(view, worker);
+}
+
+void ExpireLeases(Placement& placement, const PlacementView& view) {
+  for (auto& [id, worker] : placement.workers) {
+    if (!worker.silent || view.now < worker.lease_until + kLeaseMargin)
+      continue;
+    const std::set<TaskId> tasks = worker.tasks;
+    for (const TaskId& task : tasks)
+      EndPlace(placement, placement.places.at(task), TaskResult::kLost, "");
+    worker.foreign.clear();
+    worker.counted = Resources();
+  }
+}
+
+void UpdateSettled(Placement& placement, const PlacementView& view) {
+  if (placement.settled_at || view.vms.empty())
+    return;
+  TimePoint latest = placement.gained_at;
+  bool all_listed = true;
+  for (const auto& [id, worker] : placement.workers) {
+    all_listed = all_listed && worker.listed_at.has_value();
+    latest = std::max(latest, worker.listed_at.value_or(latest));
+  }
+  if (all_listed && view.now >= placement.gained_at + kVmListLag)
+    placement.settled_at = latest;
+  else if (view.now >= placement.gained_at + kLongestLease + kLeaseMargin)
+    placement.settled_at = view.now;
+}
+
+void ContactWorkers(Placement& placement,
+                    const PlacementView& view,
+                    PlacementDecision& decision) {
+  for (auto& [id, worker] : placement.workers) {
+    ListOrFence(placement, view, worker, decision);
+    if (!worker.fenced)
+      continue;
+    Renew(placement, view, worker, decision);
+    Acknowledge(placement, view, worker, decision);
+  }
+}
+
+}  // namespace cowslipmast
