standins: tests, each judge sees its violation

Cause: a judge that never reports would let every scenario pass.

Numbers in JSON that was built rather than parsed are signed, so UnsignedField takes any integer that is not negative.

--- a/standins/common/json.cc
+++ b/standins/common/json.cc
@@ -11,7 +11,9 @@
 
 std::optional<uint64_t> UnsignedField(const Json& object, const char* name) {
   const auto field = object.find(name);
-  if (field == object.end() || !field->is_number_unsigned())
+  if (field == object.end() || !field->is_number_integer())
+    return std::nullopt;
+  if (!field->is_number_unsigned() && field->get<int64_t>() < 0)
     return std::nullopt;
   return field->get<uint64_t>();
 }
--- /dev/null
+++ b/tests/standins/worker_test.cc
@@ -0,0 +1,228 @@
+#include <catch2/catch.hpp>
+
+#include "standins/worker/worker.h"
+#include "standins/worker/worker_json.h"
+
+namespace cowslipmast::standins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+constexpr WallTime kWall{seconds(1000)};
+const TaskId kTask{JobId("job"), 0};
+
+VmInfo MakeVm() {
+  VmInfo vm;
+  vm.id = VmId("w");
+  vm.resources = {MilliCores(2000), Mebibytes(100), Accelerators(0)};
+  return vm;
+}
+
+KindTable MakeTable() {
+  const Json json = {
+      {"kinds", {{"long", {{"run_ms", 2000}, {"usage_percent", 150}}}}},
+      {"interference",
+       {{{"kind", "long"}, {"beside", "noisy"}, {"percent", 200}}}}};
+  return *KindTable::FromJson(json);
+}
+
+StartCommand MakeStart(uint32_t index, const std::string& kind = "plain") {
+  StartCommand command;
+  command.epoch = Epoch(5);
+  command.run = {{JobId("job"), index}, Attempt(1)};
+  command.kind = kind;
+  command.resources = {MilliCores(1000), Mebibytes(10), Accelerators(0)};
+  command.not_after = kWall;
+  command.lease = seconds(15);
+  command.run_time = seconds(1);
+  return command;
+}
+
+struct Fixture {
+  KindTable table = MakeTable();
+  Judge judge{seconds(3)};
+  Worker worker{MakeVm(), table, judge, {}};
+  Refusal refusal = Refusal::kUnknownTask;
+
+  Fixture() { worker.Advance(kStart); }
+  bool Start(const StartCommand& command, WallTime now = kWall) {
+    return worker.Start(command, now, refusal);
+  }
+  void AdvanceTo(Duration after) { worker.Advance(kStart + after); }
+};
+
+TEST_CASE("a worker runs tasks under leases", "[standins]") {
+  Fixture fixture;
+  Worker& worker = fixture.worker;
+  REQUIRE(fixture.Start(MakeStart(0)));
+
+  SECTION("a task ends as done and is remembered until acknowledged") {
+    fixture.AdvanceTo(milliseconds(999));
+    CHECK(worker.leases().size() == 1);
+    fixture.AdvanceTo(milliseconds(1001));
+    REQUIRE(worker.finished().size() == 1);
+    CHECK(worker.finished()[0].result == TaskResult::kDone);
+    CHECK(LeasesToJson(worker)["finished"][0]["result"] == "done");
+
+    SECTION("so that a repeated start is recognised") {
+      CHECK_FALSE(fixture.Start(MakeStart(0)));
+      CHECK(fixture.refusal == Refusal::kAlreadyHere);
+    }
+    SECTION("and is dropped then") {
+      CHECK(worker.Ack(Epoch(5), {{kTask, Attempt(1)}}, fixture.refusal));
+      CHECK(worker.finished().empty());
+    }
+  }
+  SECTION("a lease that runs out ends its task as lost") {
+    StartCommand command = MakeStart(1);
+    command.run_time = Duration(0);
+    REQUIRE(fixture.Start(command));
+    fixture.AdvanceTo(seconds(14));
+    CHECK(worker.leases().size() == 1);
+    SECTION("unless it was renewed") {
+      CHECK(worker.Renew(Epoch(5), seconds(15), fixture.refusal));
+      fixture.AdvanceTo(seconds(28));
+      CHECK(worker.leases().size() == 1);
+    }
+    fixture.AdvanceTo(seconds(30));
+    REQUIRE(worker.leases().empty());
+    CHECK(worker.finished().back().result == TaskResult::kLost);
+  }
+  SECTION("a checkpoint keeps the work that was done") {
+    fixture.AdvanceTo(milliseconds(400));
+    CHECK(worker.Checkpoint(Epoch(5), kTask, fixture.refusal));
+    CHECK(LeasesToJson(worker)["leases"][0]["state"] == "checkpointing");
+    fixture.AdvanceTo(milliseconds(700));
+    REQUIRE(worker.finished().size() == 1);
+    CHECK(worker.finished()[0].result == TaskResult::kEvicted);
+
+    StartCommand resumed = MakeStart(0);
+    resumed.run.attempt = Attempt(2);
+    resumed.checkpoint = worker.finished()[0].checkpoint;
+    REQUIRE(fixture.Start(resumed));
+    fixture.AdvanceTo(milliseconds(700 + 601));
+    CHECK(worker.finished().back().result == TaskResult::kDone);
+    CHECK(fixture.judge.violations().empty());
+  }
+  SECTION("a stop ends it without a checkpoint") {
+    CHECK(worker.Stop(Epoch(5), kTask, fixture.refusal));
+    CHECK(worker.finished()[0].result == TaskResult::kEvicted);
+    CHECK(worker.finished()[0].checkpoint.empty());
+  }
+  SECTION("a throttled task takes longer") {
+    CHECK(worker.Throttle(Epoch(5), kTask, 50, fixture.refusal));
+    fixture.AdvanceTo(milliseconds(1900));
+    CHECK(worker.leases().size() == 1);
+    fixture.AdvanceTo(milliseconds(2001));
+    CHECK(worker.leases().empty());
+  }
+  SECTION("a restart loses all tasks") {
+    worker.Restart();
+    CHECK(worker.finished()[0].result == TaskResult::kLost);
+  }
+}
+
+TEST_CASE("a worker refuses what would break a guarantee", "[standins]") {
+  Fixture fixture;
+  REQUIRE(fixture.Start(MakeStart(0)));
+
+  SECTION("commands of an owner that was replaced") {
+    CHECK(fixture.worker.Fence(Epoch(6), fixture.refusal));
+    CHECK_FALSE(fixture.Start(MakeStart(1)));
+    CHECK(fixture.refusal == Refusal::kStaleEpoch);
+    CHECK_FALSE(fixture.worker.Renew(Epoch(5), seconds(15), fixture.refusal));
+    CHECK_FALSE(fixture.worker.Stop(Epoch(5), kTask, fixture.refusal));
+  }
+  SECTION("a start that arrives too late") {
+    CHECK_FALSE(fixture.Start(MakeStart(1), kWall + Duration(1)));
+    CHECK(fixture.refusal == Refusal::kTooLate);
+  }
+  SECTION("a task that it runs already") {
+    StartCommand again = MakeStart(0);
+    again.run.attempt = Attempt(2);
+    CHECK_FALSE(fixture.Start(again));
+    CHECK(fixture.refusal == Refusal::kAlreadyHere);
+  }
+  SECTION("more than it has room for") {
+    REQUIRE(fixture.Start(MakeStart(1)));
+    CHECK_FALSE(fixture.Start(MakeStart(2)));
+    CHECK(fixture.refusal == Refusal::kNoCapacity);
+  }
+  SECTION("a task that it does not run") {
+    CHECK_FALSE(fixture.worker.Checkpoint(Epoch(5), {JobId("job"), 9},
+                                          fixture.refusal));
+    CHECK(fixture.refusal == Refusal::kUnknownTask);
+  }
+  SECTION("and if it did not, the judge would see it") {
+    fixture.worker.set_careless(true);
+    REQUIRE(fixture.Start(MakeStart(1)));
+    REQUIRE(fixture.Start(MakeStart(2), kWall + Duration(1)));
+    const auto& seen = fixture.judge.violations();
+    REQUIRE(seen.size() == 2);
+    CHECK(seen[0].kind == ViolationKind::kOverCapacity);
+    CHECK(seen[1].kind == ViolationKind::kStartedTooLate);
+  }
+}
+
+TEST_CASE("tasks behave by their kind", "[standins]") {
+  Fixture fixture;
+  REQUIRE(fixture.Start(MakeStart(0, "long")));
+
+  SECTION("the table overrides the declared run time") {
+    fixture.AdvanceTo(milliseconds(1999));
+    CHECK(fixture.worker.leases().size() == 1);
+    fixture.AdvanceTo(milliseconds(2001));
+    CHECK(fixture.worker.leases().empty());
+  }
+  SECTION("a noisy neighbour lengthens it while it runs") {
+    REQUIRE(fixture.Start(MakeStart(1, "noisy")));
+    // Half speed for 1 s beside the neighbour, then full speed for 1.5 s.
+    fixture.AdvanceTo(milliseconds(2490));
+    CHECK(fixture.worker.leases().size() == 1);
+    fixture.AdvanceTo(milliseconds(2510));
+    CHECK(fixture.worker.leases().empty());
+  }
+  SECTION("usage is reported with a lag and may exceed what was declared") {
+    CHECK(fixture.worker.leases()[0].usage.cpu.count() == 0);
+    fixture.AdvanceTo(milliseconds(1990));
+    CHECK(fixture.worker.leases()[0].usage.cpu.count() == 0);
+    REQUIRE(fixture.worker.Throttle(Epoch(5), kTask, 90, fixture.refusal));
+    fixture.AdvanceTo(milliseconds(2050));
+    REQUIRE(fixture.worker.leases().size() == 1);
+    CHECK(fixture.worker.leases()[0].usage.cpu.count() == 150);
+    CHECK(fixture.worker.leases()[0].usage.memory.count() == 15);
+  }
+  SECTION("a failing worker fails what starts on it") {
+    fixture.worker.set_fails_all(true);
+    REQUIRE(fixture.Start(MakeStart(1)));
+    fixture.AdvanceTo(milliseconds(11));
+    REQUIRE(fixture.worker.finished().size() == 1);
+    CHECK(fixture.worker.finished()[0].result == TaskResult::kFailed);
+  }
+}
+
+TEST_CASE("bodies of the worker's protocol", "[standins]") {
+  Json body = {{"epoch", 1},
+               {"job", "j"},
+               {"index", 0},
+               {"attempt", 1},
+               {"kind", "k"},
+               {"resources", {{"cpu_millis", 100}}},
+               {"not_after_unix_ms", 5},
+               {"lease_ms", 10},
+               {"run_ms", 20}};
+  CHECK(ParseStart(body));
+  SECTION("are refused with a field of the wrong type") {
+    body["index"] = -1;
+    CHECK_FALSE(ParseStart(body));
+  }
+  SECTION("are refused with a field missing") {
+    body.erase("not_after_unix_ms");
+    CHECK_FALSE(ParseStart(body));
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast::standins
