cli: send jobs with the keys that the placer reads

Cause: the placer takes nested resources and answers 503 also when a job may have been recorded. Change: the body has a resources object; only the placer's busy, draining and starting count as not run. Adds latency_critical. Conclusion: a test reads the tool's body with the placer's parser.

--- a/src/cli/cli_options.h
+++ b/src/cli/cli_options.h
@@ -27,6 +27,7 @@
   uint64_t accelerators = 0;
   uint64_t run_ms = 0;
   bool urgent = false;
+  bool latency_critical = false;
   std::vector<std::string> data_centres;
 
   bool operator==(const JobRequest&) const = default;
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -32,7 +32,7 @@
     {"cause", "TEXT", "recorded with the change"},
 }};
 
-constexpr std::array<FlagHelp, 10> kJobFlags = {{
+constexpr std::array<FlagHelp, 11> kJobFlags = {{
     {"id", "ID", "id of the job (default: a new one)"},
     {"team", "TEAM", "team whose quota is used"},
     {"kind", "KIND", "kind of task that the workers run"},
@@ -42,6 +42,7 @@
     {"accelerators", "N", "accelerators of one task (default 0)"},
     {"run_ms", "N", "expected run time of one task, in milliseconds"},
     {"urgent", "", "before the other jobs of the team"},
+    {"latency_critical", "", "preferred over batch jobs"},
     {"data_centres", "ID,...", "allowed data centres (default: any)"},
 }};
 
--- a/src/cli/daemon_call.cc
+++ b/src/cli/daemon_call.cc
@@ -35,6 +35,17 @@
   }
 }
 
+// A 503 may also say that a record was sent and not read back in time.
+bool DidNotRun(const HttpResponse& response) {
+  if (response.status != 503)
+    return false;
+  const Json body = Json::parse(response.body, nullptr, false);
+  if (!body.is_object() || !body.contains("error"))
+    return false;
+  const Json& error = body["error"];
+  return error == "busy" || error == "draining" || error == "starting";
+}
+
 CommandResult MakeAnswered(const HttpResponse& response, bool has_effect) {
   CommandResult result;
   result.code = CodeOfStatus(response.status, has_effect);
@@ -101,8 +112,7 @@
         co_await context.http.Call(endpoint, request, timeout, reason);
     if (answer && IsFinal(*answer, has_effect))
       co_return MakeAnswered(*answer, has_effect);
-    const bool refused = answer && answer->status == 503;
-    sent = sent || (answer ? !refused : reason.request_sent);
+    sent = sent || (answer ? !DidNotRun(*answer) : reason.request_sent);
     response = std::move(answer);
     timer.expires_after(std::min(kRetryPause, left));
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/cli/job_file.cc
+++ b/src/cli/job_file.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr uint64_t kMaxTasks = 100'000;
 // Keeps sums of sizes far below the limit of 64 bits.
+constexpr uint64_t kMaxRunMs = UINT32_MAX;  // 49 days; the API takes 32 bits
 constexpr uint64_t kMaxSize = 1'000'000'000'000;
 
 const std::map<std::string, std::string JobRequest::*> kTextKeys = {
@@ -30,6 +31,9 @@
     {"memory_mib", &JobRequest::memory_mib},
     {"accelerators", &JobRequest::accelerators},
     {"run_ms", &JobRequest::run_ms}};
+const std::map<std::string, bool JobRequest::*> kFlagKeys = {
+    {"urgent", &JobRequest::urgent},
+    {"latency_critical", &JobRequest::latency_critical}};
 
 bool Fail(JobFileError& reason, std::string key, std::string expected) {
   reason = {std::move(key), std::move(expected)};
@@ -65,11 +69,12 @@
   }
   if (key == "data_centres")
     return ReadDataCentres(value, job, reason);
-  if (key != "urgent")
+  const auto flag = kFlagKeys.find(key);
+  if (flag == kFlagKeys.end())
     return Fail(reason, key, "a key of a job");
   if (!value.is_boolean())
     return Fail(reason, key, "true or false");
-  job.urgent = value.get<bool>();
+  job.*flag->second = value.get<bool>();
   return true;
 }
 
@@ -127,7 +132,7 @@
          CheckSize("cpu_millis", job.cpu_millis, 1, kMaxSize, reason) &&
          CheckSize("memory_mib", job.memory_mib, 1, kMaxSize, reason) &&
          CheckSize("accelerators", job.accelerators, 0, kMaxSize, reason) &&
-         CheckSize("run_ms", job.run_ms, 1, kMaxSize, reason);
+         CheckSize("run_ms", job.run_ms, 1, kMaxRunMs, reason);
 }
 
 std::string JobToJson(const JobRequest& job) {
@@ -135,11 +140,13 @@
                      {"team", job.team},
                      {"kind", job.kind},
                      {"task_count", job.task_count},
-                     {"cpu_millis", job.cpu_millis},
-                     {"memory_mib", job.memory_mib},
-                     {"accelerators", job.accelerators},
+                     {"resources",
+                      {{"cpu_millis", job.cpu_millis},
+                       {"memory_mib", job.memory_mib},
+                       {"accelerators", job.accelerators}}},
                      {"run_ms", job.run_ms},
                      {"urgent", job.urgent},
+                     {"latency_critical", job.latency_critical},
                      {"data_centres", job.data_centres}};
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/cli/job_file.h
+++ b/src/cli/job_file.h
@@ -19,7 +19,7 @@
   std::string expected;
 };
 
-/** Parses a JSON object with the keys of POST /v1/jobs. */
+/** Parses a JSON object whose keys are the names of the flags. */
 std::optional<JobRequest> ParseJobFile(std::string_view text,
                                        JobFileError& reason);
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -34,6 +34,7 @@
 ABSL_FLAG(uint64_t, accelerators, 0, "");
 ABSL_FLAG(uint64_t, run_ms, 0, "");
 ABSL_FLAG(bool, urgent, false, "");
+ABSL_FLAG(bool, latency_critical, false, "");
 ABSL_FLAG(std::string, data_centres, "", "");
 
 namespace cowslipmast {
@@ -84,6 +85,7 @@
   job.accelerators = absl::GetFlag(FLAGS_accelerators);
   job.run_ms = absl::GetFlag(FLAGS_run_ms);
   job.urgent = absl::GetFlag(FLAGS_urgent);
+  job.latency_critical = absl::GetFlag(FLAGS_latency_critical);
   const std::string data_centres = absl::GetFlag(FLAGS_data_centres);
   if (data_centres.empty())
     return job;
--- a/tests/cli/job_test.cc
+++ b/tests/cli/job_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/cli/job_file.h"
+#include "src/daemon/job_json.h"
 #include "tests/cli/fixture.h"
 
 namespace cowslipmast {
@@ -14,6 +15,7 @@
  * request and closes the connection. */
 struct FakePlacer {
   std::deque<uint16_t> statuses;
+  std::string body = R"({"state":"waiting"})";
   std::vector<HttpRequest> requests;
   std::unique_ptr<standins::FaultServer> server;
 
@@ -28,9 +30,8 @@
             statuses.pop_front();
           if (status == 0)
             co_return standins::FaultAnswer{{}, standins::Delivery::kClose};
-          co_return standins::FaultAnswer{
-              MakeJsonResponse(status, R"({"state":"waiting"})"),
-              standins::Delivery::kWhole};
+          co_return standins::FaultAnswer{MakeJsonResponse(status, body),
+                                          standins::Delivery::kWhole};
         },
         reason);
   }
@@ -62,6 +63,13 @@
     CHECK(announced == "job " + placer.IdOf(0));
     CHECK(sent_before == 0);
     CHECK(result.data["job"] == placer.IdOf(0));
+    // The tool and the process must agree on the keys.
+    JobJsonError error;
+    const auto spec = JobSpecFromJson(placer.requests[0].body, error);
+    INFO(error.key);
+    REQUIRE(spec);
+    CHECK(spec->resources.cpu == MilliCores(500));
+    CHECK(spec->run_time == std::chrono::seconds(1));
   }
   SECTION("again with the same id when the reply is lost") {
     placer.statuses = {0, 504, 200};
@@ -81,8 +89,14 @@
   }
   SECTION("not, when the process is not ready") {
     placer.statuses.assign(100, 503);
+    placer.body = R"({"error":"starting"})";
     fixture.options.timeout = std::chrono::milliseconds(300);
     CHECK(fixture.Run({"job", "submit"}).code == ExitCode::kUnavailable);
+
+    SECTION("unless it does not know whether the job was recorded") {
+      placer.body = R"({"error":"unknown"})";
+      CHECK(fixture.Run({"job", "submit"}).code == ExitCode::kUnknown);
+    }
   }
   SECTION("not, when a size is missing") {
     fixture.options.job.memory_mib = 0;
