tools: load generator that checks what callers were told

Cause: the demo and the measurements need callers whose view can be compared with what really ran.

Change: cowslipmast-load sends requests at a rate or back to back, goes to another entry only while nothing was sent, submits batch jobs, and then compares every outcome with the runs that the stand-in targets and workers counted. It exits with 0 only if nothing was lost, doubled or violated. Its logic is a library; the test programs link it. A request is counted when it is planned, not when it is sent: at a rate the count was overshot by one.

Conclusion: tried against stand-in entries in tests only; the daemons are not there yet.

--- /dev/null
+++ b/tests/standins/load_test.cc
@@ -0,0 +1,252 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+#include "standins/common/fault_server.h"
+#include "standins/target/answer_body.h"
+#include "tests/standins/await.h"
+#include "tools/load/latency_histogram.h"
+#include "tools/load/load_run.h"
+#include "tools/load/request_load.h"
+
+namespace cowslipmast::load {
+namespace {
+
+using standins::Await;
+using standins::Delivery;
+using standins::FaultAnswer;
+using standins::FaultServer;
+using standins::Json;
+
+RequestResult MakeResult(const std::string& id,
+                         Outcome outcome,
+                         bool idempotent) {
+  RequestResult result;
+  result.request.id = id;
+  result.request.idempotent = idempotent;
+  result.outcome = outcome;
+  result.latency = std::chrono::milliseconds(10);
+  return result;
+}
+
+std::vector<std::string> FaultsIn(const RequestReport& requests) {
+  Report report;
+  report.requests = requests;
+  return FaultsOf(report, 0);
+}
+
+TEST_CASE("the check of requests", "[load]") {
+  SECTION("accepts what the design permits") {
+    const RequestReport report =
+        MakeRequestReport({MakeResult("a", Outcome::kAnswered, false),
+                           MakeResult("b", Outcome::kAnswered, true),
+                           MakeResult("c", Outcome::kNotRun, false),
+                           MakeResult("d", Outcome::kUnknown, false),
+                           MakeResult("e", Outcome::kBroken, false)},
+                          {{"a", 1}, {"b", 2}, {"c", 0}, {"d", 1}, {"e", 0}});
+    CHECK(FaultsIn(report).empty());
+    CHECK(report.p50_ms == Approx(10).epsilon(0.02));
+  }
+  SECTION("sees a request that was refused and ran") {
+    const auto report = MakeRequestReport(
+        {MakeResult("a", Outcome::kNotRun, true)}, {{"a", 1}});
+    CHECK(FaultsIn(report).size() == 1);
+  }
+  SECTION("sees an answer to a request that did not run") {
+    const auto report =
+        MakeRequestReport({MakeResult("a", Outcome::kAnswered, true)}, {});
+    CHECK(FaultsIn(report).size() == 1);
+  }
+  SECTION("sees a non-idempotent request that ran twice") {
+    const auto report = MakeRequestReport(
+        {MakeResult("a", Outcome::kUnknown, false)}, {{"a", 2}});
+    CHECK(FaultsIn(report).size() == 1);
+  }
+  SECTION("sees answers that are damaged or have no outcome") {
+    RequestResult mixed_up = MakeResult("a", Outcome::kAnswered, true);
+    mixed_up.intact = false;
+    const auto report = MakeRequestReport(
+        {mixed_up, MakeResult("b", Outcome::kUnlabelled, true)}, {{"a", 1}});
+    CHECK(report.damaged == 2);
+  }
+  SECTION("sees that too few were answered") {
+    Report report;
+    report.requests =
+        MakeRequestReport({MakeResult("a", Outcome::kAnswered, true),
+                           MakeResult("b", Outcome::kNotRun, true)},
+                          {{"a", 1}});
+    CHECK(FaultsOf(report, 50).empty());
+    CHECK(FaultsOf(report, 51).size() == 1);
+  }
+}
+
+TEST_CASE("the check of jobs", "[load]") {
+  JobResult job;
+  job.id = "j";
+  job.tasks = 2;
+  job.accepted = true;
+  job.end = JobEnd::kDone;
+  Json stats = {{"tasks_done",
+                 {{{"job", "j"}, {"index", 0}, {"count", 1}},
+                  {{"job", "j"}, {"index", 1}, {"count", 1}}}}};
+  Report report;
+
+  SECTION("accepts a job of which each task was done once") {
+    report.jobs = MakeJobReport({job}, stats);
+    CHECK(FaultsOf(report, 0).empty());
+  }
+  SECTION("sees a task that no worker has done") {
+    // The placer's own word that the job is done is not enough.
+    stats["tasks_done"].erase(1);
+    report.jobs = MakeJobReport({job}, stats);
+    CHECK(report.jobs.lost == 1);
+    CHECK(FaultsOf(report, 0).size() == 1);
+  }
+  SECTION("sees a task that was done twice") {
+    stats["tasks_done"][0]["count"] = 2;
+    report.jobs = MakeJobReport({job}, stats);
+    CHECK(report.jobs.doubled == 1);
+    CHECK(FaultsOf(report, 0).size() == 1);
+  }
+  SECTION("sees violations that a worker recorded") {
+    stats["violations"] = Json::array({{{"kind", "two_places"}}});
+    report.jobs = MakeJobReport({job}, stats);
+    CHECK(FaultsOf(report, 0).size() == 1);
+  }
+}
+
+TEST_CASE("quantiles of latencies", "[load]") {
+  LatencyHistogram latencies;
+  CHECK(latencies.QuantileMs(0.99) == 0);
+  for (int ms = 1; ms <= 100; ++ms)
+    latencies.Add(std::chrono::milliseconds(ms));
+  latencies.Add(std::chrono::hours(1));
+  CHECK(latencies.QuantileMs(0.5) == Approx(50).epsilon(0.03));
+  CHECK(latencies.QuantileMs(0.97) == Approx(98).epsilon(0.03));
+}
+
+// An entry that answers for all; `delivery` tells how.
+struct Fixture {
+  asio::io_context io;
+  NetError reason;
+  std::unique_ptr<HttpClient> client = HttpClient::Make(io, {});
+  RequestOptions options;
+  Delivery delivery = Delivery::kWhole;
+  std::string body_id;  // instead of the request's own
+  std::unique_ptr<FaultServer> server = FaultServer::Make(
+      io,
+      {"127.0.0.1", 0},
+      [this](HttpRequest request) { return Answer(std::move(request)); },
+      reason);
+
+  Fixture() {
+    options.entries = {{"127.0.0.1", server->port()}};
+    options.service = "desk";
+  }
+  asio::awaitable<FaultAnswer> Answer(HttpRequest request) {
+    std::string id(
+        FindHeader(request.headers, "Cowslipmast-Request-Id").value_or(""));
+    HttpResponse response;
+    response.headers = {{"Cowslipmast-Outcome", "answered"}};
+    response.body = standins::MakeAnswerBody(
+        body_id.empty() ? id : body_id,
+        std::stoul(QueryParameter(request.path, "bytes").value_or("0")));
+    co_return FaultAnswer{std::move(response), delivery};
+  }
+  RequestResult Send() {
+    Caller caller(*client, options);
+    return Await(io, caller.Send({"id-1", false, 100}));
+  }
+};
+
+TEST_CASE("a caller behind the balancer", "[load]") {
+  Fixture fixture;
+  REQUIRE(fixture.server);
+
+  SECTION("recognises its own whole answer") {
+    const RequestResult result = fixture.Send();
+    CHECK(result.outcome == Outcome::kAnswered);
+    CHECK(result.intact);
+  }
+  SECTION("recognises the answer to another request") {
+    fixture.body_id = "id-2";
+    CHECK_FALSE(fixture.Send().intact);
+  }
+  SECTION("goes to another entry if the first cannot be reached") {
+    auto gone =
+        FaultServer::Make(fixture.io, {"127.0.0.1", 0}, {}, fixture.reason);
+    fixture.options.entries.insert(fixture.options.entries.begin(),
+                                   {"127.0.0.1", gone->port()});
+    gone.reset();
+    const RequestResult result = fixture.Send();
+    CHECK(result.outcome == Outcome::kAnswered);
+    CHECK(result.failovers == 1);
+  }
+  SECTION("does not send again once it may have been received") {
+    fixture.options.entries.push_back(fixture.options.entries[0]);
+    fixture.delivery = Delivery::kClose;
+    const RequestResult result = fixture.Send();
+    CHECK(result.outcome == Outcome::kBroken);
+    CHECK(result.failovers == 0);
+  }
+  SECTION("sends as many requests as were asked for") {
+    fixture.options.count = 50;
+    fixture.options.rate = GENERATE(0, 5000);
+    RequestLoad load(fixture.io, *fixture.client, fixture.options);
+    bool done = false;
+    asio::co_spawn(
+        fixture.io,
+        [&]() -> asio::awaitable<void> {
+          co_await load.Run();
+          done = true;
+        },
+        asio::detached);
+    while (!done)
+      fixture.io.run_one();
+    CHECK(load.results().size() == 50);
+  }
+}
+
+// A placer that accepts at the second attempt and then reports `state`.
+TEST_CASE("a submitter of jobs", "[load]") {
+  asio::io_context io;
+  NetError reason;
+  const auto client = HttpClient::Make(io, {});
+  std::string state = "done";
+  int submissions = 0;
+  const auto server = FaultServer::Make(
+      io, {"127.0.0.1", 0},
+      [&](HttpRequest request) -> asio::awaitable<FaultAnswer> {
+        if (request.method == "POST" && ++submissions == 1)
+          co_return FaultAnswer{{}, Delivery::kClose};
+        co_return FaultAnswer{
+            MakeJsonResponse(200, Json{{"state", state}}.dump())};
+      },
+      reason);
+  REQUIRE(server);
+  JobOptions options;
+  options.placers = {{"127.0.0.1", server->port()}};
+  options.jobs = 1;
+  const auto run = [&]() -> asio::awaitable<JobResult> {
+    JobLoad load(io, *client, options);
+    co_await load.Run();
+    co_return load.results()[0];
+  };
+
+  SECTION("repeats a submission whose reply was lost") {
+    const JobResult job = Await(io, run());
+    CHECK(job.accepted);
+    CHECK(job.end == JobEnd::kDone);
+    CHECK(submissions == 2);
+  }
+  SECTION("gives up on a job that is not done in time") {
+    state = "running";
+    options.time_limit = std::chrono::milliseconds(300);
+    const JobResult job = Await(io, run());
+    CHECK(job.accepted);
+    CHECK(job.end == JobEnd::kUnfinished);
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast::load
--- /dev/null
+++ b/tools/load/caller.cc
@@ -0,0 +1,64 @@
+#include "tools/load/caller.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace cowslipmast::load {
+
+namespace {
+
+// An entry answers by the deadline; the margin is for the way back.
+constexpr Duration kAnswerMargin = std::chrono::seconds(1);
+
+HttpRequest MakeRequest(const PlannedRequest& planned,
+                        const RequestOptions& options) {
+  HttpRequest request;
+  request.path = "/" + options.service +
+                 "/quote?bytes=" + std::to_string(planned.answer_bytes);
+  request.headers = {
+      {"Cowslipmast-Request-Id", planned.id},
+      {"Cowslipmast-Idempotent", planned.idempotent ? "true" : "false"},
+      {"Cowslipmast-Deadline-Ms", std::to_string(options.deadline_ms)}};
+  return request;
+}
+
+Duration Since(std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
+                                              start);
+}
+
+}  // namespace
+
+Caller::Caller(HttpClient& http, const RequestOptions& options)
+    : m_http(http), m_options(options) {}
+
+asio::awaitable<RequestResult> Caller::Send(PlannedRequest planned) {
+  const auto start = std::chrono::steady_clock::now();
+  const HttpRequest request = MakeRequest(planned, m_options);
+  const Duration timeout =
+      std::chrono::milliseconds(m_options.deadline_ms) + kAnswerMargin;
+  RequestResult result;
+  result.request = std::move(planned);
+  for (size_t tried = 0; tried < m_options.entries.size(); ++tried) {
+    const Endpoint entry =
+        m_options.entries[m_next_entry++ % m_options.entries.size()];
+    NetError error;
+    const auto response = co_await m_http.Call(entry, request, timeout, error);
+    if (response) {
+      result.outcome = OutcomeOf(*response);
+      result.status = response->status;
+      result.intact = result.outcome != Outcome::kAnswered ||
+                      IsIntact(*response, result.request);
+      break;
+    }
+    result.outcome = OutcomeOf(error);
+    if (result.outcome != Outcome::kNotSent)
+      break;
+    ++result.failovers;
+  }
+  result.latency = Since(start);
+  co_return result;
+}
+
+}  // namespace cowslipmast::load
--- /dev/null
+++ b/tools/load/job_load.h
@@ -0,0 +1,59 @@
+#ifndef COWSLIPMAST_TOOLS_LOAD_JOB_LOAD_H_
+#define COWSLIPMAST_TOOLS_LOAD_JOB_LOAD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/net/asio.h"
+#include "src/net/http_client.h"
+#include "tools/load/options.h"
+#include "tools/load/task_group.h"
+
+namespace cowslipmast::load {
+
+/** How a submitted job ended. */
+enum class JobEnd { kNotAccepted, kRefused, kUnfinished, kDone, kFailed };
+
+struct JobResult {
+  std::string id;
+  uint64_t tasks = 0;
+  bool accepted = false;
+  JobEnd end = JobEnd::kNotAccepted;
+  Duration time{0};  // from submission to the end
+};
+
+/** Submits batch jobs and waits until they are done. `http` and `options`
+ * outlive it. */
+class JobLoad {
+ public:
+  JobLoad(asio::io_context& io, HttpClient& http, const JobOptions& options);
+
+  /** Returns once all jobs have ended, at the latest at the time limit. */
+  asio::awaitable<void> Run();
+  const std::vector<JobResult>& results() const { return m_results; }
+
+ private:
+  asio::awaitable<void> RunJob(size_t position);
+  asio::awaitable<bool> Submit(size_t position);
+  asio::awaitable<bool> AwaitEnd(size_t position);
+  asio::awaitable<std::optional<HttpResponse>> CallPlacer(HttpRequest request,
+                                                          bool& maybe_sent);
+  asio::awaitable<void> Pause();
+  std::string JobBody(size_t position) const;
+  bool TimeLeft() const;
+
+  asio::io_context& m_io;
+  HttpClient& m_http;
+  const JobOptions& m_options;
+  TaskGroup m_group;
+  std::chrono::steady_clock::time_point m_deadline;
+  size_t m_next_placer = 0;
+  std::vector<JobResult> m_results;
+};
+
+}  // namespace cowslipmast::load
+
+#endif  // COWSLIPMAST_TOOLS_LOAD_JOB_LOAD_H_
--- /dev/null
+++ b/tools/load/latency_histogram.h
@@ -0,0 +1,32 @@
+#ifndef COWSLIPMAST_TOOLS_LOAD_LATENCY_HISTOGRAM_H_
+#define COWSLIPMAST_TOOLS_LOAD_LATENCY_HISTOGRAM_H_
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <tuple>
+
+#include "cowslipmast/units.h"
+
+namespace cowslipmast::load {
+
+/** Latencies from 0.05 ms to 100 s in bins that are 1% wide. */
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+
+  void Add(Duration latency);
+  /** Upper edge in ms of the bin that holds the quantile; 0 if empty. */
+  double QuantileMs(double quantile) const;
+
+ private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  boost::histogram::histogram<std::tuple<Axis>> m_bins;
+  double m_count = 0;
+};
+
+}  // namespace cowslipmast::load
+
+#endif  // COWSLIPMAST_TOOLS_LOAD_LATENCY_HISTOGRAM_H_
--- /dev/null
+++ b/tools/load/outcome.h
@@ -0,0 +1,57 @@
+#ifndef COWSLIPMAST_TOOLS_LOAD_OUTCOME_H_
+#define COWSLIPMAST_TOOLS_LOAD_OUTCOME_H_
+
+#include <cstddef>
+#include <string>
+
+#include "cowslipmast/units.h"
+#include "src/net/http_message.h"
+#include "src/net/net_error.h"
+
+namespace cowslipmast::load {
+
+/** How a request ended for its caller. */
+enum class Outcome {
+  kAnswered,
+  kNotRun,
+  kUnknown,
+  kBroken,     // connection lost after the request was sent
+  kNoAnswer,   // nothing within the deadline and a margin
+  kNotSent,    // no entry could be reached
+  kUnlabelled  // answer without a valid Cowslipmast-Outcome
+};
+
+inline constexpr Outcome kAllOutcomes[] = {
+    Outcome::kAnswered,  Outcome::kNotRun,   Outcome::kUnknown,
+    Outcome::kBroken,    Outcome::kNoAnswer, Outcome::kNotSent,
+    Outcome::kUnlabelled};
+
+const char* OutcomeName(Outcome outcome);
+
+struct PlannedRequest {
+  std::string id;
+  bool idempotent = false;
+  size_t answer_bytes = 0;
+};
+
+struct RequestResult {
+  PlannedRequest request;
+  Outcome outcome = Outcome::kNotSent;
+  uint16_t status = 0;
+  bool intact = true;  // the answer is whole and belongs to this request
+  Duration latency{0};
+  uint64_t failovers = 0;  // entries that could not be reached before
+};
+
+/** Reads the outcome that an entry reported. */
+Outcome OutcomeOf(const HttpResponse& response);
+/** Outcome of a request that got no answer. */
+Outcome OutcomeOf(const NetError& error);
+
+/** True if an answer carries the id, and with status 200 the body, of its
+ * request. */
+bool IsIntact(const HttpResponse& response, const PlannedRequest& request);
+
+}  // namespace cowslipmast::load
+
+#endif  // COWSLIPMAST_TOOLS_LOAD_OUTCOME_H_
--- /dev/null
+++ b/tools/load/report.h
@@ -0,0 +1,72 @@
+#ifndef COWSLIPMAST_TOOLS_LOAD_REPORT_H_
+#define COWSLIPMAST_TOOLS_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standins/common/json.h"
+#include "tools/load/job_load.h"
+#include "tools/load/outcome.h"
+
+namespace cowslipmast::load {
+
+/** Runs of each request by id, as the stand-in targets counted them. */
+using RunCounts = std::map<std::string, uint64_t>;
+
+struct RequestReport {
+  uint64_t sent = 0;
+  std::map<Outcome, uint64_t> outcomes;
+  uint64_t failovers = 0;
+  double p50_ms = 0;  // of answered requests
+  double p99_ms = 0;
+  uint64_t damaged = 0;          // answers that are cut, mixed up or unlabelled
+  uint64_t refused_but_ran = 0;  // told "not-run", or never sent
+  uint64_t answered_not_run = 0;  // told "answered"
+  uint64_t ran_twice = 0;         // non-idempotent
+  standins::Json target_violations = standins::Json::array();
+};
+
+struct JobReport {
+  uint64_t submitted = 0;
+  uint64_t accepted = 0;
+  uint64_t done = 0;
+  uint64_t failed = 0;
+  double longest_ms = 0;  // from submission to the end
+  uint64_t task_starts = 0;
+  uint64_t evictions = 0;
+  uint64_t lost_leases = 0;
+  uint64_t lost = 0;     // tasks of accepted jobs that no worker has done
+  uint64_t doubled = 0;  // tasks done more than once
+  standins::Json worker_violations = standins::Json::array();
+};
+
+/** Result of a load run after it was compared with the stand-ins. */
+struct Report {
+  RequestReport requests;
+  JobReport jobs;
+  /** What could not be checked because a stand-in gave no answer. */
+  std::vector<std::string> unchecked;
+};
+
+/** Counts outcomes and latencies and compares them with `runs`. */
+RequestReport MakeRequestReport(const std::vector<RequestResult>& results,
+                                const RunCounts& runs);
+
+/** Compares the jobs with the statistics of the stand-in workers. */
+JobReport MakeJobReport(const std::vector<JobResult>& results,
+                        const standins::Json& worker_stats);
+
+/** Names of everything that must not have happened; empty if all is well. */
+std::vector<std::string> FaultsOf(const Report& report,
+                                  uint64_t min_answered_percent);
+
+standins::Json ReportToJson(const Report& report,
+                            const std::vector<std::string>& faults);
+std::string ReportToTable(const Report& report,
+                          const std::vector<std::string>& faults);
+
+}  // namespace cowslipmast::load
+
+#endif  // COWSLIPMAST_TOOLS_LOAD_REPORT_H_
