--- a/src/daemon/membership.cc
+++ b/src/daemon/membership.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/membership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslipmast {
@@ -38,14 +39,10 @@
                .base_version = table.version};
 }
 
-std::vector<Record> PlanReleases(const ControlState& state,
-                                 const ProcessId& self) {
-  std::vector<Record> records;
-  for (const auto& [resource, ownership] : state.ownership) {
-    if (ownership.owner == self)
-      records.push_back(Release{resource, ownership.epoch});
-  }
-  return records;
+bool OwnsAnything(const ControlState& state, const ProcessId& self) {
+  return std::any_of(
+      state.ownership.begin(), state.ownership.end(),
+      [&](const auto& entry) { return entry.second.owner == self; });
 }
 
 std::vector<PeerSpec> ChoosePeers(const ControlState& state,
--- a/src/fold/ownership.cc
+++ b/src/fold/ownership.cc
@@ -180,8 +180,10 @@
     else
       kept[resource] = epoch;
   }
-  if (permitted)
-    decision.usable = std::move(kept);
+  if (!permitted)
+    return;
+  decision.usable = std::move(kept);
+  decision.permit_until = *permit;
 }
 
 }  // namespace
