--- a/standins/worker/task.h
+++ b/standins/worker/task.h
@@ -54,9 +54,9 @@
   Resources resources;
   TimePoint expires_at;
   Duration work_done{0};
-  std::optional<Duration> work;   // in all; nothing for an endless task
-  bool fails = false;             // ends as failed when the work is done
-  uint64_t throttle_percent = 0;  // share of its speed that is taken away
+  std::optional<Duration> work;     // in all; nothing for an endless task
+  bool fails = false;               // ends as failed when the work is done
+  uint64_t throttle_percent = 100;  // of its full speed
   std::optional<TimePoint> checkpointed_at;  // set while checkpointing
   Resources usage;                           // as last sampled
   TimePoint usage_at;
--- a/standins/worker/worker.cc
+++ b/standins/worker/worker.cc
@@ -10,15 +10,16 @@
 namespace {
 
 constexpr double kPercent = 100;
-constexpr uint64_t kFullThrottle = 100;
+constexpr uint64_t kFullSpeedPercent = 100;
 
 // A checkpoint holds the work done, in microseconds.
 Duration ParseCheckpoint(const std::string& checkpoint) {
   return Duration(static_cast<int64_t>(ParseUnsigned(checkpoint).value_or(0)));
 }
 
-double SpeedLeft(const Lease& lease) {
-  return static_cast<double>(kFullThrottle - lease.throttle_percent) / kPercent;
+// Speed that throttling leaves, as a share of the full speed.
+double ThrottledSpeed(const Lease& lease) {
+  return static_cast<double>(lease.throttle_percent) / kPercent;
 }
 
 }  // namespace
@@ -111,7 +112,7 @@
     reason = Refusal::kUnknownTask;
     return false;
   }
-  lease->throttle_percent = std::min(percent, kFullThrottle);
+  lease->throttle_percent = std::min(percent, kFullSpeedPercent);
   return true;
 }
 
@@ -206,9 +207,9 @@
     if (&other == &lease)
       continue;
     const double full = m_table.Slowdown(lease.kind, other.kind);
-    slowdown *= 1 + (full - 1) * SpeedLeft(other);
+    slowdown *= 1 + (full - 1) * ThrottledSpeed(other);
   }
-  return SpeedLeft(lease) / slowdown;
+  return ThrottledSpeed(lease) / slowdown;
 }
 
 // Earliest moment at which the task ends, if nothing else changes before.
@@ -261,8 +262,7 @@
   for (Lease& lease : m_leases) {
     const auto percent =
         static_cast<int64_t>(m_table.BehaviourOf(lease.kind).usage_percent);
-    const auto speed =
-        static_cast<int64_t>(kFullThrottle - lease.throttle_percent);
+    const auto speed = static_cast<int64_t>(lease.throttle_percent);
     lease.usage.cpu =
         MilliCores(lease.resources.cpu.count() * percent * speed / 10000);
     lease.usage.memory =
--- a/tests/standins/worker_test.cc
+++ b/tests/standins/worker_test.cc
@@ -188,7 +188,7 @@
     CHECK(fixture.worker.leases()[0].usage.cpu.count() == 0);
     fixture.AdvanceTo(milliseconds(1990));
     CHECK(fixture.worker.leases()[0].usage.cpu.count() == 0);
-    REQUIRE(fixture.worker.Throttle(Epoch(5), kTask, 90, fixture.refusal));
+    REQUIRE(fixture.worker.Throttle(Epoch(5), kTask, 10, fixture.refusal));
     fixture.AdvanceTo(milliseconds(2050));
     REQUIRE(fixture.worker.leases().size() == 1);
     CHECK(fixture.worker.leases()[0].usage.cpu.count() == 150);
--- a/tools/load/job_load.cc
+++ b/tools/load/job_load.cc
@@ -22,6 +22,15 @@
   return std::nullopt;
 }
 
+// Only the owner of the job's data centre reports counts of its tasks.
+std::optional<JobEnd> EndOfCounts(const Json& tasks) {
+  const auto unfinished = standins::UnsignedField(tasks, "unfinished");
+  const auto failed = standins::UnsignedField(tasks, "failed");
+  if (!unfinished || !failed || *unfinished > 0)
+    return std::nullopt;
+  return *failed > 0 ? JobEnd::kFailed : JobEnd::kDone;
+}
+
 // A placer that does not know the job yet, or not any more, answers 404.
 std::optional<JobEnd> ParseEnd(const HttpResponse& response) {
   if (response.status != 200)
@@ -29,6 +38,8 @@
   const auto body = standins::ParseObject(response.body);
   if (!body)
     return std::nullopt;
+  if (body->contains("tasks") && body->at("tasks").is_object())
+    return EndOfCounts(body->at("tasks"));
   return EndOfState(standins::StringField(*body, "state").value_or(""));
 }
 
@@ -130,9 +141,10 @@
                {"team", m_options.team},
                {"kind", m_options.kind},
                {"task_count", m_options.tasks_per_job},
-               {"cpu_millis", m_options.cpu_millis},
-               {"memory_mib", m_options.memory_mib},
-               {"accelerators", m_options.accelerators},
+               {"resources",
+                {{"cpu_millis", m_options.cpu_millis},
+                 {"memory_mib", m_options.memory_mib},
+                 {"accelerators", m_options.accelerators}}},
                {"run_ms", m_options.run_ms},
                {"urgent", urgent},
                {"data_centres", Json::array()}};
