tools: show examples of violations in the load report

Cause: a count of violations does not say what to look for. Change: the table lists up to ten violations of each judge.

--- a/tools/load/report_text.cc
+++ b/tools/load/report_text.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 
 #include "tools/load/report.h"
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr double kHundredths = 100;
+constexpr size_t kMaxExamples = 10;  // of violations; the JSON output has all
 
 // Two decimals; the bins of the histogram are wider than what is cut off.
 double Rounded(double ms) {
@@ -33,6 +35,11 @@
   }
 }
 
+void AddExamples(std::string& table, const Json& violations) {
+  for (size_t i = 0; i < std::min(violations.size(), kMaxExamples); ++i)
+    table += "violation: " + violations[i].dump() + "\n";
+}
+
 Json RequestsToJson(const RequestReport& report) {
   Json outcomes = Json::object();
   for (const Outcome outcome : kAllOutcomes) {
@@ -80,6 +87,8 @@
   std::string table;
   AddRows(table, "requests.", RequestsToJson(report.requests));
   AddRows(table, "jobs.", JobsToJson(report.jobs));
+  AddExamples(table, report.requests.target_violations);
+  AddExamples(table, report.jobs.worker_violations);
   for (const std::string& fault : faults)
     table += "fault: " + fault + "\n";
   return table;
