placement: take the lifecycles of tasks and leases from charts

Cause: operators read the lifecycles, and policy changes them. Change: charts/task.toml and charts/lease.toml are bound to the code's enumerators when a placer starts; a missing name aborts the start.

--- a/include/cowslipmast/placement.h
+++ b/include/cowslipmast/placement.h
@@ -3,12 +3,15 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "cowslipmast/chart.h"
 #include "cowslipmast/ids.h"
 #include "cowslipmast/ownership.h"
 #include "cowslipmast/record.h"
@@ -57,6 +60,35 @@
   kEnded,
 };
 
+/** Names as in the charts. */
+std::string_view TaskPhaseName(TaskPhase phase);
+std::string_view LeasePhaseName(LeasePhase phase);
+
+/** A chart with the handles of the names that the code uses, in the order of
+ * the code's enumerators. */
+struct BoundChart {
+  Chart chart;
+  std::vector<ChartState> states;
+  std::vector<ChartEvent> events;
+};
+
+/** The lifecycles of tasks and leases. */
+struct PlacementCharts {
+  BoundChart task;
+  BoundChart lease;
+};
+
+/** A name that a chart must have and has not. */
+struct PlacementChartError {
+  std::string chart;
+  std::string expected;
+};
+
+/** Binds charts/task.toml and charts/lease.toml. Null if the charts do not
+ * have exactly the states, and at least the events, that the code uses. */
+std::shared_ptr<const PlacementCharts>
+MakePlacementCharts(Chart task, Chart lease, PlacementChartError& reason);
+
 /** Sizes that first fit counts with. */
 enum class SizePolicy {
   kDeclared,
@@ -159,6 +191,7 @@
   Epoch epoch;
   TimePoint gained_at;
   PlacementPolicy policy;
+  std::shared_ptr<const PlacementCharts> charts;
   std::map<VmId, WorkerView> workers;
   std::map<TaskId, TaskPlace> places;
   std::set<TaskId> ending;  // places in kEnding
@@ -204,6 +237,7 @@
 Placement MakePlacement(const DataCentreId& data_centre,
                         Epoch epoch,
                         const PlacementPolicy& policy,
+                        std::shared_ptr<const PlacementCharts> charts,
                         TimePoint now);
 
 /** Decides what to do now. Called every 100 ms or so, and after changes. */
--- a/src/daemon/job_view_json.cc
+++ b/src/daemon/job_view_json.cc
@@ -29,42 +29,6 @@
           {"attempts_ended", attempts}};
 }
 
-const char* TaskPhaseName(TaskPhase phase) {
-  switch (phase) {
-    case TaskPhase::kWaiting:
-      return "waiting";
-    case TaskPhase::kStarting:
-      return "starting";
-    case TaskPhase::kRunning:
-      return "running";
-    case TaskPhase::kEvicting:
-      return "evicting";
-    case TaskPhase::kEnding:
-      return "ending";
-    case TaskPhase::kDone:
-      return "done";
-    case TaskPhase::kFailed:
-      return "failed";
-  }
-  return "unknown";
-}
-
-const char* LeasePhaseName(LeasePhase phase) {
-  switch (phase) {
-    case LeasePhase::kRequested:
-      return "requested";
-    case LeasePhase::kUncertain:
-      return "uncertain";
-    case LeasePhase::kHeld:
-      return "held";
-    case LeasePhase::kSilent:
-      return "silent";
-    case LeasePhase::kEnded:
-      return "ended";
-  }
-  return "unknown";
-}
-
 const char* StateName(VmServiceState state) {
   switch (state) {
     case VmServiceState::kInService:
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -70,9 +70,15 @@
   return MadeRole{role->hooks(), role};
 }
 
-std::optional<MadeRole> MakePlacer(const RoleContext& context, ProcessError&) {
+std::optional<MadeRole> MakePlacer(const RoleContext& context,
+                                   ProcessError& reason) {
+  PlacerError error;
   std::shared_ptr<PlacerRole> role =
-      PlacerRole::Make(context, PlacementPolicy{});
+      PlacerRole::Make(context, PlacementPolicy{}, error);
+  if (!role) {
+    reason = {ProcessErrorKind::kRole, error.detail};
+    return std::nullopt;
+  }
   role->Start();
   return MadeRole{role->hooks(), role};
 }
--- a/src/daemon/owned_data_centre.cc
+++ b/src/daemon/owned_data_centre.cc
@@ -172,9 +172,9 @@
 void OwnedDataCentre::SetPermitted(bool permitted) {
   m_impl->permitted = permitted;
   if (permitted && !m_impl->placement)
-    m_impl->placement =
-        MakePlacement(m_impl->id, m_impl->epoch, m_impl->shared.policy,
-                      ToTimePoint(std::chrono::steady_clock::now()));
+    m_impl->placement = MakePlacement(
+        m_impl->id, m_impl->epoch, m_impl->shared.policy, m_impl->shared.charts,
+        ToTimePoint(std::chrono::steady_clock::now()));
 }
 
 void OwnedDataCentre::Decide() {
--- a/src/daemon/owned_data_centre.h
+++ b/src/daemon/owned_data_centre.h
@@ -26,6 +26,7 @@
     WorkerClient& workers;
     const WorkerAddresses& addresses;
     PlacementPolicy policy;
+    std::shared_ptr<const PlacementCharts> charts;
     std::function<void()> changed;  // asks for a decision soon
     bool draining = false;
   };
--- a/src/daemon/placer_role.cc
+++ b/src/daemon/placer_role.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/daemon/chart_files.h"
 #include "src/daemon/job_api.h"
 #include "src/daemon/job_view_json.h"
 #include "src/daemon/owned_data_centre.h"
@@ -20,6 +21,25 @@
 
 using DataCentres = std::map<DataCentreId, std::unique_ptr<OwnedDataCentre>>;
 
+using ChartsPtr = std::shared_ptr<const PlacementCharts>;
+
+ChartsPtr LoadPlacementCharts(const std::string& directory,
+                              PlacerError& reason) {
+  ChartFileError file_error;
+  std::optional<ChartSet> charts = LoadCharts(directory, file_error);
+  if (!charts) {
+    reason = {PlacerErrorKind::kChartFile, DescribeChartFileError(file_error)};
+    return nullptr;
+  }
+  PlacementChartError name_error;
+  ChartsPtr bound =
+      MakePlacementCharts((*charts)["task"], (*charts)["lease"], name_error);
+  if (!bound)
+    reason = {PlacerErrorKind::kChartName,
+              name_error.chart + ": " + name_error.expected};
+  return bound;
+}
+
 size_t CountPlaces(const DataCentres& owned) {
   size_t count = 0;
   for (const auto& [id, data_centre] : owned) {
@@ -43,11 +63,14 @@
 }  // namespace
 
 struct PlacerRole::Impl : std::enable_shared_from_this<PlacerRole::Impl> {
-  Impl(const RoleContext& role_context, const PlacementPolicy& policy)
+  Impl(const RoleContext& role_context,
+       const PlacementPolicy& policy,
+       ChartsPtr charts)
       : context(role_context),
         timer(context.io),
         workers(WorkerClient::Make(context.http)),
-        shared{context, *workers, addresses, policy, {}, false} {}
+        shared{context,           *workers, addresses, policy,
+               std::move(charts), {},       false} {}
 
   void Init();
   asio::awaitable<void> Run();
@@ -228,8 +251,12 @@
 }
 
 std::unique_ptr<PlacerRole> PlacerRole::Make(const RoleContext& context,
-                                             const PlacementPolicy& policy) {
-  auto impl = std::make_shared<Impl>(context, policy);
+                                             const PlacementPolicy& policy,
+                                             PlacerError& reason) {
+  ChartsPtr charts = LoadPlacementCharts(context.settings.charts_dir, reason);
+  if (!charts)
+    return nullptr;
+  auto impl = std::make_shared<Impl>(context, policy, std::move(charts));
   impl->Init();
   return std::unique_ptr<PlacerRole>(new PlacerRole(std::move(impl)));
 }
--- a/src/daemon/placer_role.h
+++ b/src/daemon/placer_role.h
@@ -2,18 +2,32 @@
 #define COWSLIPMAST_SRC_DAEMON_PLACER_ROLE_H_
 
 #include <memory>
+#include <string>
 
 #include "cowslipmast/placement.h"
 #include "src/daemon/role.h"
 
 namespace cowslipmast {
 
+enum class PlacerErrorKind {
+  kChartFile,  // the charts cannot be read
+  kChartName,  // a chart lacks a name that the placer uses
+};
+
+/** Why a placer cannot start. */
+struct PlacerError {
+  PlacerErrorKind kind = PlacerErrorKind::kChartFile;
+  std::string detail;
+};
+
 /** The placer: owns data centres, starts tasks on their workers, and accepts
  * jobs on the admin port. */
 class PlacerRole {
  public:
+  /** Reads `task.toml` and `lease.toml` from the directory of charts. */
   static std::unique_ptr<PlacerRole> Make(const RoleContext& context,
-                                          const PlacementPolicy& policy);
+                                          const PlacementPolicy& policy,
+                                          PlacerError& reason);
   ~PlacerRole();
   PlacerRole(const PlacerRole&) = delete;
   PlacerRole& operator=(const PlacerRole&) = delete;
--- a/src/placement/evict.cc
+++ b/src/placement/evict.cc
@@ -20,10 +20,12 @@
 
 // Sent again only after a while, because the reply says nothing about when the
 // task will have ended.
-bool MarkEvicting(const PlacementView& view, TaskPlace& place) {
+bool MarkEvicting(const Placement& placement,
+                  const PlacementView& view,
+                  TaskPlace& place) {
   if (place.evict_sent && view.now < *place.evict_sent + kEvictRetryDelay)
     return false;
-  if (!StepTask(TaskEvent::kEvict, place.phase))
+  if (!StepTask(*placement.charts, TaskEvent::kEvict, place.phase))
     return false;
   place.evict_sent = view.now;
   return true;
@@ -39,11 +41,11 @@
   const bool cancelled = job == placement.jobs.end() || job->second.cancelled;
   if (cancelled && !place.stop_sent)
     place.evict_sent.reset();
-  if (cancelled && MarkEvicting(view, place)) {
+  if (cancelled && MarkEvicting(placement, view, place)) {
     place.stop_sent = true;
     Send(placement, view, worker.id, StopCommand{place.task}, decision);
   } else if (!cancelled && MustMove(worker, place, data_centre_in) &&
-             MarkEvicting(view, place)) {
+             MarkEvicting(placement, view, place)) {
     Send(placement, view, worker.id, CheckpointCommand{place.task}, decision);
   }
 }
--- a/src/placement/lifecycle.cc
+++ b/src/placement/lifecycle.cc
@@ -1,70 +1,103 @@
 #include "src/placement/lifecycle.h"
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
 namespace cowslipmast {
 
 namespace {
 
-template <typename Phase, typename Event>
-struct Transition {
-  Phase from;
-  Event event;
-  Phase to;
-};
-
-using TaskTransition = Transition<TaskPhase, TaskEvent>;
-using LeaseTransition = Transition<LeasePhase, LeaseEvent>;
-
-constexpr TaskTransition kTaskTransitions[] = {
-    {TaskPhase::kWaiting, TaskEvent::kStart, TaskPhase::kStarting},
-    {TaskPhase::kWaiting, TaskEvent::kStarted, TaskPhase::kRunning},
-    {TaskPhase::kWaiting, TaskEvent::kEnded, TaskPhase::kEnding},
-    {TaskPhase::kStarting, TaskEvent::kStarted, TaskPhase::kRunning},
-    {TaskPhase::kStarting, TaskEvent::kNotStarted, TaskPhase::kWaiting},
-    {TaskPhase::kStarting, TaskEvent::kEnded, TaskPhase::kEnding},
-    {TaskPhase::kRunning, TaskEvent::kEvict, TaskPhase::kEvicting},
-    {TaskPhase::kRunning, TaskEvent::kEnded, TaskPhase::kEnding},
-    {TaskPhase::kEvicting, TaskEvent::kEvict, TaskPhase::kEvicting},
-    {TaskPhase::kEvicting, TaskEvent::kEnded, TaskPhase::kEnding},
-    {TaskPhase::kEnding, TaskEvent::kRecordedDone, TaskPhase::kDone},
-    {TaskPhase::kEnding, TaskEvent::kRecordedFailed, TaskPhase::kFailed},
-    {TaskPhase::kEnding, TaskEvent::kRecordedAgain, TaskPhase::kWaiting},
-};
-
-constexpr LeaseTransition kLeaseTransitions[] = {
-    {LeasePhase::kRequested, LeaseEvent::kGranted, LeasePhase::kHeld},
-    {LeasePhase::kRequested, LeaseEvent::kListed, LeasePhase::kHeld},
-    {LeasePhase::kRequested, LeaseEvent::kRefused, LeasePhase::kEnded},
-    {LeasePhase::kRequested, LeaseEvent::kReplyLost, LeasePhase::kUncertain},
-    {LeasePhase::kRequested, LeaseEvent::kEnded, LeasePhase::kEnded},
-    {LeasePhase::kUncertain, LeaseEvent::kListed, LeasePhase::kHeld},
-    {LeasePhase::kUncertain, LeaseEvent::kRefused, LeasePhase::kEnded},
-    {LeasePhase::kUncertain, LeaseEvent::kEnded, LeasePhase::kEnded},
-    {LeasePhase::kHeld, LeaseEvent::kListed, LeasePhase::kHeld},
-    {LeasePhase::kHeld, LeaseEvent::kWorkerSilent, LeasePhase::kSilent},
-    {LeasePhase::kHeld, LeaseEvent::kEnded, LeasePhase::kEnded},
-    {LeasePhase::kSilent, LeaseEvent::kListed, LeasePhase::kHeld},
-    {LeasePhase::kSilent, LeaseEvent::kEnded, LeasePhase::kEnded},
-};
+// In the order of the enumerators, which index these names.
+constexpr std::array<std::string_view, 7> kTaskPhases{
+    "waiting", "starting", "running", "evicting", "ending", "done", "failed"};
+constexpr std::array<std::string_view, 8> kTaskEvents{
+    "start", "started",       "not_started",     "evict",
+    "ended", "recorded_done", "recorded_failed", "recorded_again"};
+constexpr std::array<std::string_view, 5> kLeasePhases{
+    "requested", "uncertain", "held", "silent", "ended"};
+constexpr std::array<std::string_view, 6> kLeaseEvents{
+    "granted", "refused", "reply_lost", "worker_silent", "listed", "ended"};
 
-template <typename Table, typename Phase, typename Event>
-bool Step(const Table& table, Event event, Phase& phase) {
-  for (const auto& transition : table) {
-    if (transition.from == phase && transition.event == event) {
-      phase = transition.to;
-      return true;
+template <typename Names>
+bool ResolveStates(const Names& names,
+                   BoundChart& bound,
+                   PlacementChartError& reason) {
+  for (const std::string_view name : names) {
+    const auto state = FindChartState(bound.chart, name);
+    if (!state) {
+      reason = {bound.chart.name, std::string(name)};
+      return false;
     }
+    bound.states.push_back(*state);
   }
+  if (bound.chart.states.size() == names.size())
+    return true;
+  reason = {bound.chart.name, "no other states"};
   return false;
 }
 
+template <typename Names>
+bool ResolveEvents(const Names& names,
+                   BoundChart& bound,
+                   PlacementChartError& reason) {
+  for (const std::string_view name : names) {
+    const auto event = FindChartEvent(bound.chart, name);
+    if (!event) {
+      reason = {bound.chart.name, std::string(name)};
+      return false;
+    }
+    bound.events.push_back(*event);
+  }
+  return true;
+}
+
+template <typename Phase, typename Event>
+bool StepBound(const BoundChart& bound, Event event, Phase& phase) {
+  const auto step = Step(bound.chart, bound.states[static_cast<size_t>(phase)],
+                         bound.events[static_cast<size_t>(event)]);
+  if (!step)
+    return false;
+  const auto found =
+      std::find(bound.states.begin(), bound.states.end(), step->to);
+  phase = static_cast<Phase>(found - bound.states.begin());
+  return true;
+}
+
 }  // namespace
 
-bool StepTask(TaskEvent event, TaskPhase& phase) {
-  return Step(kTaskTransitions, event, phase);
+std::shared_ptr<const PlacementCharts>
+MakePlacementCharts(Chart task, Chart lease, PlacementChartError& reason) {
+  PlacementCharts charts;
+  charts.task.chart = std::move(task);
+  charts.lease.chart = std::move(lease);
+  if (!ResolveStates(kTaskPhases, charts.task, reason) ||
+      !ResolveEvents(kTaskEvents, charts.task, reason) ||
+      !ResolveStates(kLeasePhases, charts.lease, reason) ||
+      !ResolveEvents(kLeaseEvents, charts.lease, reason))
+    return nullptr;
+  return std::make_shared<const PlacementCharts>(std::move(charts));
+}
+
+std::string_view TaskPhaseName(TaskPhase phase) {
+  return kTaskPhases[static_cast<size_t>(phase)];
+}
+
+std::string_view LeasePhaseName(LeasePhase phase) {
+  return kLeasePhases[static_cast<size_t>(phase)];
+}
+
+bool StepTask(const PlacementCharts& charts,
+              TaskEvent event,
+              TaskPhase& phase) {
+  return StepBound(charts.task, event, phase);
 }
 
-bool StepLease(LeaseEvent event, LeasePhase& phase) {
-  return Step(kLeaseTransitions, event, phase);
+bool StepLease(const PlacementCharts& charts,
+               LeaseEvent event,
+               LeasePhase& phase) {
+  return StepBound(charts.lease, event, phase);
 }
 
 }  // namespace cowslipmast
--- a/src/placement/lifecycle.h
+++ b/src/placement/lifecycle.h
@@ -5,15 +5,17 @@
 
 namespace cowslipmast {
 
+// The names of the events in charts/task.toml and charts/lease.toml say when
+// each one occurs.
 enum class TaskEvent {
-  kStart,       // a start command leaves
-  kStarted,     // a reply or a list shows the task on the worker
-  kNotStarted,  // the start did not and cannot take effect
-  kEvict,       // a checkpoint or a stop command leaves
-  kEnded,       // the result is known
+  kStart,
+  kStarted,
+  kNotStarted,
+  kEvict,
+  kEnded,
   kRecordedDone,
   kRecordedFailed,
-  kRecordedAgain,  // recorded, and the task is to run again
+  kRecordedAgain,
 };
 
 enum class LeaseEvent {
@@ -25,9 +27,11 @@
   kEnded,
 };
 
-/** Takes one step; false, and no change, if the phase has no such event. */
-bool StepTask(TaskEvent event, TaskPhase& phase);
-bool StepLease(LeaseEvent event, LeasePhase& phase);
+/** Takes one step; false, and no change, if the phase ignores the event. */
+bool StepTask(const PlacementCharts& charts, TaskEvent event, TaskPhase& phase);
+bool StepLease(const PlacementCharts& charts,
+               LeaseEvent event,
+               LeasePhase& phase);
 
 }  // namespace cowslipmast
 
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -44,11 +44,13 @@
 Placement MakePlacement(const DataCentreId& data_centre,
                         Epoch epoch,
                         const PlacementPolicy& policy,
+                        std::shared_ptr<const PlacementCharts> charts,
                         TimePoint now) {
   Placement placement;
   placement.data_centre = data_centre;
   placement.epoch = epoch;
   placement.policy = policy;
+  placement.charts = std::move(charts);
   placement.gained_at = now;
   return placement;
 }
@@ -117,7 +119,7 @@
     if (progress.attempt < place.attempt && !progress.finished)
       continue;
     const TaskEvent event = RecordedEvent(progress);
-    StepTask(event, place.phase);
+    StepTask(*placement.charts, event, place.phase);
     DropPlace(placement, task);
     if (event == TaskEvent::kRecordedAgain && !job->second.cancelled)
       job->second.waiting.insert(task.index);
--- a/src/placement/places.cc
+++ b/src/placement/places.cc
@@ -71,7 +71,7 @@
   const auto found = placement.places.find(task);
   if (found == placement.places.end())
     return;
-  if (!StepTask(TaskEvent::kNotStarted, found->second.phase))
+  if (!StepTask(*placement.charts, TaskEvent::kNotStarted, found->second.phase))
     return;
   const auto job = placement.jobs.find(task.job);
   if (job != placement.jobs.end() && !job->second.cancelled)
@@ -83,9 +83,9 @@
               TaskPlace& place,
               TaskResult result,
               const std::string& checkpoint) {
-  if (!StepTask(TaskEvent::kEnded, place.phase))
+  if (!StepTask(*placement.charts, TaskEvent::kEnded, place.phase))
     return;
-  StepLease(LeaseEvent::kEnded, place.lease);
+  StepLease(*placement.charts, LeaseEvent::kEnded, place.lease);
   place.outcome = {place.task, place.attempt, result, checkpoint};
   placement.ending.insert(place.task);
   CountResult(placement.counters, result);
@@ -108,7 +108,8 @@
 void MarkSilent(Placement& placement, WorkerView& worker) {
   worker.silent = true;
   for (const TaskId& task : worker.tasks)
-    StepLease(LeaseEvent::kWorkerSilent, placement.places.at(task).lease);
+    StepLease(*placement.charts, LeaseEvent::kWorkerSilent,
+              placement.places.at(task).lease);
 }
 
 TaskProgress JoinProgress(const TaskProgress& a, const TaskProgress& b) {
--- a/src/placement/reply.cc
+++ b/src/placement/reply.cc
@@ -63,12 +63,12 @@
   context.worker.next_contact = context.view.now;
   if (context.reply.refusal == WorkerRefusal::kAlreadyHere) {
     // An earlier copy of the command may have taken effect.
-    StepLease(LeaseEvent::kReplyLost, place.lease);
+    StepLease(*context.placement.charts, LeaseEvent::kReplyLost, place.lease);
     return;
   }
   if (context.reply.refusal == WorkerRefusal::kBadRequest)
     NoteStartError(context.worker);
-  StepLease(LeaseEvent::kRefused, place.lease);
+  StepLease(*context.placement.charts, LeaseEvent::kRefused, place.lease);
   UndoPlace(context.placement, start.task);
 }
 
@@ -78,8 +78,8 @@
     return;
   switch (context.reply.kind) {
     case WorkerReplyKind::kOk:
-      StepTask(TaskEvent::kStarted, place->phase);
-      StepLease(LeaseEvent::kGranted, place->lease);
+      StepTask(*context.placement.charts, TaskEvent::kStarted, place->phase);
+      StepLease(*context.placement.charts, LeaseEvent::kGranted, place->lease);
       place->known_since = context.view.now;
       ++context.placement.counters.starts;
       NoteStartDelay(start, context);
@@ -88,12 +88,13 @@
       ApplyRefusedStart(start, context, *place);
       return;
     case WorkerReplyKind::kNotSent:
-      StepLease(LeaseEvent::kRefused, place->lease);
+      StepLease(*context.placement.charts, LeaseEvent::kRefused, place->lease);
       UndoPlace(context.placement, start.task);
       return;
     case WorkerReplyKind::kLost:
       ++context.placement.counters.start_replies_lost;
-      StepLease(LeaseEvent::kReplyLost, place->lease);
+      StepLease(*context.placement.charts, LeaseEvent::kReplyLost,
+                place->lease);
       return;
   }
 }
--- a/src/placement/report.cc
+++ b/src/placement/report.cc
@@ -66,9 +66,9 @@
   }
   if (place->phase == TaskPhase::kStarting)
     ++placement.counters.starts;
-  if (StepTask(TaskEvent::kStarted, place->phase))
+  if (StepTask(*placement.charts, TaskEvent::kStarted, place->phase))
     place->known_since = asked_at;
-  StepLease(LeaseEvent::kListed, place->lease);
+  StepLease(*placement.charts, LeaseEvent::kListed, place->lease);
   place->throttle_percent = lease.throttle_percent;
   CountPlace(placement, *place, CountedSize(placement.policy, lease));
 }
@@ -136,7 +136,7 @@
   }
   // A start without a reply may still arrive until its time is over.
   if (place.lease == LeasePhase::kUncertain && asked_at > place.start_closed) {
-    StepLease(LeaseEvent::kRefused, place.lease);
+    StepLease(*placement.charts, LeaseEvent::kRefused, place.lease);
     UndoPlace(placement, task);
   }
 }
--- a/src/placement/start.cc
+++ b/src/placement/start.cc
@@ -102,7 +102,7 @@
   place.attempt = start.attempt;
   place.worker = worker.id;
   place.phase = TaskPhase::kWaiting;
-  StepTask(TaskEvent::kStart, place.phase);
+  StepTask(*placement.charts, TaskEvent::kStart, place.phase);
   place.team = job.spec.team;
   place.latency_critical = job.spec.latency_critical;
   place.declared = job.spec.resources;
