--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -400,11 +400,9 @@
     role.begin_drain();
   if (!role.drained() || append_pending)
     return;
-  std::vector<Record> releases = PlanReleases(control->state(), self.process);
-  if (!releases.empty()) {
-    Submit(std::move(releases));
+  // What is owned is released through `hand_over`, when it may be.
+  if (OwnsAnything(control->state(), self.process))
     return;
-  }
   if (const auto leave = PlanLeave(control->state(), self)) {
     Submit({*leave});
     return;
