placement: scenario and property tests against fake workers

Cause: the decisions had no tests. Change: a data centre in virtual time with workers that check no capacity; random schedules of deaths, pauses, partitions, restarts, drains, lost and late messages.

--- a/src/placement/places.cc
+++ b/src/placement/places.cc
@@ -114,6 +114,9 @@
 
 TaskProgress JoinProgress(const TaskProgress& a, const TaskProgress& b) {
   TaskProgress joined = a.attempt < b.attempt ? b : a;
+  // A later run that left no checkpoint does not void an earlier one.
+  if (joined.checkpoint.empty())
+    joined.checkpoint = a.checkpoint.empty() ? b.checkpoint : a.checkpoint;
   // Failures in an earlier data centre still count against the task.
   joined.failures = std::max(a.failures, b.failures);
   joined.finished = a.finished || b.finished;
--- /dev/null
+++ b/tests/placement/fake_world.cc
@@ -0,0 +1,310 @@
+#include "tests/placement/fake_world.h"
+
+#include <algorithm>
+
+#include "src/daemon/chart_files.h"
+#include "src/fold/apply.h"
+
+namespace cowslipmast {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(50);
+constexpr Duration kTimeout = std::chrono::seconds(1);
+constexpr Duration kAppendDelay = std::chrono::milliseconds(100);
+const DataCentreId kBulacan("bulacan");
+
+std::shared_ptr<const PlacementCharts> LoadTestCharts() {
+  ChartFileError file_error;
+  auto charts = LoadCharts(COWSLIPMAST_CHARTS_DIR, file_error);
+  PlacementChartError error;
+  return MakePlacementCharts((*charts)["task"], (*charts)["lease"], error);
+}
+
+}  // namespace
+
+FakeWorld::FakeWorld(size_t count, uint64_t seed)
+    : m_now(std::chrono::seconds(1000)),
+      m_random(seed),
+      m_charts(LoadTestCharts()) {
+  const Resources size{MilliCores(4000), Mebibytes(4000), Accelerators(0)};
+  control.config.data_centres[kBulacan] = {kBulacan, RegionId("luzon")};
+  control.config.teams[TeamId("pillows")] = {TeamId("pillows"), size};
+  for (size_t i = 0; i < count; ++i) {
+    VmInfo vm;
+    vm.id = VmId("w" + std::to_string(i));
+    vm.data_centre = kBulacan;
+    vm.resources = size;
+    vms.push_back(vm);
+    workers[vm.id].capacity = size;
+    workers[vm.id].clock_error = Delay(kClockErrorBound) - kClockErrorBound / 2;
+  }
+}
+
+void FakeWorld::SubmitSpec(const JobSpec& spec) {
+  control.jobs[spec.id].spec = spec;
+  control.next = control.next.Next();
+}
+
+void FakeWorld::Submit(const std::string& job,
+                       uint32_t tasks,
+                       Duration run_time) {
+  JobSpec spec;
+  spec.id = JobId(job);
+  spec.team = TeamId("pillows");
+  spec.task_count = tasks;
+  spec.resources = {MilliCores(1500), Mebibytes(1000), Accelerators(0)};
+  spec.run_time = run_time;
+  SubmitSpec(spec);
+}
+
+void FakeWorld::Cancel(const std::string& job) {
+  control.jobs.at(JobId(job)).cancelled = true;
+  control.next = control.next.Next();
+}
+
+void FakeWorld::SetIn(bool in) {
+  control.config.data_centres[kBulacan].availability =
+      in ? DataCentreAvailability::kIn : DataCentreAvailability::kOut;
+  control.next = control.next.Next();
+  if (in)
+    m_out_since.reset();
+  else if (!m_out_since)
+    m_out_since = m_now;
+}
+
+void FakeWorld::ChangeOwner(Duration delay, bool old_one_lives) {
+  if (!m_owners.empty())
+    owner().alive = old_one_lives;
+  Ownership& ownership = control.ownership[ResourceId(kBulacan)];
+  ownership.owner = ProcessId("p" + std::to_string(m_owners.size()));
+  ownership.epoch = ownership.epoch.Next();
+  control.next = control.next.Next();
+  Owner next;
+  next.placement =
+      MakePlacement(kBulacan, ownership.epoch, {}, m_charts, m_now + delay);
+  next.usable_from = m_now + delay;
+  m_owners.push_back(std::move(next));
+}
+
+void FakeWorld::PauseOwner(Duration duration) {
+  owner().paused_until = m_now + duration;
+}
+
+void FakeWorld::Partition(size_t index, Duration duration) {
+  m_unreachable_until[vms[index].id] = m_now + duration;
+}
+
+void FakeWorld::Restart(size_t index) {
+  worker(index).Restart();
+}
+
+void FakeWorld::StopStore(Duration duration) {
+  m_store_back = m_now + duration;
+}
+
+void FakeWorld::Run(Duration duration) {
+  const TimePoint end = m_now + duration;
+  while (m_now < end && violation.empty())
+    Step();
+}
+
+void FakeWorld::RunUntilDone(Duration limit) {
+  const TimePoint end = m_now + limit;
+  while (m_now < end && violation.empty() && !AllDone())
+    Step();
+}
+
+FakeWorker& FakeWorld::worker(size_t index) {
+  return workers.at(vms[index].id);
+}
+
+TaskProgress FakeWorld::ProgressOfTask(const std::string& job,
+                                       uint32_t index) const {
+  const auto all = ProgressOf(control.jobs.at(JobId(job)), data_centre);
+  const auto found = all.find(index);
+  return found == all.end() ? TaskProgress() : found->second;
+}
+
+bool FakeWorld::AllDone() const {
+  for (const auto& [id, job] : control.jobs) {
+    for (uint32_t i = 0; i < job.spec.task_count && !job.cancelled; ++i) {
+      if (!ProgressOfTask(id.value(), i).finished)
+        return false;
+    }
+  }
+  return CountRunning() == 0;
+}
+
+size_t FakeWorld::CountRunning() const {
+  size_t count = 0;
+  for (const auto& [id, worker] : workers)
+    count += worker.runs.size();
+  return count;
+}
+
+int FakeWorld::MostStartsOfOneAttempt() const {
+  std::map<std::pair<TaskId, Attempt>, int> total;
+  int most = 0;
+  for (const auto& [id, worker] : workers) {
+    for (const auto& [attempt, count] : worker.accepted)
+      most = std::max(most, total[attempt] += count);
+  }
+  return most;
+}
+
+void FakeWorld::Step() {
+  m_now += kStep;
+  for (auto& [id, worker] : workers)
+    worker.Advance(m_now);
+  Deliver();
+  DeliverAppends();
+  DecideAll();
+  Check();
+}
+
+bool FakeWorld::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+Duration FakeWorld::Delay(Duration limit) {
+  return Duration(
+      std::uniform_int_distribution<int64_t>(0, limit.count())(m_random));
+}
+
+bool FakeWorld::IsReachable(const VmId& id) const {
+  const auto found = m_unreachable_until.find(id);
+  return found == m_unreachable_until.end() || found->second <= m_now;
+}
+
+void FakeWorld::Send(size_t owner, const WorkerCommand& command) {
+  const bool delayed = Chance(late);
+  const Duration delay =
+      Delay(delayed ? Duration(std::chrono::seconds(20)) : 2 * kStep);
+  const bool arrives = IsReachable(command.worker) && !Chance(loss);
+  if (arrives)
+    m_messages.push_back({m_now + delay, owner, command, {}});
+  if (!arrives || delay > kTimeout)
+    m_messages.push_back(
+        {m_now + kTimeout, owner, command, WorkerReply{}});  // timed out
+}
+
+void FakeWorld::Arrive(const Message& message) {
+  if (!message.reply) {
+    FakeWorker& worker = workers.at(message.command.worker);
+    const WorkerReply reply = worker.Handle(message.command, m_now);
+    const bool was_start =
+        std::holds_alternative<StartCommand>(message.command.action);
+    if (was_start && reply.kind == WorkerReplyKind::kOk && m_out_since &&
+        m_now > *m_out_since + kProofLimit)
+      violation = "start in a data centre that is out";
+    if (m_now - message.command.sent_at > kTimeout)
+      return;
+    const bool lost = Chance(loss);
+    m_messages.push_back({lost ? m_now + kTimeout : m_now + kStep,
+                          message.owner, message.command,
+                          lost ? WorkerReply{} : reply});
+    return;
+  }
+  Owner& owner = m_owners[message.owner];
+  if (owner.alive)
+    ApplyReply(owner.placement, MakeView(owner), message.command,
+               *message.reply);
+}
+
+void FakeWorld::Deliver() {
+  std::vector<Message> due;
+  std::erase_if(m_messages, [&](const Message& message) {
+    const Owner& owner = m_owners[message.owner];
+    if (message.due > m_now || (message.reply && owner.paused_until))
+      return false;
+    due.push_back(message);
+    return true;
+  });
+  for (const Message& message : due)
+    Arrive(message);
+}
+
+void FakeWorld::DeliverAppends() {
+  if (m_now < m_store_back)
+    return;
+  std::vector<Append> due;
+  std::erase_if(m_appends, [&](const Append& append) {
+    if (append.due > m_now)
+      return false;
+    due.push_back(append);
+    return true;
+  });
+  for (const Append& append : due) {
+    Owner& owner = m_owners[append.owner];
+    if (append.outcomes) {
+      const auto& record = std::get<TaskOutcomes>(append.record);
+      if (record.epoch == control.ownership[ResourceId(kBulacan)].epoch)
+        ApplyOutcomes(data_centre, record);
+      Refresh(owner);
+      OutcomesAppended(owner.placement);
+    } else {
+      ApplyControlRecord(control, control.next, append.record);
+      control.next = control.next.Next();
+    }
+  }
+}
+
+void FakeWorld::Refresh(Owner& owner) {
+  if (m_now < m_store_back || owner.paused_until)
+    return;
+  owner.control = control;
+  owner.data_centre = data_centre;
+  owner.proof = m_now;
+}
+
+PlacementView FakeWorld::MakeView(const Owner& owner) const {
+  const auto found = owner.control.ownership.find(ResourceId(kBulacan));
+  const bool owns = found != owner.control.ownership.end() &&
+                    found->second.epoch == owner.placement.epoch;
+  const bool permitted = owns && m_now >= owner.usable_from && owner.proof &&
+                         m_now - *owner.proof < kPermitLimit;
+  return {.now = m_now,
+          .wall_now = ToWall(m_now),
+          .permitted = permitted,
+          .draining = false,
+          .proof = owner.proof,
+          .outcome_proof = owner.proof,
+          .control = owner.control,
+          .data_centre = owner.data_centre,
+          .vms = vms};
+}
+
+void FakeWorld::DecideAll() {
+  for (size_t i = 0; i < m_owners.size(); ++i) {
+    Owner& owner = m_owners[i];
+    if (!owner.alive || (owner.paused_until && *owner.paused_until > m_now))
+      continue;
+    // An owner that resumes decides once on what it knew before the pause.
+    if (!owner.paused_until)
+      Refresh(owner);
+    owner.paused_until.reset();
+    const auto decision = DecidePlacement(owner.placement, MakeView(owner));
+    for (const WorkerCommand& command : decision.commands)
+      Send(i, command);
+    for (const Record& record : decision.control)
+      m_appends.push_back({m_now + kAppendDelay, i, record, false});
+    for (const Record& record : decision.outcomes)
+      m_appends.push_back({m_now + kAppendDelay, i, record, true});
+  }
+}
+
+void FakeWorld::Check() {
+  std::set<TaskId> running;
+  for (const auto& [id, worker] : workers) {
+    if (!Fits(worker.Used(), worker.capacity))
+      violation = "capacity exceeded on " + id.value();
+    for (const auto& [task, run] : worker.runs) {
+      if (!running.insert(task).second)
+        violation = "task in two places: " + task.job.value() + "/" +
+                    std::to_string(task.index);
+    }
+  }
+}
+
+}  // namespace cowslipmast
