--- a/src/placement/places.cc
+++ b/src/placement/places.cc
@@ -71,7 +71,7 @@
   const auto found = placement.places.find(task);
   if (found == placement.places.end())
     return;
-  if (!StepTask(TaskEvent::kNotStarted, found->second.phase))
+  if (!StepTask(*placement.charts, TaskEvent::kNotStarted, found->second.phase))
     return;
   const auto job = placement.jobs.find(task.job);
   if (job != placement.jobs.end() && !job->second.cancelled)
@@ -83,9 +83,9 @@
               TaskPlace& place,
               TaskResult result,
               const std::string& checkpoint) {
-  if (!StepTask(TaskEvent::kEnded, place.phase))
+  if (!StepTask(*placement.charts, TaskEvent::kEnded, place.phase))
     return;
-  StepLease(LeaseEvent::kEnded, place.lease);
+  StepLease(*placement.charts, LeaseEvent::kEnded, place.lease);
   place.outcome = {place.task, place.attempt, result, checkpoint};
   placement.ending.insert(place.task);
   CountResult(placement.counters, result);
@@ -108,11 +108,15 @@
 void MarkSilent(Placement& placement, WorkerView& worker) {
   worker.silent = true;
   for (const TaskId& task : worker.tasks)
-    StepLease(LeaseEvent::kWorkerSilent, placement.places.at(task).lease);
+    StepLease(*placement.charts, LeaseEvent::kWorkerSilent,
+              placement.places.at(task).lease);
 }
 
 TaskProgress JoinProgress(const TaskProgress& a, const TaskProgress& b) {
   TaskProgress joined = a.attempt < b.attempt ? b : a;
+  // A later run that left no checkpoint does not void an earlier one.
+  if (joined.checkpoint.empty())
+    joined.checkpoint = a.checkpoint.empty() ? b.checkpoint : a.checkpoint;
   // Failures in an earlier data centre still count against the task.
   joined.failures = std::max(a.failures, b.failures);
   joined.finished = a.finished || b.finished;
