fold: resources under hand-over stay unusable; property of exclusive use

Cause: an owner whose better-ranked peer vanished took a resource back into use while its own release could still reach the log, so that the next claimant could act beside it. Change: a resource that was put up for hand-over is not used again under the same epoch. A hand-over starts only with a proof younger than kProofLimit.

--- a/include/cowslipmast/ownership.h
+++ b/include/cowslipmast/ownership.h
@@ -57,6 +57,9 @@
   std::map<ResourceId, std::pair<Epoch, TimePoint>> claimed;
   /** No hand-over before this; set by a claim in place of a better rank. */
   std::map<ResourceId, TimePoint> keep_until;
+  /** Owned resources that were put up for hand-over. A release may be on its
+   * way, so these stay unusable until it is folded. */
+  std::map<ResourceId, Epoch> handing_over;
   /** When a majority was first seen past the latest membership change. */
   std::optional<std::pair<MembershipVersion, TimePoint>> settle_since;
   /** Latest membership record that was proposed. */
--- a/src/fold/ownership.cc
+++ b/src/fold/ownership.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <variant>
@@ -32,7 +33,7 @@
  * they take no new work meanwhile. */
 constexpr size_t kHandOverPart = 8;
 
-// Whether a better-ranked live member exists for a resource.
+// How many of the processes rank above this one for a resource.
 size_t CountBetter(const std::set<ProcessId>& processes,
                    const ResourceId& resource,
                    const ProcessId& self) {
@@ -141,7 +142,53 @@
 
 // A release has to reach the log; while it cannot, the owner keeps serving.
 bool CanReadLog(const OwnershipView& view) {
-  return view.proof && view.now - *view.proof < kPermitLimit;
+  return view.proof && view.now - *view.proof < kProofLimit;
+}
+
+bool IsKept(const OwnershipMemory& memory,
+            const OwnershipView& view,
+            const ResourceId& resource) {
+  const auto keep = memory.keep_until.find(resource);
+  return keep != memory.keep_until.end() && view.now < keep->second;
+}
+
+// Owned resources whose takeover, if any, is complete.
+std::map<ResourceId, Epoch> FindHeld(const ControlState& state,
+                                     const OwnershipView& view,
+                                     const MembersView& members,
+                                     OwnershipMemory& memory) {
+  std::map<ResourceId, Epoch> held;
+  for (const auto& [resource, ownership] : state.ownership) {
+    if (ownership.owner == view.self &&
+        IsWaitOver(state, view, members, resource, ownership, memory))
+      held[resource] = ownership.epoch;
+  }
+  return held;
+}
+
+// Drops what was released or lost, and adds what has to go.
+void DecideHandOver(const OwnershipView& view,
+                    const MembersView& members,
+                    const std::map<ResourceId, Epoch>& held,
+                    OwnershipMemory& memory) {
+  std::map<ResourceId, Epoch>& leaving = memory.handing_over;
+  for (auto it = leaving.begin(); it != leaving.end();) {
+    const auto found = held.find(it->first);
+    const bool stays = found != held.end() && found->second == it->second;
+    it = stays ? std::next(it) : leaving.erase(it);
+  }
+  const std::set<ProcessId> steady =
+      CanReadLog(view) ? FindSteadyMembers(view, members, memory)
+                       : std::set<ProcessId>{};
+  const size_t limit = std::max<size_t>(1, held.size() / kHandOverPart);
+  for (const auto& [resource, epoch] : held) {
+    const bool unwanted = view.draining || view.resources.count(resource) == 0;
+    const bool better_placed = leaving.size() < limit &&
+                               !IsKept(memory, view, resource) &&
+                               CountBetter(steady, resource, view.self) > 0;
+    if (unwanted || better_placed)
+      leaving[resource] = epoch;
+  }
 }
 
 void DecideUse(const ControlState& state,
@@ -151,37 +198,13 @@
                OwnershipDecision& decision) {
   const auto permit = PermitUntil(state, view);
   const bool permitted = permit && *permit > view.now;
-  const std::set<ProcessId> steady =
-      CanReadLog(view) ? FindSteadyMembers(view, members, memory)
-                       : std::set<ProcessId>{};
-  std::map<ResourceId, Epoch> better_placed;
-  std::map<ResourceId, Epoch> kept;
-  for (const auto& [resource, ownership] : state.ownership) {
-    if (ownership.owner != view.self ||
-        !IsWaitOver(state, view, members, resource, ownership, memory))
-      continue;
-    if (view.draining || view.resources.count(resource) == 0) {
-      decision.hand_over[resource] = ownership.epoch;
-      continue;
-    }
-    const auto keep = memory.keep_until.find(resource);
-    const bool keeps =
-        keep != memory.keep_until.end() && view.now < keep->second;
-    if (!keeps && CountBetter(steady, resource, view.self) > 0)
-      better_placed[resource] = ownership.epoch;
-    else
-      kept[resource] = ownership.epoch;
-  }
-  const size_t limit =
-      std::max<size_t>(1, (better_placed.size() + kept.size()) / kHandOverPart);
-  for (const auto& [resource, epoch] : better_placed) {
-    if (decision.hand_over.size() < limit)
-      decision.hand_over[resource] = epoch;
-    else
-      kept[resource] = epoch;
+  const auto held = FindHeld(state, view, members, memory);
+  DecideHandOver(view, members, held, memory);
+  decision.hand_over = memory.handing_over;
+  for (const auto& [resource, epoch] : held) {
+    if (permitted && decision.hand_over.count(resource) == 0)
+      decision.usable[resource] = epoch;
   }
-  if (permitted)
-    decision.usable = std::move(kept);
 }
 
 }  // namespace
--- a/tests/fold/ownership_test.cc
+++ b/tests/fold/ownership_test.cc
@@ -266,13 +266,19 @@
   s.Run(seconds(5));
   REQUIRE(s.Usable());
   s.silent = {};
-  s.Run(milliseconds(4900));
-  CHECK(s.Usable());
+  s.Run(milliseconds(2500));
 
   SECTION("that was alive for 5 s without a break") {
+    s.Run(milliseconds(2400));
+    CHECK(s.Usable());
     s.Run(milliseconds(300));
     CHECK_FALSE(s.Usable());
     CHECK(s.decision.hand_over.count(kDesk) == 1);
+    SECTION("and does not use the resource while a release may be under way") {
+      s.silent = {ranked[0]};
+      s.Run(seconds(10));
+      CHECK_FALSE(s.Usable());
+    }
   }
   SECTION("not after a break") {
     s.silent = {ranked[0]};
@@ -283,7 +289,7 @@
   }
   SECTION("not to one that drains") {
     s.Peer(ranked[0]).draining = true;
-    s.Run(seconds(1));
+    s.Run(seconds(10));
     CHECK(s.Usable());
   }
   SECTION("not while the release could not reach the log") {
