desk: random schedules in virtual time; close a drained desk

Routing had no tests of its own, and a draining entry could still accept a request after it reported that nothing was in progress, while the release of its targets was being written.

A World plays targets and peers in virtual time and notes each broken rule: slots, one reply a request, no write behind a not-run, one write of a non-idempotent request, one hop, other regions only when allowed, no leaks. A drained desk closes and refuses all requests. A target counts as mute from the first request since it answered or failed; a probe after a back-off is given up after the same time.

--- a/include/cowslipmast/desk.h
+++ b/include/cowslipmast/desk.h
@@ -116,6 +116,10 @@
 /** From now on peers' requests are refused; callers' are still served. */
 void BeginDrain(DeskState& state);
 
+/** Closes a draining desk once nothing is in progress. A closed desk refuses
+ * every request, so that what it owned may be given up. */
+bool CloseIfDrained(DeskState& state);
+
 /** Handles what is due; see NextTimer(). */
 void HandleTimer(DeskState& state, DeskStep& step);
 
--- a/include/cowslipmast/desk_state.h
+++ b/include/cowslipmast/desk_state.h
@@ -34,7 +34,8 @@
    * unless the VM list says so too. The list lags, but not that long. */
   Duration leaving_answer_hold = std::chrono::seconds(30);
   /** A missed deadline counts against a target that answered nothing for this
-   * long. Otherwise callers with tiny deadlines could stop a target. */
+   * long while it had requests, so that a single caller with a tiny deadline
+   * does not stop a target. A probe is given up after the same time. */
   Duration mute_limit = std::chrono::seconds(1);
   double retries_per_request = 0.1;
   /** Unused retries that are kept for a burst of failures. */
@@ -77,7 +78,8 @@
   TimePoint retry_at;
   TimePoint failed_at;
   TimePoint answered_at;
-  bool probing = false;  // after a back-off, one request goes first
+  TimePoint mute_since;   // first request since it answered or failed
+  TimePoint probe_until;  // after a back-off, one request goes first
 };
 
 struct DeskPeer {
@@ -105,7 +107,7 @@
   TimePoint sent_at;
   bool written = false;  // a byte may have reached a target
   bool replied = false;
-  bool probe = false;
+  bool probe = false;  // first request after a back-off
   DeskRefusal last_failure = DeskRefusal::kNone;
 };
 
@@ -134,6 +136,7 @@
   uint64_t ids_dropped = 0;      // before their time, to bound the memory
   uint64_t answers_dropped = 0;  // the same
   uint64_t target_failures = 0;
+  uint64_t missed_deadlines = 0;  // of requests at a target
   uint64_t leaving_answers = 0;
 };
 
@@ -142,6 +145,7 @@
   DeskLimits limits;
   DeskCounters counters;
   bool draining = false;
+  bool closed = false;                 // drained; what is owned may be given up
   std::set<ServiceId> known_services;  // of the configuration
   std::map<ServiceId, DeskService> services;
   std::map<TargetId, DeskTarget> targets;
--- a/src/daemon/desk_runner.cc
+++ b/src/daemon/desk_runner.cc
@@ -204,6 +204,10 @@
   cowslipmast::BeginDrain(m_impl->state);
 }
 
+bool DeskRunner::CloseIfDrained() {
+  return cowslipmast::CloseIfDrained(m_impl->state);
+}
+
 const DeskState& DeskRunner::state() const {
   return m_impl->state;
 }
--- a/src/daemon/desk_runner.h
+++ b/src/daemon/desk_runner.h
@@ -48,6 +48,7 @@
   void SetUsableTargets(const std::set<TargetId>& usable, TimePoint until);
   void SetPeers(const std::vector<DeskPeerInfo>& peers);
   void BeginDrain();
+  bool CloseIfDrained();
 
   const DeskState& state() const;
 
--- a/src/daemon/entry_dump.cc
+++ b/src/daemon/entry_dump.cc
@@ -91,6 +91,7 @@
           {"ids_dropped", counters.ids_dropped},
           {"answers_dropped", counters.answers_dropped},
           {"target_failures", counters.target_failures},
+          {"missed_deadlines", counters.missed_deadlines},
           {"leaving_answers", counters.leaving_answers}};
 }
 
--- a/src/daemon/entry_metrics.cc
+++ b/src/daemon/entry_metrics.cc
@@ -81,6 +81,7 @@
   copy("cowslipmast_ids_dropped_total", counters.ids_dropped);
   copy("cowslipmast_id_answers_dropped_total", counters.answers_dropped);
   copy("cowslipmast_target_failures_total", counters.target_failures);
+  copy("cowslipmast_missed_deadlines_total", counters.missed_deadlines);
   copy("cowslipmast_leaving_answers_total", counters.leaving_answers);
 }
 
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -41,7 +41,7 @@
   void OnOwnership(const OwnershipDecision& decision);
   void OnChange();
   void BeginDrain();
-  bool Drained() const;
+  bool Drained();
 
   RoleContext context;
   std::shared_ptr<DeskRunner> desk;
@@ -113,8 +113,8 @@
   server->StopAccepting();
 }
 
-bool EntryRole::Impl::Drained() const {
-  return desk->state().calls.empty() && server->in_progress() == 0;
+bool EntryRole::Impl::Drained() {
+  return server->in_progress() == 0 && desk->CloseIfDrained();
 }
 
 EntryRole::EntryRole(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
--- a/src/desk/desk.cc
+++ b/src/desk/desk.cc
@@ -38,7 +38,7 @@
 DeskRefusal FindRefusal(const DeskState& state,
                         const DeskRequest& request,
                         DeskOrigin origin) {
-  if (state.draining && origin == DeskOrigin::kPeer)
+  if (state.closed || (state.draining && origin == DeskOrigin::kPeer))
     return DeskRefusal::kDraining;
   if (state.known_services.empty())
     return DeskRefusal::kNoTarget;  // the configuration was not read yet
--- a/src/desk/inputs.cc
+++ b/src/desk/inputs.cc
@@ -99,6 +99,12 @@
   state.draining = true;
 }
 
+bool CloseIfDrained(DeskState& state) {
+  if (state.draining && state.calls.empty())
+    state.closed = true;
+  return state.closed;
+}
+
 void HandleTimer(DeskState& state, DeskStep& step) {
   while (!state.deadlines.empty() && state.deadlines.begin()->first <= step.now)
     HandleDeadline(state, step, state.deadlines.begin()->second);
@@ -116,6 +122,7 @@
       const DeskTarget& target = state.targets.at(target_id);
       SetEarlier(next, now, target.retry_at);
       SetEarlier(next, now, target.leaving_until);
+      SetEarlier(next, now, target.probe_until);
     }
     for (const auto& [deadline, ticket] : service.queue)
       SetEarlier(next, now,
--- a/src/desk/reply.cc
+++ b/src/desk/reply.cc
@@ -24,7 +24,7 @@
          DeskTicket ticket,
          const DeskCall& call,
          const DeskReply& reply) {
-  if (reply.outcome == DeskOutcome::kNotRun)
+  if (reply.outcome == DeskOutcome::kNotRun && !call.written)
     ForgetId(state, call.request.id);
   else
     NoteEnded(state, now, call.request.id, reply);
--- a/src/desk/targets.cc
+++ b/src/desk/targets.cc
@@ -16,6 +16,21 @@
          now >= target.leaving_until && now >= target.retry_at;
 }
 
+void StartBackOff(const DeskState& state,
+                  TimePoint now,
+                  DeskTarget& target,
+                  TimePoint sent_at) {
+  // Requests that were in progress together fail together; they count once.
+  if (target.back_off != Duration(0) && sent_at <= target.failed_at)
+    return;
+  target.back_off =
+      target.back_off == Duration(0)
+          ? state.limits.first_back_off
+          : std::min(target.back_off * 2, state.limits.longest_back_off);
+  target.failed_at = now;
+  target.retry_at = now + target.back_off;
+}
+
 }  // namespace
 
 Slots FreeSlotsOf(const DeskState& state,
@@ -26,7 +41,7 @@
   const Slots free = std::max(Slots(0), target.info.slots - target.in_flight);
   if (target.back_off == Duration(0))
     return free;
-  return target.probing ? Slots(0) : std::min(free, Slots(1));
+  return now < target.probe_until ? Slots(0) : std::min(free, Slots(1));
 }
 
 Slots OwnedSlots(const DeskState& state, const DeskService& service) {
@@ -64,10 +79,13 @@
 
 void TakeSlot(DeskState& state, DeskStep& step, DeskCall& call, TargetId id) {
   DeskTarget& target = state.targets.at(id);
+  if (target.in_flight == Slots(0) ||
+      target.mute_since <= std::max(target.answered_at, target.failed_at))
+    target.mute_since = step.now;
   target.in_flight += Slots(1);
   call.probe = target.back_off != Duration(0);
   if (call.probe)
-    target.probing = true;
+    target.probe_until = step.now + state.limits.mute_limit;
   call.place = DeskPlace::kTarget;
   call.target = std::move(id);
   call.sent_at = step.now;
@@ -78,7 +96,7 @@
   DeskTarget& target = found->second;
   target.in_flight -= Slots(1);
   if (call.probe)
-    target.probing = false;
+    target.probe_until = TimePoint();
   if (!target.listed && target.in_flight == Slots(0))
     state.targets.erase(found);
 }
@@ -94,31 +112,20 @@
   ++state.counters.target_failures;
   DeskTarget& target = state.targets.at(call.target);
   step.actions.emplace_back(DropIdleConnections{target.info.endpoint});
-  // Requests that were in progress together fail together; they count once.
-  const bool same_failure =
-      target.back_off != Duration(0) && call.sent_at <= target.failed_at;
-  if (same_failure)
-    return;
-  target.back_off =
-      target.back_off == Duration(0)
-          ? state.limits.first_back_off
-          : std::min(target.back_off * 2, state.limits.longest_back_off);
-  target.failed_at = step.now;
-  target.retry_at = step.now + target.back_off;
+  StartBackOff(state, step.now, target, call.sent_at);
 }
 
 void NoteMissedDeadline(DeskState& state,
                         DeskStep& step,
                         const DeskCall& call) {
+  ++state.counters.missed_deadlines;
   DeskTarget& target = state.targets.at(call.target);
-  const bool mute = target.answered_at < call.sent_at &&
-                    step.now - call.sent_at >= state.limits.mute_limit;
-  if (!mute && !call.probe)
-    return;
-  NoteFailure(state, step, call);
-  // The probe's slot stays in use, but another probe may follow.
-  if (call.probe)
-    target.probing = false;
+  // The connections may be silent while new ones work.
+  step.actions.emplace_back(DropIdleConnections{target.info.endpoint});
+  const bool mute = target.answered_at < target.mute_since &&
+                    step.now - target.mute_since >= state.limits.mute_limit;
+  if (mute)
+    StartBackOff(state, step.now, target, call.sent_at);
 }
 
 void NoteLeaving(DeskState& state, TimePoint now, const DeskCall& call) {
--- /dev/null
+++ b/tests/desk/world.h
@@ -0,0 +1,219 @@
+#ifndef COWSLIPMAST_TESTS_DESK_WORLD_H_
+#define COWSLIPMAST_TESTS_DESK_WORLD_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cowslipmast/desk.h"
+
+namespace cowslipmast {
+
+inline const ServiceId kService("refill-desk");
+
+inline TargetId TargetNumber(int number) {
+  return TargetId("t" + std::to_string(number));
+}
+
+inline ProcessId PeerNumber(int number) {
+  return ProcessId("p" + std::to_string(number));
+}
+
+inline DeskRequest MakeRequest(const std::string& id, bool idempotent) {
+  DeskRequest request;
+  request.id = RequestId(id);
+  request.service = kService;
+  request.idempotent = idempotent;
+  request.remaining = std::chrono::milliseconds(500);
+  request.path = "/refill-desk/" + id;
+  return request;
+}
+
+/** What a test knows of a request. */
+struct Seen {
+  bool idempotent = false;
+  int sends = 0;         // to targets and peers
+  int may_have_run = 0;  // sends that ended as answered or maybe run
+  bool in_progress = false;
+  std::vector<DeskReply> replies;
+};
+
+/** A desk in virtual time, whose targets and peers the test plays. Each rule
+ * that is broken is added to `faults`. */
+struct World {
+  DeskState state;
+  TimePoint now{std::chrono::seconds(1000)};
+  std::mt19937_64 random{20261204};
+  std::vector<DeskTargetInfo> targets;
+  std::set<TargetId> usable;
+  std::vector<DeskPeerInfo> peers;
+  std::map<DeskTicket, Seen> seen;
+  std::map<DeskTicket, TargetId> at_target;
+  std::map<DeskTicket, ProcessId> at_peer;
+  std::vector<std::string> faults;
+
+  explicit World(const DeskLimits& limits = {})
+      : state(MakeDeskState(limits)) {}
+
+  void AddTarget(int number, int slots) {
+    targets.push_back({.id = TargetNumber(number),
+                       .service = kService,
+                       .slots = Slots(slots),
+                       .endpoint = {"10.0.0.1", 80}});
+    usable.insert(TargetNumber(number));
+    SetAll();
+  }
+
+  void SetAll() {
+    Do([&](DeskStep& step) {
+      SetTargets(state, step, {kService}, targets);
+      SetUsableTargets(state, step, usable, TimePoint::max());
+    });
+  }
+
+  void ReportPeer(int number, bool own_region, int free) {
+    std::erase_if(peers, [&](const DeskPeerInfo& peer) {
+      return peer.process == PeerNumber(number);
+    });
+    peers.push_back({.process = PeerNumber(number),
+                     .own_region = own_region,
+                     .free_slots = {{kService, Slots(free)}},
+                     .reported_at = now});
+    Do([&](DeskStep& step) { SetPeers(state, step, peers); });
+  }
+
+  DeskTicket Accept(const DeskRequest& request,
+                    DeskOrigin origin = DeskOrigin::kCaller) {
+    const DeskTicket ticket = state.last_ticket.Next();
+    seen[ticket].idempotent = request.idempotent;
+    Do([&](DeskStep& step) { AcceptRequest(state, step, request, origin); });
+    return ticket;
+  }
+
+  void Answer(DeskTicket ticket, HttpResponse response) {
+    at_target.erase(ticket);
+    End(ticket, true);
+    Do([&](DeskStep& step) {
+      TargetAnswered(state, step, ticket, std::move(response));
+    });
+  }
+
+  void Fail(DeskTicket ticket, const TargetFailure& failure) {
+    at_target.erase(ticket);
+    End(ticket, failure.request_sent);
+    Do([&](DeskStep& step) { TargetFailed(state, step, ticket, failure); });
+  }
+
+  void ReplyAsPeer(DeskTicket ticket, const DeskReply& reply) {
+    at_peer.erase(ticket);
+    End(ticket, reply.outcome != DeskOutcome::kNotRun);
+    Do([&](DeskStep& step) { PeerReplied(state, step, ticket, reply); });
+  }
+
+  void FailPeer(DeskTicket ticket, bool request_sent) {
+    at_peer.erase(ticket);
+    End(ticket, request_sent);
+    Do([&](DeskStep& step) { PeerFailed(state, step, ticket, request_sent); });
+  }
+
+  /** Passes time and fires the timers that the desk asked for. */
+  void Pass(Duration duration) {
+    const TimePoint end = now + duration;
+    while (const auto next = NextTimer(state, now)) {
+      if (*next > end)
+        break;
+      now = std::max(now, *next);
+      Do([&](DeskStep& step) { HandleTimer(state, step); });
+    }
+    now = end;
+  }
+
+  const DeskReply* ReplyTo(DeskTicket ticket) {
+    const auto& replies = seen[ticket].replies;
+    return replies.empty() ? nullptr : &replies.front();
+  }
+
+  int CountAt(const TargetId& target) const {
+    int count = 0;
+    for (const auto& [ticket, id] : at_target)
+      count += id == target ? 1 : 0;
+    return count;
+  }
+
+  void Expect(bool holds, const char* rule) {
+    if (!holds)
+      faults.emplace_back(rule);
+  }
+
+ private:
+  template <typename Decide>
+  void Do(const Decide& decide) {
+    std::vector<DeskAction> actions;
+    DeskStep step{now, random, actions};
+    decide(step);
+    for (const DeskAction& action : actions)
+      std::visit([this](const auto& each) { Take(each); }, action);
+  }
+
+  void End(DeskTicket ticket, bool may_have_run) {
+    seen[ticket].in_progress = false;
+    seen[ticket].may_have_run += may_have_run ? 1 : 0;
+  }
+
+  void NoteSend(DeskTicket ticket) {
+    Seen& request = seen[ticket];
+    Expect(!request.in_progress, "one call of a request at a time");
+    Expect(request.idempotent || request.may_have_run == 0,
+           "a non-idempotent request is written once");
+    Expect(request.replies.empty(), "nothing is sent after the reply");
+    request.in_progress = true;
+    ++request.sends;
+  }
+
+  void Take(const SendToTarget& action) {
+    NoteSend(action.ticket);
+    at_target[action.ticket] = action.target;
+    for (const DeskTargetInfo& info : targets) {
+      if (info.id != action.target)
+        continue;
+      Expect(CountAt(info.id) <= info.slots.count(), "slots are not exceeded");
+      Expect(!info.leaving, "leaving targets get nothing new");
+      Expect(!info.data_centre_out, "data centres that are out get nothing");
+      Expect(usable.count(info.id) > 0, "only owned targets are used");
+      return;
+    }
+    Expect(false, "only listed targets are used");
+  }
+
+  void Take(const ForwardToPeer& action) {
+    NoteSend(action.ticket);
+    at_peer[action.ticket] = action.peer;
+    const DeskCall& call = state.calls.at(action.ticket);
+    Expect(call.origin == DeskOrigin::kCaller, "a forward is one hop");
+    const DeskPeer& peer = state.peers.at(action.peer);
+    Expect(peer.free_slots.at(kService) >= Slots(0), "peers are not overrun");
+    if (peer.info.own_region)
+      return;
+    Expect(now - call.arrived_at >= state.limits.remote_forward_delay,
+           "another region is not used before its time");
+    Expect(CountFreeSlots(state, now)[kService] == Slots(0),
+           "another region is not used while a slot is free here");
+  }
+
+  void Take(const ReplyToCaller& action) {
+    Seen& request = seen[action.ticket];
+    request.replies.push_back(action.reply);
+    Expect(request.replies.size() == 1, "a request gets one reply");
+    const bool not_run = action.reply.outcome == DeskOutcome::kNotRun;
+    Expect(!not_run || (request.may_have_run == 0 && !request.in_progress),
+           "not-run means that nothing was written");
+  }
+
+  void Take(const DropIdleConnections&) {}
+};
+
+}  // namespace cowslipmast
+
+#endif  // COWSLIPMAST_TESTS_DESK_WORLD_H_
