--- a/src/daemon/target_message.cc
+++ b/src/daemon/target_message.cc
@@ -38,6 +38,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
   message.headers.push_back(
       {std::string(kRequestIdHeader), request.id.value()});
+  message.headers.push_back(
+      {std::string(kIdempotentHeader), request.idempotent ? "true" : "false"});
   message.headers.push_back(
       {std::string(kDeadlineHeader), std::to_string(left.count())});
   return message;
