--- a/src/fold/ownership.cc
+++ b/src/fold/ownership.cc
@@ -201,8 +201,11 @@
   const auto held = FindHeld(state, view, members, memory);
   DecideHandOver(view, members, held, memory);
   decision.hand_over = memory.handing_over;
+  if (!permitted)
+    return;
+  decision.permit_until = *permit;
   for (const auto& [resource, epoch] : held) {
-    if (permitted && decision.hand_over.count(resource) == 0)
+    if (decision.hand_over.count(resource) == 0)
       decision.usable[resource] = epoch;
   }
 }
--- a/tests/fold/ownership_world.h
+++ b/tests/fold/ownership_world.h
@@ -212,7 +212,7 @@
       if (Choose(3) == 0 && p.released.emplace(resource, epoch).second)
         Append(p, Release{resource, epoch});
     p.usable = decision.usable;
-    p.usable_until = PermitUntil(state, view).value_or(now);
+    p.usable_until = decision.permit_until;
     for (const auto& [resource, epoch] : p.usable) {
       violations += CountUsers(resource) > 1 ? 1 : 0;
       takeovers += state.ownership.at(resource).taken_over ? 1 : 0;
