daemon: settle memberships while draining

Cause: the demo's processes did not all stop: when all drain at once nobody wrote MembersSettled, so that only one could leave.

--- a/src/daemon/membership.cc
+++ b/src/daemon/membership.cc
@@ -39,6 +39,24 @@
                .base_version = table.version};
 }
 
+std::vector<Record> PlanRecords(
+    const ControlState& state,
+    const Member& self,
+    bool serving,
+    const OwnershipDecision& decision,
+    const std::function<bool(const ResourceId&)>& idle) {
+  if (serving) {
+    if (const auto join = PlanJoin(state, self))
+      return {*join};
+  }
+  std::vector<Record> records = decision.records;
+  for (const auto& [resource, epoch] : decision.hand_over) {
+    if (idle(resource))
+      records.push_back(Release{resource, epoch});
+  }
+  return records;
+}
+
 bool OwnsAnything(const ControlState& state, const ProcessId& self) {
   return std::any_of(
       state.ownership.begin(), state.ownership.end(),
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -90,7 +90,6 @@
   void DecideAndUse();
   void Submit(std::vector<Record> records);
   asio::awaitable<void> AppendRecords(std::vector<Record> records);
-  std::vector<Record> PlanRecords(const OwnershipDecision& decision) const;
   OwnershipView MakeView() const;
   asio::awaitable<void> WatchVmList();
   asio::awaitable<std::optional<LogPage>> ReadFromPeer(StreamId stream,
@@ -294,22 +293,9 @@
   decision = DecideOwnership(control->state(), view, ownership_memory);
   role.on_ownership(decision);
   if (!append_pending)
-    Submit(PlanRecords(decision));
-}
-
-std::vector<Record> Process::Impl::PlanRecords(
-    const OwnershipDecision& latest) const {
-  std::vector<Record> records;
-  if (lifecycle->state() == LifecycleState::kServing) {
-    if (const auto join = PlanJoin(control->state(), self))
-      return {*join};
-    records = latest.records;
-  }
-  for (const auto& [resource, epoch] : latest.hand_over) {
-    if (role.idle(resource))
-      records.push_back(Release{resource, epoch});
-  }
-  return records;
+    Submit(PlanRecords(control->state(), self,
+                       lifecycle->state() == LifecycleState::kServing, decision,
+                       role.idle));
 }
 
 void Process::Impl::Submit(std::vector<Record> records) {
