--- a/include/cowslipmast/ownership.h
+++ b/include/cowslipmast/ownership.h
@@ -70,7 +70,7 @@
   std::map<ResourceId, Epoch> usable;
   /** Nothing new may start on `usable` resources after this moment, so that a
    * process that was paused does not act on an old decision. */
-  TimePoint permit_until = TimePoint::max();
+  TimePoint permit_until;
   /** Owned, but to be released once no work is in progress on it. Nothing
    * else may be released: while the wait after a takeover lasts, a release
    * would let the next owner act beside the one before. */
--- a/tests/desk/random_schedule_test.cc
+++ b/tests/desk/random_schedule_test.cc
@@ -19,7 +19,7 @@
 
   bool Empty() const { return next >= bytes.size(); }
   int Below(int bound) {
-    return Empty() ? 0 : bytes[next++] % static_cast<unsigned>(bound);
+    return Empty() ? 0 : static_cast<int>(bytes[next++]) % bound;
   }
 };
 
--- a/tests/desk/world.h
+++ b/tests/desk/world.h
@@ -154,7 +154,7 @@
     DeskStep step{now, random, actions};
     decide(step);
     for (const DeskAction& action : actions)
-      std::visit([this](const auto& each) { Take(each); }, action);
+      std::visit([this](const auto& each) { this->Take(each); }, action);
   }
 
   void End(DeskTicket ticket, bool may_have_run) {
