--- a/tests/standins/load_test.cc
+++ b/tests/standins/load_test.cc
@@ -212,15 +212,14 @@
   asio::io_context io;
   NetError reason;
   const auto client = HttpClient::Make(io, {});
-  std::string state = "done";
+  Json view = {{"state", "done"}};
   int submissions = 0;
   const auto server = FaultServer::Make(
       io, {"127.0.0.1", 0},
       [&](HttpRequest request) -> asio::awaitable<FaultAnswer> {
         if (request.method == "POST" && ++submissions == 1)
           co_return FaultAnswer{{}, Delivery::kClose};
-        co_return FaultAnswer{
-            MakeJsonResponse(200, Json{{"state", state}}.dump())};
+        co_return FaultAnswer{MakeJsonResponse(200, view.dump())};
       },
       reason);
   REQUIRE(server);
@@ -239,8 +238,12 @@
     CHECK(job.end == JobEnd::kDone);
     CHECK(submissions == 2);
   }
+  SECTION("takes a job as done once all its tasks have ended") {
+    view = {{"tasks", {{"done", 1}, {"failed", 0}, {"unfinished", 0}}}};
+    CHECK(Await(io, run()).end == JobEnd::kDone);
+  }
   SECTION("gives up on a job that is not done in time") {
-    state = "running";
+    view["state"] = "running";
     options.time_limit = std::chrono::milliseconds(300);
     const JobResult job = Await(io, run());
     CHECK(job.accepted);
