--- /dev/null
+++ b/tests/daemon/caller_headers_test.cc
@@ -0,0 +1,73 @@
+#include "src/daemon/caller_headers.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "src/daemon/caller_reply.h"
+#include "src/net/http_message.h"
+
+namespace cowslipmast {
+namespace {
+
+TEST_CASE("a caller's headers", "[daemon]") {
+  BadHeader bad;
+
+  SECTION("have safe defaults") {
+    const auto headers = ParseCallerHeaders({}, bad);
+    REQUIRE(headers);
+    CHECK_FALSE(headers->idempotent);
+    CHECK_FALSE(headers->resend);
+  }
+  SECTION("are read without regard to the case of names") {
+    const auto headers =
+        ParseCallerHeaders({{"cowslipmast-idempotent", "true"},
+                            {"COWSLIPMAST-DEADLINE-MS", "60000"},
+                            {"Cowslipmast-Request-Id", std::string(128, '~')}},
+                           bad);
+    REQUIRE(headers);
+    CHECK(headers->idempotent);
+    CHECK(headers->deadline == kLongestDeadline);
+  }
+  SECTION("are refused with the name of the one that is wrong") {
+    // Guards against a typing error that silently makes a request idempotent
+    // or endless.
+    const HttpHeader header =
+        GENERATE(HttpHeader{"Cowslipmast-Idempotent", "True"},
+                 HttpHeader{"Cowslipmast-Resend", ""},
+                 HttpHeader{"Cowslipmast-Deadline-Ms", "60001"},
+                 HttpHeader{"Cowslipmast-Deadline-Ms", "-1"},
+                 HttpHeader{"Cowslipmast-Deadline-Ms", "99999999999999999999"},
+                 HttpHeader{"Cowslipmast-Request-Id", ""},
+                 HttpHeader{"Cowslipmast-Request-Id", "a b"},
+                 HttpHeader{"Cowslipmast-Request-Id", "caf\xc3\xa9"},
+                 HttpHeader{"Cowslipmast-Request-Id", std::string(129, 'x')});
+    CHECK_FALSE(ParseCallerHeaders({header}, bad));
+    CHECK(bad.header == header.name);
+    CHECK(bad.found == header.value);
+    const HttpResponse response = MakeBadHeaderResponse(bad);
+    CHECK(response.status == 400);
+    CHECK(FindHeader(response.headers, kOutcomeHeader) == "not-run");
+  }
+  SECTION("are refused when one is given twice") {
+    CHECK_FALSE(ParseCallerHeaders({{"Cowslipmast-Idempotent", "false"},
+                                    {"Cowslipmast-Idempotent", "true"}},
+                                   bad));
+    CHECK(bad.header == "Cowslipmast-Idempotent");
+  }
+}
+
+TEST_CASE("an answer to a caller carries the outcome once", "[daemon]") {
+  // Guards against a target that overrides what the entry says.
+  DeskReply reply;
+  reply.outcome = DeskOutcome::kAnswered;
+  reply.response = {
+      .status = 200, .headers = {{"Cowslipmast-Outcome", "x"}}, .body = {}};
+  const HttpResponse response = MakeCallerResponse(reply, RequestId("a"));
+  REQUIRE(response.headers.size() == 2);
+  CHECK(FindHeader(response.headers, kOutcomeHeader) == "answered");
+  CHECK(FindHeader(response.headers, kRequestIdHeader) == "a");
+}
+
+}  // namespace
+}  // namespace cowslipmast
