placement: make the late renewal in the test outlive the owner's wait

Cause: with a delay of 12 s the lease ran out by itself, so the scenario passed even without the time limit of a renewal. Change: delay renewals by 6 s.

--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -103,7 +103,7 @@
     world.Submit("long", 1, seconds(60));
     world.Run(seconds(1));
     REQUIRE(world.worker(0).runs.size() == 1);
-    world.renewal_delay = seconds(12);
+    world.renewal_delay = seconds(6);
     world.Run(seconds(6));
     world.Partition(0, seconds(100));
     world.Run(seconds(30));
