daemon: stop without leaving when the leave cannot be settled

Change: a process that has owned nothing for 5 s stops; the next process on its VM replaces its row.

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -22,6 +22,10 @@
 constexpr Duration kVmListInterval = std::chrono::seconds(1);
 constexpr Duration kVmListTimeout = std::chrono::seconds(2);
 constexpr Duration kAppendTimeout = std::chrono::seconds(5);
+// A process that owns nothing can stop without leaving the member table. The
+// last one of a table with crashed members has no majority to settle its leave;
+// the next process on its VM takes its place.
+constexpr Duration kLeaveTimeout = std::chrono::seconds(5);
 
 ProcessId MakeProcessId(const Settings& settings, Random& random) {
   const char* role = settings.role == Role::kEntry ? "entry" : "placer";
@@ -121,6 +125,7 @@
   OwnershipDecision decision;
   ConfigVersion logged_version;
   SteadyClock::time_point drain_started;
+  std::optional<SteadyClock::time_point> released_at;  // by a planned stop
   bool drain_begun = false;
   bool append_pending = false;
 };
@@ -389,12 +394,13 @@
   // What is owned is released through `hand_over`, when it may be.
   if (OwnsAnything(control->state(), self.process))
     return;
-  if (const auto leave = PlanLeave(control->state(), self)) {
-    Submit({*leave});
-    return;
-  }
-  if (!IsMember(control->state(), self))
+  if (!released_at)
+    released_at = SteadyClock::now();
+  const bool waited = SteadyClock::now() - *released_at > kLeaveTimeout;
+  if (!IsMember(control->state(), self) || waited)
     Handle(LifecycleEvent::kDrained);
+  else if (const auto leave = PlanLeave(control->state(), self))
+    Submit({*leave});
 }
 
 void Process::Impl::OnControlChanged() {
