load: count the reasons of requests that were not answered

Cause: runs of the demo refused between 0 and 313 of 6,000 requests and did not show why. Change: the report counts the reasons that entries give.

--- a/bench/fold_bench.cc
+++ b/bench/fold_bench.cc
@@ -40,7 +40,7 @@
   return fold;
 }
 
-void BM_EncodeJob(benchmark::State& state) {
+void EncodeJobBench(benchmark::State& state) {
   const Record record = JobSubmitted{MakeJob(1)};
   size_t bytes = 0;
   for (auto _ : state) {
@@ -50,9 +50,9 @@
   }
   state.counters["entry_bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_EncodeJob);
+BENCHMARK(EncodeJobBench);
 
-void BM_EncodeOutcomes(benchmark::State& state) {
+void EncodeOutcomesBench(benchmark::State& state) {
   TaskOutcomes outcomes;
   outcomes.data_centre = DataCentreId("bulacan");
   for (uint32_t i = 0; i < state.range(0); ++i)
@@ -65,10 +65,10 @@
   }
   state.counters["entry_bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_EncodeOutcomes)->Arg(1)->Arg(10)->Arg(100);
+BENCHMARK(EncodeOutcomesBench)->Arg(1)->Arg(10)->Arg(100);
 
 // Time of one more record on a state that already holds `range` jobs.
-void BM_FoldJob(benchmark::State& state) {
+void FoldJobBench(benchmark::State& state) {
   const auto fold = MakeFoldWithJobs(state.range(0));
   uint64_t sequence = static_cast<uint64_t>(state.range(0));
   for (auto _ : state) {
@@ -79,9 +79,9 @@
     fold->Apply(fold->state().next, entry);
   }
 }
-BENCHMARK(BM_FoldJob)->Arg(1000)->Arg(8000);
+BENCHMARK(FoldJobBench)->Arg(1000)->Arg(8000);
 
-void BM_Digest(benchmark::State& state) {
+void DigestBench(benchmark::State& state) {
   const auto fold = MakeFoldWithJobs(state.range(0));
   uint64_t sequence = static_cast<uint64_t>(state.range(0));
   for (auto _ : state) {
@@ -93,9 +93,9 @@
     benchmark::DoNotOptimize(fold->Digest());
   }
 }
-BENCHMARK(BM_Digest)->Arg(1000)->Arg(8000);
+BENCHMARK(DigestBench)->Arg(1000)->Arg(8000);
 
-void BM_Snapshot(benchmark::State& state) {
+void SnapshotBench(benchmark::State& state) {
   const auto fold = MakeFoldWithJobs(state.range(0));
   size_t bytes = 0;
   for (auto _ : state) {
@@ -105,10 +105,10 @@
   }
   state.counters["snapshot_bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_Snapshot)->Arg(1000)->Arg(8000);
+BENCHMARK(SnapshotBench)->Arg(1000)->Arg(8000);
 
 // One decision of a member that owns its share of `range` targets among 5.
-void BM_DecideOwnership(benchmark::State& state) {
+void DecideOwnershipBench(benchmark::State& state) {
   ControlState control;
   OwnershipView view;
   view.self = ProcessId("vm-0/entry/0");
@@ -135,7 +135,7 @@
   for (auto _ : state)
     benchmark::DoNotOptimize(DecideOwnership(control, view, memory));
 }
-BENCHMARK(BM_DecideOwnership)->Arg(50)->Arg(400)->Arg(1600);
+BENCHMARK(DecideOwnershipBench)->Arg(50)->Arg(400)->Arg(1600);
 
 }  // namespace
 }  // namespace cowslipmast
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -48,6 +48,8 @@
     if (response) {
       result.outcome = OutcomeOf(*response);
       result.status = response->status;
+      if (result.outcome != Outcome::kAnswered)
+        result.reason = ReasonOf(*response);
       result.intact = result.outcome != Outcome::kAnswered ||
                       IsIntact(*response, result.request);
       break;
--- a/tools/load/outcome.cc
+++ b/tools/load/outcome.cc
@@ -1,5 +1,7 @@
 #include "tools/load/outcome.h"
 
+#include <nlohmann/json.hpp>
+
 #include "standins/target/answer_body.h"
 
 namespace cowslipmast::load {
@@ -35,6 +37,11 @@
   return Outcome::kUnlabelled;
 }
 
+std::string ReasonOf(const HttpResponse& response) {
+  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  return json.is_object() ? json.value("reason", "") : "";
+}
+
 Outcome OutcomeOf(const NetError& error) {
   if (!error.request_sent)
     return Outcome::kNotSent;
--- a/tools/load/outcome.h
+++ b/tools/load/outcome.h
@@ -38,6 +38,7 @@
   PlannedRequest request;
   Outcome outcome = Outcome::kNotSent;
   uint16_t status = 0;
+  std::string reason;  // of a request that was not answered, if an entry said
   bool intact = true;  // the answer is whole and belongs to this request
   Duration latency{0};
   uint64_t failovers = 0;  // entries that could not be reached before
@@ -45,6 +46,8 @@
 
 /** Reads the outcome that an entry reported. */
 Outcome OutcomeOf(const HttpResponse& response);
+/** Reads why an entry refused or does not know; empty if it does not say. */
+std::string ReasonOf(const HttpResponse& response);
 /** Outcome of a request that got no answer. */
 Outcome OutcomeOf(const NetError& error);
 
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -65,6 +65,8 @@
   for (const RequestResult& result : results) {
     ++report.sent;
     ++report.outcomes[result.outcome];
+    if (!result.reason.empty())
+      ++report.reasons[result.reason];
     report.failovers += result.failovers;
     report.damaged += IsDamaged(result) ? 1 : 0;
     CheckRuns(result, RunsOf(runs, result.request.id), report);
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -18,6 +18,7 @@
 struct RequestReport {
   uint64_t sent = 0;
   std::map<Outcome, uint64_t> outcomes;
+  std::map<std::string, uint64_t> reasons;  // of requests not answered
   uint64_t failovers = 0;
   double p50_ms = 0;  // of answered requests
   double p99_ms = 0;
--- a/tools/load/report_text.cc
+++ b/tools/load/report_text.cc
@@ -49,6 +49,7 @@
   }
   return {{"sent", report.sent},
           {"outcome", std::move(outcomes)},
+          {"reason", report.reasons},
           {"failovers", report.failovers},
           {"p50_ms", Rounded(report.p50_ms)},
           {"p99_ms", Rounded(report.p99_ms)},
