--- a/include/cowslipmast/placement.h
+++ b/include/cowslipmast/placement.h
@@ -113,6 +113,7 @@
   bool latency_critical = false;
   Resources declared;
   Resources counted;       // against the worker's capacity
+  Resources usage;         // as the latest list has it, which lags
   TimePoint known_since;   // a list asked for before says nothing about it
   TimePoint start_closed;  // the start cannot succeed any more
   uint32_t throttle_percent = 100;
@@ -127,7 +128,8 @@
   bool listed_vm = false;  // live in the platform's list
   VmServiceState state = VmServiceState::kInService;
   bool fenced = false;
-  std::optional<TimePoint> listed_at;  // when the latest list was asked for
+  std::optional<TimePoint> listed_at;    // when the latest list was asked for
+  std::optional<TimePoint> relieved_at;  // the list that relief was decided on
   bool silent = false;
   bool list_before_start = false;  // what runs there is not known for sure
   bool fence_in_flight = false;
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -67,6 +67,7 @@
   CompleteRecorded(placement, view);
   ContactWorkers(placement, view, decision);
   EvictTasks(placement, view, decision);
+  RelieveWorkers(placement, view, decision);
   ReleaseJobs(placement, view, decision);
   TakeJobs(placement, view, decision);
   DecideQuarantine(placement, view, decision);
--- a/src/placement/report.cc
+++ b/src/placement/report.cc
@@ -70,6 +70,7 @@
     place->known_since = asked_at;
   StepLease(*placement.charts, LeaseEvent::kListed, place->lease);
   place->throttle_percent = lease.throttle_percent;
+  place->usage = lease.usage;
   CountPlace(placement, *place, CountedSize(placement.policy, lease));
 }
 
--- a/src/placement/steps.h
+++ b/src/placement/steps.h
@@ -52,6 +52,12 @@
                 const PlacementView& view,
                 PlacementDecision& decision);
 
+/** Slows, then moves batch tasks on workers whose processors are so busy that
+ * latency-critical tasks there suffer. */
+void RelieveWorkers(Placement& placement,
+                    const PlacementView& view,
+                    PlacementDecision& decision);
+
 /** Gives up the jobs of a data centre that is out. */
 void ReleaseJobs(Placement& placement,
                  const PlacementView& view,
--- a/tests/placement/fake_worker.cc
+++ b/tests/placement/fake_worker.cc
@@ -75,6 +75,7 @@
   for (const auto& [task, run] : runs) {
     report.leases.push_back(run.lease);
     report.leases.back().expires_in = run.lease_end - now;
+    report.leases.back().usage = usage;
   }
   return {WorkerReplyKind::kOk, {}, report};
 }
--- a/tests/placement/fake_worker.h
+++ b/tests/placement/fake_worker.h
@@ -21,6 +21,7 @@
   Resources capacity;
   Duration clock_error{0};
   bool fails_all = false;
+  Resources usage;  // of each task
   Epoch max_epoch;
   std::map<TaskId, Run> runs;
   std::vector<TaskOutcome> finished;
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -140,6 +140,41 @@
   CHECK(world.violation.empty());
 }
 
+TEST_CASE("batch work gives way to a latency-critical task", "[placement]") {
+  FakeWorld world(1, 6);
+  world.ChangeOwner(seconds(0), false);
+  JobSpec desk;
+  desk.id = JobId("desk");
+  desk.team = TeamId("pillows");
+  desk.task_count = 1;
+  desk.resources = {MilliCores(1000), Mebibytes(1000), Accelerators(0)};
+  desk.run_time = seconds(600);
+  desk.latency_critical = true;
+  world.SubmitSpec(desk);
+  world.Submit("batch", 1, seconds(600));
+  world.Run(seconds(2));
+  FakeWorker& worker = world.worker(0);
+  REQUIRE(worker.runs.size() == 2);
+  worker.usage.cpu = MilliCores(2500);
+  world.Run(milliseconds(1300));
+  const TaskId batch{JobId("batch"), 0};
+  // Throttling comes first: an eviction would lose the batch task's place.
+  REQUIRE(worker.runs.contains(batch));
+  CHECK(worker.runs[batch].lease.throttle_percent == 50);
+
+  SECTION("it is evicted if throttling does not help") {
+    world.Run(seconds(4));
+    CHECK_FALSE(worker.runs.contains(batch));
+    CHECK(worker.runs.contains(TaskId{JobId("desk"), 0}));
+  }
+  SECTION("it runs at full speed again when the worker is calm") {
+    worker.usage.cpu = MilliCores(500);
+    world.Run(seconds(3));
+    CHECK(worker.runs[batch].lease.throttle_percent == 100);
+  }
+  CHECK(world.violation.empty());
+}
+
 TEST_CASE("workers and tasks that fail are told apart", "[placement]") {
   FakeWorld world(4, 4);
   world.ChangeOwner(seconds(0), false);
