--- a/include/cowslipmast/fold.h
+++ b/include/cowslipmast/fold.h
@@ -37,6 +37,7 @@
   const FoldCounters& counters() const;
   /** Hash of the state; equal for all processes at the same offset. */
   uint64_t Digest() const;
+  /** Encodes the state for a Snapshot; empty unless the state is complete. */
   std::string EncodeSnapshot() const;
 
  private:
@@ -58,6 +59,7 @@
 
   const DataCentreState& state() const;
   const FoldCounters& counters() const;
+  /** Encodes the state for a Snapshot; empty unless the state is complete. */
   std::string EncodeSnapshot() const;
 
  private:
--- a/src/fold/control_fold.cc
+++ b/src/fold/control_fold.cc
@@ -79,6 +79,8 @@
 }
 
 std::string ControlFold::EncodeSnapshot() const {
+  if (!complete())
+    return {};
   return EncodeImage(m_impl->engine.model().image);
 }
 
--- a/src/fold/data_centre_fold.cc
+++ b/src/fold/data_centre_fold.cc
@@ -70,6 +70,8 @@
 }
 
 std::string DataCentreFold::EncodeSnapshot() const {
+  if (!complete())
+    return {};
   return EncodeImage(m_impl->engine.model().image);
 }
 
--- a/src/net/stream_appender.cc
+++ b/src/net/stream_appender.cc
@@ -94,10 +94,11 @@
       asio::redirect_error(asio::use_awaitable, ignored));
   if (stopped)
     co_return;
-  if (NeedsSnapshot()) {
+  std::string state = NeedsSnapshot() ? fold.encode_snapshot() : std::string();
+  if (!state.empty()) {
     ++counters.snapshots;
     const LogOffset through(fold.next().value() - 1);
-    queue.PushSnapshot({through, fold.encode_snapshot()});
+    queue.PushSnapshot({through, std::move(state)});
     append_timer.cancel();
     snapshot_timer.expires_after(limits.snapshot_pause);
     co_await snapshot_timer.async_wait(
--- a/src/net/stream_follower.h
+++ b/src/net/stream_follower.h
@@ -26,7 +26,8 @@
   std::function<void(const LogEntry&)> apply;
   /** Starts anew from the oldest kept entry, which needs a snapshot. */
   std::function<void(LogOffset oldest)> restart;
-  /** Encodes the state for a snapshot after the latest folded entry. */
+  /** Encodes the state for a snapshot after the latest folded entry; empty if
+   * it is not complete, so that no reader starts from a partial state. */
   std::function<std::string()> encode_snapshot;
   /** Called after one or more entries were folded. */
   std::function<void()> changed;
--- a/tests/fold/fold_test.cc
+++ b/tests/fold/fold_test.cc
@@ -208,6 +208,8 @@
   s.stream.FoldInto(*late);
   CHECK_FALSE(late->complete());
   CHECK(late->state().next == LogOffset(6));
+  // Guards against a snapshot of nothing, from which others would start.
+  CHECK(late->EncodeSnapshot().empty());
 
   SECTION("one that reaches into the gap, the future or garbage is not one") {
     s.Add({Snapshot{LogOffset(2), state}, Snapshot{LogOffset(6), state},
