--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -22,6 +22,10 @@
 constexpr Duration kVmListInterval = std::chrono::seconds(1);
 constexpr Duration kVmListTimeout = std::chrono::seconds(2);
 constexpr Duration kAppendTimeout = std::chrono::seconds(5);
+// A process that owns nothing can stop without leaving the member table. The
+// last one of a table with crashed members has no majority to settle its leave;
+// the next process on its VM takes its place.
+constexpr Duration kLeaveTimeout = std::chrono::seconds(5);
 
 ProcessId MakeProcessId(const Settings& settings, Random& random) {
   const char* role = settings.role == Role::kEntry ? "entry" : "placer";
@@ -90,7 +94,6 @@
   void DecideAndUse();
   void Submit(std::vector<Record> records);
   asio::awaitable<void> AppendRecords(std::vector<Record> records);
-  std::vector<Record> PlanRecords(const OwnershipDecision& decision) const;
   OwnershipView MakeView() const;
   asio::awaitable<void> WatchVmList();
   asio::awaitable<std::optional<LogPage>> ReadFromPeer(StreamId stream,
@@ -122,6 +125,7 @@
   OwnershipDecision decision;
   ConfigVersion logged_version;
   SteadyClock::time_point drain_started;
+  std::optional<SteadyClock::time_point> released_at;  // by a planned stop
   bool drain_begun = false;
   bool append_pending = false;
 };
@@ -294,22 +298,9 @@
   decision = DecideOwnership(control->state(), view, ownership_memory);
   role.on_ownership(decision);
   if (!append_pending)
-    Submit(PlanRecords(decision));
-}
-
-std::vector<Record> Process::Impl::PlanRecords(
-    const OwnershipDecision& latest) const {
-  std::vector<Record> records;
-  if (lifecycle->state() == LifecycleState::kServing) {
-    if (const auto join = PlanJoin(control->state(), self))
-      return {*join};
-    records = latest.records;
-  }
-  for (const auto& [resource, epoch] : latest.hand_over) {
-    if (role.idle(resource))
-      records.push_back(Release{resource, epoch});
-  }
-  return records;
+    Submit(PlanRecords(control->state(), self,
+                       lifecycle->state() == LifecycleState::kServing, decision,
+                       role.idle));
 }
 
 void Process::Impl::Submit(std::vector<Record> records) {
@@ -403,12 +394,13 @@
   // What is owned is released through `hand_over`, when it may be.
   if (OwnsAnything(control->state(), self.process))
     return;
-  if (const auto leave = PlanLeave(control->state(), self)) {
-    Submit({*leave});
-    return;
-  }
-  if (!IsMember(control->state(), self))
+  if (!released_at)
+    released_at = SteadyClock::now();
+  const bool waited = SteadyClock::now() - *released_at > kLeaveTimeout;
+  if (!IsMember(control->state(), self) || waited)
     Handle(LifecycleEvent::kDrained);
+  else if (const auto leave = PlanLeave(control->state(), self))
+    Submit({*leave});
 }
 
 void Process::Impl::OnControlChanged() {
