--- a/include/cowslipmast/placement.h
+++ b/include/cowslipmast/placement.h
@@ -3,12 +3,15 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "cowslipmast/chart.h"
 #include "cowslipmast/ids.h"
 #include "cowslipmast/ownership.h"
 #include "cowslipmast/record.h"
@@ -57,6 +60,35 @@
   kEnded,
 };
 
+/** Names as in the charts. */
+std::string_view TaskPhaseName(TaskPhase phase);
+std::string_view LeasePhaseName(LeasePhase phase);
+
+/** A chart with the handles of the names that the code uses, in the order of
+ * the code's enumerators. */
+struct BoundChart {
+  Chart chart;
+  std::vector<ChartState> states;
+  std::vector<ChartEvent> events;
+};
+
+/** The lifecycles of tasks and leases. */
+struct PlacementCharts {
+  BoundChart task;
+  BoundChart lease;
+};
+
+/** A name that a chart must have and has not. */
+struct PlacementChartError {
+  std::string chart;
+  std::string expected;
+};
+
+/** Binds charts/task.toml and charts/lease.toml. Null if the charts do not
+ * have exactly the states, and at least the events, that the code uses. */
+std::shared_ptr<const PlacementCharts>
+MakePlacementCharts(Chart task, Chart lease, PlacementChartError& reason);
+
 /** Sizes that first fit counts with. */
 enum class SizePolicy {
   kDeclared,
@@ -81,6 +113,7 @@
   bool latency_critical = false;
   Resources declared;
   Resources counted;       // against the worker's capacity
+  Resources usage;         // as the latest list has it, which lags
   TimePoint known_since;   // a list asked for before says nothing about it
   TimePoint start_closed;  // the start cannot succeed any more
   uint32_t throttle_percent = 100;
@@ -95,7 +128,8 @@
   bool listed_vm = false;  // live in the platform's list
   VmServiceState state = VmServiceState::kInService;
   bool fenced = false;
-  std::optional<TimePoint> listed_at;  // when the latest list was asked for
+  std::optional<TimePoint> listed_at;    // when the latest list was asked for
+  std::optional<TimePoint> relieved_at;  // the list that relief was decided on
   bool silent = false;
   bool list_before_start = false;  // what runs there is not known for sure
   bool fence_in_flight = false;
@@ -159,6 +193,7 @@
   Epoch epoch;
   TimePoint gained_at;
   PlacementPolicy policy;
+  std::shared_ptr<const PlacementCharts> charts;
   std::map<VmId, WorkerView> workers;
   std::map<TaskId, TaskPlace> places;
   std::set<TaskId> ending;  // places in kEnding
@@ -204,6 +239,7 @@
 Placement MakePlacement(const DataCentreId& data_centre,
                         Epoch epoch,
                         const PlacementPolicy& policy,
+                        std::shared_ptr<const PlacementCharts> charts,
                         TimePoint now);
 
 /** Decides what to do now. Called every 100 ms or so, and after changes. */
