fold: keep no reference to a temporary in the ownership property

Cause: std::minmax returned references to a temporary VmId, found by the address sanitizer; cuts of links were taken from freed memory. Change: the pair is a value. Conclusion: a fault of the test only; no change of the library.

--- a/tests/fold/ownership_property_test.cc
+++ b/tests/fold/ownership_property_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/fold/ownership_world.h"
@@ -37,7 +38,7 @@
       process->store_cut = !process->store_cut;
       return;
     default:
-      const auto link = std::minmax(VmId(vm), other);
+      const std::pair<VmId, VmId> link = std::minmax(process->vm, other);
       if (!world.cut_links.erase(link))
         world.cut_links.insert(link);
   }
