--- a/src/daemon/owned_data_centre.cc
+++ b/src/daemon/owned_data_centre.cc
@@ -25,6 +25,7 @@
     fold->Apply(entry.offset, entry.data);
   };
   stream.restart = [fold](LogOffset oldest) { fold->Restart(oldest); };
+  stream.complete = [fold] { return fold->complete(); };
   stream.encode_snapshot = [fold] { return fold->EncodeSnapshot(); };
   stream.changed = std::move(changed);
   return stream;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -40,7 +40,8 @@
         io,
         [&]() -> asio::awaitable<void> {
           const Endpoint endpoint{"127.0.0.1", server->port()};
-          response = co_await client->Call(endpoint, request, timeout, reason);
+          response = co_await client->Call(endpoint, request, timeout, reason,
+                                           write_before);
           done = true;
         },
         asio::detached);
