capacity: measure the budget of each role

Cause: docs/design.md refers to docs/CAPACITY.md, which did not exist, and only the fold, the codec of records and the ownership rules had benchmarks.

--- /dev/null
+++ b/bench/desk_bench.cc
@@ -0,0 +1,81 @@
+#include <benchmark/benchmark.h>
+
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bench/heap.h"
+#include "cowslipmast/desk.h"
+
+namespace cowslipmast {
+namespace {
+
+const ServiceId kService("refill-desk");
+
+std::vector<DeskTargetInfo> MakeTargets(int64_t count) {
+  std::vector<DeskTargetInfo> targets;
+  for (int64_t i = 0; i < count; ++i) {
+    DeskTargetInfo target;
+    target.id = TargetId("bulacan-target-" + std::to_string(i));
+    target.service = kService;
+    target.slots = Slots(8);
+    target.endpoint = {"10.0.0.1", 8080};
+    targets.push_back(target);
+  }
+  return targets;
+}
+
+DeskRequest MakeRequest(uint64_t number) {
+  DeskRequest request;
+  request.id = RequestId("request-" + std::to_string(number));
+  request.service = kService;
+  request.remaining = std::chrono::seconds(1);
+  request.method = "GET";
+  request.path = "/refill-desk/quote";
+  return request;
+}
+
+void AnswerSent(DeskState& desk, DeskStep& step) {
+  const auto actions = std::move(step.actions);
+  step.actions.clear();
+  for (const DeskAction& action : actions) {
+    if (const auto* send = std::get_if<SendToTarget>(&action))
+      TargetAnswered(desk, step, send->ticket, HttpResponse());
+  }
+}
+
+// One request from its arrival to the reply, with `range` owned targets.
+void RouteRequestBench(benchmark::State& state) {
+  std::mt19937_64 random(1);
+  std::vector<DeskAction> actions;
+  DeskState desk = MakeDeskState({});
+  TimePoint now(std::chrono::hours(1));
+  DeskStep setup{now, random, actions};
+  const auto targets = MakeTargets(state.range(0));
+  std::set<TargetId> usable;
+  for (const DeskTargetInfo& target : targets)
+    usable.insert(target.id);
+  SetTargets(desk, setup, {kService}, targets);
+  SetUsableTargets(desk, setup, usable, now + std::chrono::hours(1000));
+  actions.clear();
+  state.counters["heap_bytes"] = static_cast<double>(HeapBytesOfCopy(desk));
+  uint64_t number = 0;
+  size_t replies = 0;
+  for (auto _ : state) {
+    // 100 requests a second, so that the memory of ids reaches a steady size.
+    now += std::chrono::milliseconds(10);
+    DeskStep step{now, random, actions};
+    AcceptRequest(desk, step, MakeRequest(++number), DeskOrigin::kCaller);
+    AnswerSent(desk, step);
+    replies += actions.size();
+    actions.clear();
+  }
+  if (replies != number)
+    state.SkipWithError("a request was not answered");
+}
+BENCHMARK(RouteRequestBench)->Arg(8)->Arg(50)->Arg(400);
+
+}  // namespace
+}  // namespace cowslipmast
--- a/bench/fold_bench.cc
+++ b/bench/fold_bench.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "bench/heap.h"
 #include "cowslipmast/codec.h"
 #include "cowslipmast/fold.h"
 #include "cowslipmast/ownership.h"
@@ -97,6 +98,8 @@
 
 void SnapshotBench(benchmark::State& state) {
   const auto fold = MakeFoldWithJobs(state.range(0));
+  state.counters["heap_bytes"] =
+      static_cast<double>(HeapBytesOfCopy(fold->state()));
   size_t bytes = 0;
   for (auto _ : state) {
     const std::string snapshot = fold->EncodeSnapshot();
--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,224 @@
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bench/heap.h"
+#include "cowslipmast/placement.h"
+#include "src/daemon/chart_files.h"
+
+namespace cowslipmast {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr uint32_t kTasksOfJob = 100;
+constexpr int kMaxSetupTicks = 400;
+const DataCentreId kDataCentre("bulacan");
+const TeamId kTeam("orders");
+const Resources kWorkerSize{MilliCores(64000), Mebibytes(250000),
+                            Accelerators(0)};
+
+// A data centre whose workers accept and run every task.
+struct BenchWorld {
+  TimePoint now{std::chrono::hours(1)};
+  ControlState control;
+  DataCentreState data_centre;
+  std::vector<VmInfo> vms;
+  std::map<VmId, std::vector<WorkerLease>> leases;
+  Placement placement;
+  std::vector<WorkerCommand> unanswered;
+};
+
+PlacementView MakeView(const BenchWorld& world) {
+  return {.now = world.now,
+          .wall_now = WallTime(world.now.time_since_epoch()),
+          .permitted = true,
+          .draining = false,
+          .proof = world.now,
+          .outcome_proof = world.now,
+          .control = world.control,
+          .data_centre = world.data_centre,
+          .vms = world.vms};
+}
+
+std::shared_ptr<const PlacementCharts> MakeCharts() {
+  ChartFileError file_error;
+  auto charts = LoadCharts(COWSLIPMAST_CHARTS_DIR, file_error);
+  PlacementChartError error;
+  return charts
+             ? MakePlacementCharts((*charts)["task"], (*charts)["lease"], error)
+             : nullptr;
+}
+
+BenchWorld MakeWorld(int64_t workers) {
+  BenchWorld world;
+  world.control.config.data_centres[kDataCentre] = {kDataCentre,
+                                                    RegionId("luzon")};
+  world.control.config.teams[kTeam] = {kTeam, kWorkerSize};
+  for (int64_t i = 0; i < workers; ++i) {
+    VmInfo vm;
+    vm.id = VmId("bulacan-worker-" + std::to_string(i));
+    vm.data_centre = kDataCentre;
+    vm.resources = kWorkerSize;
+    world.vms.push_back(vm);
+  }
+  const ResourceId resource(kDataCentre);
+  world.control.ownership[resource].owner = ProcessId("vm-0/placer/0");
+  world.control.ownership[resource].epoch = Epoch(1);
+  world.placement =
+      MakePlacement(kDataCentre, Epoch(1), {}, MakeCharts(), world.now);
+  return world;
+}
+
+void AddJobs(BenchWorld& world, int64_t tasks, const std::string& name) {
+  for (int64_t left = tasks; left > 0; left -= kTasksOfJob) {
+    JobSpec spec;
+    spec.id = JobId(name + "-" + std::to_string(left));
+    spec.team = kTeam;
+    spec.task_count = static_cast<uint32_t>(
+        std::min(left, static_cast<int64_t>(kTasksOfJob)));
+    spec.resources = {MilliCores(2500), Mebibytes(8192), Accelerators(0)};
+    spec.run_time = std::chrono::hours(10);
+    JobEntry& job = world.control.jobs[spec.id];
+    job.spec = spec;
+    job.data_centre = kDataCentre;
+  }
+  world.control.next = world.control.next.Next();
+}
+
+WorkerLease MakeLease(const StartCommand& start) {
+  WorkerLease lease;
+  lease.task = start.task;
+  lease.attempt = start.attempt;
+  lease.epoch = Epoch(1);
+  lease.resources = start.resources;
+  lease.usage = start.resources;
+  lease.expires_in = kLongestLease;
+  return lease;
+}
+
+WorkerReply Answer(BenchWorld& world, const WorkerCommand& command) {
+  WorkerReply reply;
+  reply.kind = WorkerReplyKind::kOk;
+  auto& leases = world.leases[command.worker];
+  if (const auto* start = std::get_if<StartCommand>(&command.action))
+    leases.push_back(MakeLease(*start));
+  if (std::holds_alternative<ListCommand>(command.action))
+    reply.report = WorkerReport{Epoch(1), kWorkerSize, leases, {}};
+  return reply;
+}
+
+void AnswerAll(BenchWorld& world) {
+  const auto commands = std::move(world.unanswered);
+  world.unanswered.clear();
+  for (const WorkerCommand& command : commands) {
+    const WorkerReply reply = Answer(world, command);
+    ApplyReply(world.placement, MakeView(world), command, reply);
+  }
+}
+
+void Tick(BenchWorld& world) {
+  world.now += kTick;
+  auto decision = DecidePlacement(world.placement, MakeView(world));
+  world.unanswered = std::move(decision.commands);
+  AnswerAll(world);
+}
+
+bool RunTasks(BenchWorld& world, int64_t tasks) {
+  AddJobs(world, tasks, "job");
+  for (int i = 0; i < kMaxSetupTicks; ++i) {
+    Tick(world);
+    if (world.placement.counters.starts >= static_cast<uint64_t>(tasks))
+      return true;
+  }
+  return false;
+}
+
+using Clock = std::chrono::steady_clock;
+
+// One decision every 100 ms, with `range(0)` workers of `range(1)` tasks each
+// and nothing to start. The replies are taken in outside the measured time.
+void DecideSteadyBench(benchmark::State& state) {
+  BenchWorld world = MakeWorld(state.range(0));
+  if (!RunTasks(world, state.range(0) * state.range(1))) {
+    state.SkipWithError("the tasks did not start");
+    return;
+  }
+  state.counters["heap_bytes"] =
+      static_cast<double>(HeapBytesOfCopy(world.placement));
+  size_t commands = 0;
+  for (auto _ : state) {
+    world.now += kTick;
+    const auto start = Clock::now();
+    auto decision = DecidePlacement(world.placement, MakeView(world));
+    const std::chrono::duration<double> elapsed = Clock::now() - start;
+    state.SetIterationTime(elapsed.count());
+    commands += decision.commands.size();
+    world.unanswered = std::move(decision.commands);
+    AnswerAll(world);
+  }
+  state.counters["commands"] = benchmark::Counter(
+      static_cast<double>(commands), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(DecideSteadyBench)
+    ->UseManualTime()
+    ->Args({65, 0})
+    ->Args({65, 20})
+    ->Args({1100, 0})
+    ->Args({1100, 20});
+
+// One decision that starts up to `range(1)` tasks on `range(0)` workers.
+void DecideStartsBench(benchmark::State& state) {
+  BenchWorld world = MakeWorld(state.range(0));
+  if (!RunTasks(world, state.range(0))) {
+    state.SkipWithError("the tasks did not start");
+    return;
+  }
+  AddJobs(world, state.range(1), "next");
+  const Placement before = world.placement;
+  size_t starts = 0;
+  world.now += kTick;
+  for (auto _ : state) {
+    world.placement = before;
+    const auto start = Clock::now();
+    const auto decision = DecidePlacement(world.placement, MakeView(world));
+    const std::chrono::duration<double> elapsed = Clock::now() - start;
+    state.SetIterationTime(elapsed.count());
+    starts = world.placement.counters.starts_sent - before.counters.starts_sent;
+  }
+  state.counters["starts"] = static_cast<double>(starts);
+}
+BENCHMARK(DecideStartsBench)
+    ->UseManualTime()
+    ->Args({65, 1})
+    ->Args({65, 53})
+    ->Args({1100, 1})
+    ->Args({1100, 53});
+
+// Takes in the list of a worker that runs `range` tasks.
+void ApplyListBench(benchmark::State& state) {
+  BenchWorld world = MakeWorld(1);
+  if (!RunTasks(world, state.range(0))) {
+    state.SkipWithError("the tasks did not start");
+    return;
+  }
+  for (auto _ : state) {
+    state.PauseTiming();
+    world.now += kTick;
+    const WorkerCommand command{world.vms[0].id, Epoch(1), world.now,
+                                ListCommand()};
+    const WorkerReply reply = Answer(world, command);
+    state.ResumeTiming();
+    ApplyReply(world.placement, MakeView(world), command, reply);
+  }
+}
+BENCHMARK(ApplyListBench)->Arg(1)->Arg(20);
+
+}  // namespace
+}  // namespace cowslipmast
