--- a/include/cowslipmast/placement.h
+++ b/include/cowslipmast/placement.h
@@ -35,7 +35,6 @@
 inline constexpr Duration kOutcomeInterval = std::chrono::milliseconds(200);
 /** How long each further data centre waits before it takes a job. */
 inline constexpr Duration kPlaceDelay = std::chrono::seconds(2);
-inline constexpr uint32_t kMaxFailures = 3;
 inline constexpr uint32_t kMaxFailedStarts = 3;
 inline constexpr Duration kFirstProbeDelay = std::chrono::seconds(60);
 inline constexpr Duration kLongestProbeDelay = std::chrono::hours(1);
@@ -163,6 +162,7 @@
   bool fresh = false;
   bool cancelled = false;
   std::optional<TimePoint> release_sent;
+  std::optional<TimePoint> end_sent;
   bool any_done = false;
   std::set<VmId> failed_on;                           // any of its tasks
   std::map<uint32_t, std::set<VmId>> task_failed_on;  // by task
--- a/include/cowslipmast/record.h
+++ b/include/cowslipmast/record.h
@@ -149,6 +149,19 @@
   bool operator==(const JobReleased&) const = default;
 };
 
+/** Removes a job whose tasks all have a recorded final outcome, or that was
+ * cancelled and has none running; void unless `epoch` is its owner's. The owner
+ * repeats it in the data centre's stream, which drops the job's tasks. */
+struct JobEnded {
+  JobId job;
+  DataCentreId data_centre;
+  Epoch epoch;
+  uint32_t done = 0;
+  uint32_t failed = 0;
+
+  bool operator==(const JobEnded&) const = default;
+};
+
 enum class TaskResult { kDone, kFailed, kEvicted, kLost };
 
 /** End of one attempt of a task. */
@@ -196,7 +209,8 @@
                             JobPlaced,
                             JobReleased,
                             TaskOutcomes,
-                            Snapshot>;
+                            Snapshot,
+                            JobEnded>;
 
 /** Unit of appending: one log entry. */
 struct Batch {
--- a/include/cowslipmast/shared_state.h
+++ b/include/cowslipmast/shared_state.h
@@ -1,7 +1,9 @@
 #ifndef COWSLIPMAST_SHARED_STATE_H_
 #define COWSLIPMAST_SHARED_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +39,12 @@
   bool operator==(const MemberTable&) const = default;
 };
 
+/** A task that failed this often, each time on another worker, is given up. */
+inline constexpr uint32_t kMaxFailures = 3;
+
+/** Bounds the memory for resubmissions, and the snapshot with it. */
+inline constexpr size_t kMaxEndedJobs = 1000;
+
 /** A submitted job as the `control` stream knows it. */
 struct JobEntry {
   JobSpec spec;
@@ -47,6 +55,16 @@
   bool operator==(const JobEntry&) const = default;
 };
 
+/** What is kept of a job after its end. */
+struct EndedJob {
+  JobId id;
+  uint32_t done = 0;
+  uint32_t failed = 0;
+  bool cancelled = false;
+
+  bool operator==(const EndedJob&) const = default;
+};
+
 /** State that every process folds from the `control` stream. */
 struct ControlState {
   LogOffset next;  // offset of the next entry to fold
@@ -56,7 +74,8 @@
   std::map<ResourceId, Ownership> ownership;
   std::map<std::pair<RegionId, Role>, MemberTable> members;
   std::map<VmId, VmStateSet> vm_states;  // only VMs that are not in service
-  std::map<JobId, JobEntry> jobs;
+  std::map<JobId, JobEntry> jobs;        // that have not ended
+  std::deque<EndedJob> ended_jobs;       // the latest, in log order
 };
 
 /** State folded from a data centre's stream: progress of its jobs' tasks. */
@@ -65,6 +84,9 @@
   std::map<TaskId, TaskProgress> tasks;
 };
 
+/** Null if the job has not ended or is no longer kept. */
+const EndedJob* FindEndedJob(const ControlState& state, const JobId& id);
+
 }  // namespace cowslipmast
 
 #endif  // COWSLIPMAST_SHARED_STATE_H_
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -56,6 +56,7 @@
   HttpResponse Show(const JobId& id) const;
   HttpResponse List(const std::string& path) const;
   const JobEntry* Find(const JobId& id) const;
+  const EndedJob* FindEnded(const JobId& id) const;
   void Count(const char* result);
 
   RoleContext& context;
@@ -69,6 +70,10 @@
   return found == jobs.end() ? nullptr : &found->second;
 }
 
+const EndedJob* JobApi::Impl::FindEnded(const JobId& id) const {
+  return FindEndedJob(context.control.state(), id);
+}
+
 void JobApi::Impl::Count(const char* result) {
   ++context.metrics.Counter("cowslipmast_job_submissions_total",
                             {{"result", result}});
@@ -81,8 +86,11 @@
 }
 
 // The id is taken: either by the same job, so that a submission may be
-// repeated, or by another one.
+// repeated, or by another one. The specification of an ended job is not kept,
+// so its id alone decides.
 HttpResponse JobApi::Impl::Compare(const JobSpec& spec, uint16_t status) const {
+  if (const EndedJob* ended = FindEnded(spec.id))
+    return MakeJsonResponse(status, EndedJobToJson(*ended).dump());
   const JobEntry* entry = Find(spec.id);
   if (!entry)
     return MakeRetryLater("unknown");
@@ -100,7 +108,7 @@
     co_return MakeRetryLater("draining");
   if (!context.control.complete() || !context.control_log.caught_up())
     co_return MakeRetryLater("starting");
-  if (Find(spec->id))
+  if (Find(spec->id) || FindEnded(spec->id))
     co_return Compare(*spec, 200);
   SubmissionError error;
   if (!CheckSubmission(*spec, context.control.state().config, error))
@@ -116,6 +124,8 @@
 }
 
 asio::awaitable<HttpResponse> JobApi::Impl::Cancel(JobId id) {
+  if (FindEnded(id))
+    co_return Show(id);
   const JobEntry* entry = Find(id);
   if (!entry)
     co_return MakeError(404, "unknown_job", id.value());
@@ -131,6 +141,8 @@
 }
 
 HttpResponse JobApi::Impl::Show(const JobId& id) const {
+  if (const EndedJob* ended = FindEnded(id))
+    return MakeJsonResponse(200, EndedJobToJson(*ended).dump());
   const JobEntry* entry = Find(id);
   if (!entry)
     return MakeError(404, "unknown_job", id.value());
--- a/src/daemon/job_view_json.cc
+++ b/src/daemon/job_view_json.cc
@@ -29,6 +29,12 @@
           {"attempts_ended", attempts}};
 }
 
+const char* EndStateName(const EndedJob& job) {
+  if (job.cancelled)
+    return "cancelled";
+  return job.failed > 0 ? "failed" : "done";
+}
+
 const char* StateName(VmServiceState state) {
   switch (state) {
     case VmServiceState::kInService:
@@ -79,6 +85,15 @@
   return json;
 }
 
+Json EndedJobToJson(const EndedJob& job) {
+  return {{"id", job.id.value()},
+          {"ended", true},
+          {"state", EndStateName(job)},
+          {"cancelled", job.cancelled},
+          {"tasks",
+           {{"done", job.done}, {"failed", job.failed}, {"unfinished", 0}}}};
+}
+
 Json PlacementToJson(const Placement& placement, TimePoint now) {
   Json workers = Json::object();
   for (const auto& [id, worker] : placement.workers)
--- a/src/daemon/job_view_json.h
+++ b/src/daemon/job_view_json.h
@@ -12,6 +12,9 @@
 nlohmann::json JobToJson(const JobEntry& job,
                          const DataCentreState* data_centre);
 
+/** Describes a job that has ended; none of its tasks runs any more. */
+nlohmann::json EndedJobToJson(const EndedJob& job);
+
 /** Describes a placement: its workers, tasks and counters. */
 nlohmann::json PlacementToJson(const Placement& placement, TimePoint now);
 
--- a/src/fold/apply.h
+++ b/src/fold/apply.h
@@ -22,9 +22,12 @@
 bool ApplyJobCancelled(ControlState& state, const JobCancelled& record);
 bool ApplyJobPlaced(ControlState& state, const JobPlaced& record);
 bool ApplyJobReleased(ControlState& state, const JobReleased& record);
+bool ApplyJobEnded(ControlState& state, const JobEnded& record);
 
 /** Applies the outcomes that are new; older attempts are ignored. */
 void ApplyOutcomes(DataCentreState& state, const TaskOutcomes& record);
+/** Drops the tasks of an ended job. */
+void DropTasks(DataCentreState& state, const JobId& job);
 
 }  // namespace cowslipmast
 
--- a/src/fold/apply_control.cc
+++ b/src/fold/apply_control.cc
@@ -80,6 +80,7 @@
   bool operator()(const JobCancelled& r) { return ApplyJobCancelled(state, r); }
   bool operator()(const JobPlaced& r) { return ApplyJobPlaced(state, r); }
   bool operator()(const JobReleased& r) { return ApplyJobReleased(state, r); }
+  bool operator()(const JobEnded& r) { return ApplyJobEnded(state, r); }
   // Belongs to the stream of a data centre.
   bool operator()(const TaskOutcomes&) { return false; }
 };
--- a/src/fold/apply_jobs.cc
+++ b/src/fold/apply_jobs.cc
@@ -38,10 +38,39 @@
   return result;
 }
 
+void EndJob(ControlState& state, const EndedJob& ended) {
+  state.jobs.erase(ended.id);
+  state.ended_jobs.push_back(ended);
+  if (state.ended_jobs.size() > kMaxEndedJobs)
+    state.ended_jobs.pop_front();
+}
+
+// No data centre runs a task of such a job, so no owner would end it.
+void EndIfCancelledAndUnplaced(ControlState& state, const JobEntry& entry) {
+  if (!entry.cancelled || entry.data_centre)
+    return;
+  EndedJob ended{entry.spec.id, 0, 0, true};
+  for (const TaskProgress& progress : entry.progress) {
+    const bool gave_up = progress.failed || (!progress.finished &&
+                                             progress.failures >= kMaxFailures);
+    ended.failed += gave_up ? 1 : 0;
+    ended.done += progress.finished && !gave_up ? 1 : 0;
+  }
+  EndJob(state, ended);
+}
+
 }  // namespace
 
+const EndedJob* FindEndedJob(const ControlState& state, const JobId& id) {
+  const auto found =
+      std::find_if(state.ended_jobs.begin(), state.ended_jobs.end(),
+                   [&id](const EndedJob& ended) { return ended.id == id; });
+  return found == state.ended_jobs.end() ? nullptr : &*found;
+}
+
 bool ApplyJobSubmitted(ControlState& state, const JobSubmitted& record) {
-  if (record.spec.id.empty() || record.spec.task_count == 0)
+  if (record.spec.id.empty() || record.spec.task_count == 0 ||
+      FindEndedJob(state, record.spec.id))
     return false;
   JobEntry entry;
   entry.spec = record.spec;
@@ -53,6 +82,7 @@
   if (it == state.jobs.end() || it->second.cancelled)
     return false;
   it->second.cancelled = true;
+  EndIfCancelledAndUnplaced(state, it->second);
   return true;
 }
 
@@ -73,6 +103,16 @@
     return false;
   it->second.data_centre.reset();
   it->second.progress = MergeProgress(it->second.progress, record.progress);
+  EndIfCancelledAndUnplaced(state, it->second);
+  return true;
+}
+
+bool ApplyJobEnded(ControlState& state, const JobEnded& record) {
+  const auto it = state.jobs.find(record.job);
+  if (it == state.jobs.end() || it->second.data_centre != record.data_centre ||
+      !IsOwnersEpoch(state, record.data_centre, record.epoch))
+    return false;
+  EndJob(state, {record.job, record.done, record.failed, it->second.cancelled});
   return true;
 }
 
--- a/src/fold/apply_outcomes.cc
+++ b/src/fold/apply_outcomes.cc
@@ -1,4 +1,5 @@
 #include <cstdint>
+#include <limits>
 
 #include "src/fold/apply.h"
 
@@ -6,8 +7,7 @@
 
 namespace {
 
-// A task that failed this often, each time on another worker, is given up.
-constexpr uint32_t kMaxFailures = 3;
+constexpr uint32_t kLastIndex = std::numeric_limits<uint32_t>::max();
 
 void ApplyFailure(TaskProgress& progress) {
   ++progress.failures;
@@ -48,4 +48,9 @@
   }
 }
 
+void DropTasks(DataCentreState& state, const JobId& job) {
+  state.tasks.erase(state.tasks.lower_bound(TaskId{job, 0}),
+                    state.tasks.upper_bound(TaskId{job, kLastIndex}));
+}
+
 }  // namespace cowslipmast
--- a/src/fold/data_centre_fold.cc
+++ b/src/fold/data_centre_fold.cc
@@ -16,14 +16,24 @@
   DataCentreImage image;
 
   bool ApplyRecord(LogOffset, const Record& record) {
-    if (std::holds_alternative<Snapshot>(record))
+    if (const auto* outcomes = std::get_if<TaskOutcomes>(&record)) {
+      if (!Accept(outcomes->data_centre, outcomes->epoch))
+        return false;
+      ApplyOutcomes(image.state, *outcomes);
       return true;
-    const auto* outcomes = std::get_if<TaskOutcomes>(&record);
-    if (!outcomes || outcomes->data_centre != id ||
-        outcomes->epoch < image.highest_epoch)
+    }
+    if (const auto* ended = std::get_if<JobEnded>(&record)) {
+      if (!Accept(ended->data_centre, ended->epoch))
+        return false;
+      DropTasks(image.state, ended->job);
+      return true;
+    }
+    return std::holds_alternative<Snapshot>(record);
+  }
+  bool Accept(const DataCentreId& data_centre, Epoch epoch) {
+    if (data_centre != id || epoch < image.highest_epoch)
       return false;
-    image.highest_epoch = outcomes->epoch;
-    ApplyOutcomes(image.state, *outcomes);
+    image.highest_epoch = epoch;
     return true;
   }
   static std::optional<DataCentreImage> Decode(std::string_view bytes,
--- a/src/fold/snapshot_reader.cc
+++ b/src/fold/snapshot_reader.cc
@@ -98,6 +98,12 @@
   }
 }
 
+void ReadEndedJobs(schema::ControlSnapshot::Reader from, ControlState& state) {
+  for (schema::EndedJob::Reader entry : from.getEndedJobs())
+    state.ended_jobs.push_back({JobId(ReadText(entry.getId())), entry.getDone(),
+                                entry.getFailed(), entry.getCancelled()});
+}
+
 bool ReadConfig(schema::ControlSnapshot::Reader from, ControlState& state) {
   state.config_version = ConfigVersion(from.getConfigVersion());
   state.config_text = ReadText(from.getConfigText());
@@ -117,6 +123,7 @@
       !ReadMemberTables(from, image.state) || !ReadVmStates(from, image.state))
     return std::nullopt;
   ReadJobs(from, image.state);
+  ReadEndedJobs(from, image.state);
   image.producers = ReadProducers(from.getProducers());
   return image;
 }
--- a/src/fold/snapshot_writer.cc
+++ b/src/fold/snapshot_writer.cc
@@ -84,6 +84,19 @@
   }
 }
 
+void WriteEndedJobs(const ControlState& state,
+                    schema::ControlSnapshot::Builder to) {
+  auto list = to.initEndedJobs(state.ended_jobs.size());
+  uint32_t i = 0;
+  for (const EndedJob& ended : state.ended_jobs) {
+    auto out = list[i++];
+    out.setId(ended.id.value());
+    out.setDone(ended.done);
+    out.setFailed(ended.failed);
+    out.setCancelled(ended.cancelled);
+  }
+}
+
 // The tasks are ordered by job, so each job is one run of the map.
 std::vector<std::pair<JobId, std::vector<TaskProgress>>> GroupByJob(
     const DataCentreState& state) {
@@ -107,6 +120,7 @@
   WriteMemberTables(image.state, root);
   WriteVmStates(image.state, root);
   WriteJobs(image.state, root);
+  WriteEndedJobs(image.state, root);
   WriteProducers(image.producers,
                  root.initProducers(image.producers.entries().size()));
   return EncodeMessage(message);
--- /dev/null
+++ b/src/placement/end.cc
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+
+#include "src/placement/places.h"
+#include "src/placement/steps.h"
+
+namespace cowslipmast {
+
+namespace {
+
+// Bounds the size of one log entry; the rest follows 200 ms later.
+constexpr size_t kMaxDropsOfEntry = 500;
+
+JobEnded MakeEnd(const Placement& placement,
+                 const PlacementView& view,
+                 const JobView& job) {
+  JobEnded end{job.spec.id, placement.data_centre, placement.epoch, 0, 0};
+  for (uint32_t index = 0; index < job.spec.task_count; ++index) {
+    const TaskProgress progress =
+        ProgressOfTask(job, view.data_centre, TaskId{job.spec.id, index});
+    if (progress.failed ||
+        (!progress.finished && progress.failures >= kMaxFailures))
+      ++end.failed;
+    else if (progress.finished)
+      ++end.done;
+  }
+  return end;
+}
+
+// A lease that an earlier owner granted may run without a place here.
+bool RunsAsForeign(const Placement& placement, const JobId& id) {
+  return std::any_of(placement.workers.begin(), placement.workers.end(),
+                     [&id](const auto& item) {
+                       const auto& foreign = item.second.foreign;
+                       const auto lease = foreign.lower_bound(TaskId{id, 0});
+                       return lease != foreign.end() && lease->first.job == id;
+                     });
+}
+
+bool IsStopped(const Placement& placement,
+               const PlacementView& view,
+               const JobView& job) {
+  return job.cancelled && IsJobSettled(placement, view, job) &&
+         !RunsAsForeign(placement, job.spec.id);
+}
+
+}  // namespace
+
+void EndJobs(Placement& placement,
+             const PlacementView& view,
+             PlacementDecision& decision) {
+  for (auto& [id, job] : placement.jobs) {
+    if (!job.waiting.empty() || !job.placed.empty())
+      continue;
+    if (job.end_sent && view.now < *job.end_sent + kRecordRetryDelay)
+      continue;
+    const JobEnded end = MakeEnd(placement, view, job);
+    if (end.done + end.failed < job.spec.task_count &&
+        !IsStopped(placement, view, job))
+      continue;
+    job.end_sent = view.now;
+    decision.control.emplace_back(end);
+  }
+}
+
+// Every job of the stream was placed under an epoch up to the own one, so the
+// own fold of `control` has it unless it ended.
+void DropEndedJobs(const Placement& placement,
+                   const PlacementView& view,
+                   PlacementDecision& decision) {
+  const auto& tasks = view.data_centre.tasks;
+  size_t drops = 0;
+  for (auto next = tasks.begin();
+       next != tasks.end() && drops < kMaxDropsOfEntry;) {
+    const JobId& id = next->first.job;
+    next = tasks.upper_bound(TaskId{id, std::numeric_limits<uint32_t>::max()});
+    if (view.control.jobs.contains(id))
+      continue;
+    const EndedJob* ended = FindEndedJob(view.control, id);
+    decision.outcomes.emplace_back(
+        JobEnded{id, placement.data_centre, placement.epoch,
+                 ended ? ended->done : 0, ended ? ended->failed : 0});
+    ++drops;
+  }
+}
+
+}  // namespace cowslipmast
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -14,11 +14,8 @@
 // Bounds the size of one log entry; the rest follows 200 ms later.
 constexpr size_t kMaxOutcomesOfRecord = 500;
 
-void RecordOutcomes(Placement& placement,
-                    const PlacementView& view,
-                    PlacementDecision& decision) {
-  if (placement.outcomes_in_flight || view.now < placement.next_outcomes ||
-      placement.ending.empty())
+void RecordEnding(const Placement& placement, PlacementDecision& decision) {
+  if (placement.ending.empty())
     return;
   TaskOutcomes record{placement.data_centre, placement.epoch, {}};
   for (const TaskId& task : placement.ending) {
@@ -27,6 +24,19 @@
     record.outcomes.push_back(placement.places.at(task).outcome);
   }
   decision.outcomes.emplace_back(std::move(record));
+}
+
+// Decided from the folds alone: a record that was not read back is written
+// again, also by the next owner.
+void RecordOutcomes(Placement& placement,
+                    const PlacementView& view,
+                    PlacementDecision& decision) {
+  if (placement.outcomes_in_flight || view.now < placement.next_outcomes)
+    return;
+  RecordEnding(placement, decision);
+  DropEndedJobs(placement, view, decision);
+  if (decision.outcomes.empty())
+    return;
   placement.outcomes_in_flight = true;
   placement.next_outcomes = view.now + kOutcomeInterval;
 }
@@ -69,6 +79,7 @@
   EvictTasks(placement, view, decision);
   RelieveWorkers(placement, view, decision);
   ReleaseJobs(placement, view, decision);
+  EndJobs(placement, view, decision);
   TakeJobs(placement, view, decision);
   DecideQuarantine(placement, view, decision);
   StartTasks(placement, view, decision);
--- a/src/placement/steps.h
+++ b/src/placement/steps.h
@@ -63,6 +63,17 @@
                  const PlacementView& view,
                  PlacementDecision& decision);
 
+/** Ends the jobs whose outcomes were all read back, and cancelled ones. */
+void EndJobs(Placement& placement,
+             const PlacementView& view,
+             PlacementDecision& decision);
+
+/** Drops the tasks of jobs that `control` no longer has from the data centre's
+ * stream. */
+void DropEndedJobs(const Placement& placement,
+                   const PlacementView& view,
+                   PlacementDecision& decision);
+
 /** Takes jobs that no data centre has. */
 void TakeJobs(Placement& placement,
               const PlacementView& view,
--- a/src/record/record_reader.cc
+++ b/src/record/record_reader.cc
@@ -120,6 +120,12 @@
                   std::string(bytes.begin(), bytes.size())};
 }
 
+Record ReadJobEnded(schema::JobEnded::Reader from) {
+  return JobEnded{JobId(ReadText(from.getJob())),
+                  DataCentreId(ReadText(from.getDataCentre())),
+                  Epoch(from.getEpoch()), from.getDone(), from.getFailed()};
+}
+
 }  // namespace
 
 std::string ReadText(capnp::Text::Reader from) {
@@ -221,6 +227,8 @@
       return ReadTaskOutcomes(from.getTaskOutcomes());
     case schema::Record::SNAPSHOT:
       return ReadSnapshot(from.getSnapshot());
+    case schema::Record::JOB_ENDED:
+      return ReadJobEnded(from.getJobEnded());
   }
   return UnknownRecord{};
 }
--- a/src/record/record_writer.cc
+++ b/src/record/record_writer.cc
@@ -107,6 +107,14 @@
     for (uint32_t i = 0; i < progress.size(); ++i)
       WriteTaskProgress(from.progress[i], progress[i]);
   }
+  void operator()(const JobEnded& from) {
+    auto out = to.initJobEnded();
+    out.setJob(from.job.value());
+    out.setDataCentre(from.data_centre.value());
+    out.setEpoch(from.epoch.value());
+    out.setDone(from.done);
+    out.setFailed(from.failed);
+  }
   void operator()(const TaskOutcomes& from) {
     auto out = to.initTaskOutcomes();
     out.setDataCentre(from.data_centre.value());
--- a/src/schema/record.capnp
+++ b/src/schema/record.capnp
@@ -105,6 +105,14 @@
   progress @3 :List(TaskProgress);
 }
 
+struct JobEnded {
+  job @0 :Text;
+  dataCentre @1 :Text;
+  epoch @2 :UInt64;
+  done @3 :UInt32;
+  failed @4 :UInt32;
+}
+
 struct TaskOutcome {
   job @0 :Text;
   index @1 :UInt32;
@@ -140,6 +148,7 @@
     jobReleased @11 :JobReleased;
     taskOutcomes @12 :TaskOutcomes;
     snapshot @13 :Snapshot;
+    jobEnded @14 :JobEnded;
   }
 }
 
@@ -180,6 +189,13 @@
   progress @3 :List(TaskProgress);
 }
 
+struct EndedJob {
+  id @0 :Text;
+  done @1 :UInt32;
+  failed @2 :UInt32;
+  cancelled @3 :Bool;
+}
+
 struct ProducerEntry {
   high @0 :UInt64;
   low @1 :UInt64;
@@ -195,6 +211,7 @@
   vmStates @4 :List(VmStateSet);
   jobs @5 :List(JobEntry);
   producers @6 :List(ProducerEntry);
+  endedJobs @7 :List(EndedJob);  # in log order
 }
 
 struct JobProgress {
--- a/src/schema/record.capnp.h
+++ b/src/schema/record.capnp.h
@@ -5,9 +5,6 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
-#if !CAPNP_LITE
-#include <capnp/capability.h>
-#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -54,6 +51,7 @@
 CAPNP_DECLARE_SCHEMA(c0fd2ca70c7d828b);
 CAPNP_DECLARE_SCHEMA(b5ad088ecd491215);
 CAPNP_DECLARE_SCHEMA(dd841977992aef00);
+CAPNP_DECLARE_SCHEMA(807b353adb2bb773);
 CAPNP_DECLARE_SCHEMA(825cbf0897212216);
 CAPNP_DECLARE_SCHEMA(db1296486302bfbe);
 CAPNP_DECLARE_SCHEMA(bcf791953422d06f);
@@ -62,6 +60,7 @@
 CAPNP_DECLARE_SCHEMA(90dabc46ac12e0b2);
 CAPNP_DECLARE_SCHEMA(ab57b5f797fa91d8);
 CAPNP_DECLARE_SCHEMA(d6e973bb5fd6c3b1);
+CAPNP_DECLARE_SCHEMA(9e709ed27137554d);
 CAPNP_DECLARE_SCHEMA(ed05d57920fdcb66);
 CAPNP_DECLARE_SCHEMA(94b206c5cfef4b37);
 CAPNP_DECLARE_SCHEMA(93ebc96f1bc4beef);
@@ -293,6 +292,21 @@
   };
 };
 
+struct JobEnded {
+  JobEnded() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(807b353adb2bb773, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct TaskOutcome {
   TaskOutcome() = delete;
 
@@ -359,6 +373,7 @@
     JOB_RELEASED,
     TASK_OUTCOMES,
     SNAPSHOT,
+    JOB_ENDED,
   };
 
   struct _capnpPrivate {
@@ -429,6 +444,21 @@
   };
 };
 
+struct EndedJob {
+  EndedJob() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9e709ed27137554d, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ProducerEntry {
   ProducerEntry() = delete;
 
@@ -452,7 +482,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94b206c5cfef4b37, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(94b206c5cfef4b37, 1, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1901,6 +1931,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class JobEnded::Reader {
+public:
+  typedef JobEnded Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint32_t getDone() const;
+
+  inline  ::uint32_t getFailed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobEnded::Builder {
+public:
+  typedef JobEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint32_t getDone();
+  inline void setDone( ::uint32_t value);
+
+  inline  ::uint32_t getFailed();
+  inline void setFailed( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobEnded::Pipeline {
+public:
+  typedef JobEnded Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class TaskOutcome::Reader {
 public:
   typedef TaskOutcome Reads;
@@ -2262,6 +2398,10 @@
   inline bool hasSnapshot() const;
   inline  ::cowslipmast::schema::Snapshot::Reader getSnapshot() const;
 
+  inline bool isJobEnded() const;
+  inline bool hasJobEnded() const;
+  inline  ::cowslipmast::schema::JobEnded::Reader getJobEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2399,6 +2539,14 @@
   inline void adoptSnapshot(::capnp::Orphan< ::cowslipmast::schema::Snapshot>&& value);
   inline ::capnp::Orphan< ::cowslipmast::schema::Snapshot> disownSnapshot();
 
+  inline bool isJobEnded();
+  inline bool hasJobEnded();
+  inline  ::cowslipmast::schema::JobEnded::Builder getJobEnded();
+  inline void setJobEnded( ::cowslipmast::schema::JobEnded::Reader value);
+  inline  ::cowslipmast::schema::JobEnded::Builder initJobEnded();
+  inline void adoptJobEnded(::capnp::Orphan< ::cowslipmast::schema::JobEnded>&& value);
+  inline ::capnp::Orphan< ::cowslipmast::schema::JobEnded> disownJobEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2866,6 +3014,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndedJob::Reader {
+public:
+  typedef EndedJob Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint32_t getDone() const;
+
+  inline  ::uint32_t getFailed() const;
+
+  inline bool getCancelled() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndedJob::Builder {
+public:
+  typedef EndedJob Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint32_t getDone();
+  inline void setDone( ::uint32_t value);
+
+  inline  ::uint32_t getFailed();
+  inline void setFailed( ::uint32_t value);
+
+  inline bool getCancelled();
+  inline void setCancelled(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndedJob::Pipeline {
+public:
+  typedef EndedJob Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ProducerEntry::Reader {
 public:
   typedef ProducerEntry Reads;
@@ -2994,6 +3238,9 @@
   inline bool hasProducers() const;
   inline  ::capnp::List< ::cowslipmast::schema::ProducerEntry,  ::capnp::Kind::STRUCT>::Reader getProducers() const;
 
+  inline bool hasEndedJobs() const;
+  inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Reader getEndedJobs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3067,6 +3314,13 @@
   inline void adoptProducers(::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::ProducerEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::ProducerEntry,  ::capnp::Kind::STRUCT>> disownProducers();
 
+  inline bool hasEndedJobs();
+  inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Builder getEndedJobs();
+  inline void setEndedJobs( ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Builder initEndedJobs(unsigned int size);
+  inline void adoptEndedJobs(::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>> disownEndedJobs();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4657,6 +4911,116 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool JobEnded::Reader::hasJob() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobEnded::Builder::hasJob() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobEnded::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobEnded::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobEnded::Builder::setJob( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobEnded::Builder::initJob(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobEnded::Builder::adoptJob(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobEnded::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobEnded::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobEnded::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobEnded::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobEnded::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobEnded::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobEnded::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobEnded::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobEnded::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t JobEnded::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobEnded::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobEnded::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t JobEnded::Reader::getDone() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobEnded::Builder::getDone() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobEnded::Builder::setDone( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t JobEnded::Reader::getFailed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobEnded::Builder::getFailed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void JobEnded::Builder::setFailed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TaskOutcome::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5634,6 +5998,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Record::Reader::isJobEnded() const {
+  return which() == Record::JOB_ENDED;
+}
+inline bool Record::Builder::isJobEnded() {
+  return which() == Record::JOB_ENDED;
+}
+inline bool Record::Reader::hasJobEnded() const {
+  if (which() != Record::JOB_ENDED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasJobEnded() {
+  if (which() != Record::JOB_ENDED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cowslipmast::schema::JobEnded::Reader Record::Reader::getJobEnded() const {
+  KJ_IREQUIRE((which() == Record::JOB_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cowslipmast::schema::JobEnded::Builder Record::Builder::getJobEnded() {
+  KJ_IREQUIRE((which() == Record::JOB_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setJobEnded( ::cowslipmast::schema::JobEnded::Reader value) {
+  _builder.setDataField<Record::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Record::JOB_ENDED);
+  ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cowslipmast::schema::JobEnded::Builder Record::Builder::initJobEnded() {
+  _builder.setDataField<Record::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Record::JOB_ENDED);
+  return ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::adoptJobEnded(
+    ::capnp::Orphan< ::cowslipmast::schema::JobEnded>&& value) {
+  _builder.setDataField<Record::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Record::JOB_ENDED);
+  ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cowslipmast::schema::JobEnded> Record::Builder::disownJobEnded() {
+  KJ_IREQUIRE((which() == Record::JOB_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cowslipmast::schema::JobEnded>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Batch::Reader::getMagic() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6132,6 +6550,82 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool EndedJob::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndedJob::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndedJob::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndedJob::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndedJob::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndedJob::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndedJob::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndedJob::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t EndedJob::Reader::getDone() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndedJob::Builder::getDone() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndedJob::Builder::setDone( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndedJob::Reader::getFailed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndedJob::Builder::getFailed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndedJob::Builder::setFailed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndedJob::Reader::getCancelled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndedJob::Builder::getCancelled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void EndedJob::Builder::setCancelled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ProducerEntry::Reader::getHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6406,6 +6900,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool ControlSnapshot::Reader::hasEndedJobs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlSnapshot::Builder::hasEndedJobs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Reader ControlSnapshot::Reader::getEndedJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Builder ControlSnapshot::Builder::getEndedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void ControlSnapshot::Builder::setEndedJobs( ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>::Builder ControlSnapshot::Builder::initEndedJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void ControlSnapshot::Builder::adoptEndedJobs(
+    ::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>> ControlSnapshot::Builder::disownEndedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cowslipmast::schema::EndedJob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool JobProgress::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/daemon/job_json_test.cc
+++ b/tests/daemon/job_json_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/daemon/job_json.h"
+#include "src/daemon/job_view_json.h"
 #include "src/net/worker_json.h"
 
 namespace cowslipmast {
@@ -48,6 +49,24 @@
   }
 }
 
+TEST_CASE("an ended job is shown with its counts", "[daemon]") {
+  // Guards against callers that wait for `unfinished` to become 0 for ever.
+  const auto json = EndedJobToJson({JobId("fill-7"), 2, 1, false});
+  CHECK(json["id"] == "fill-7");
+  CHECK(json["ended"] == true);
+  CHECK(json["tasks"]["done"] == 2);
+  CHECK(json["tasks"]["failed"] == 1);
+  CHECK(json["tasks"]["unfinished"] == 0);
+
+  SECTION("and how it ended") {
+    CHECK(json["state"] == "failed");
+    CHECK(EndedJobToJson({JobId("a"), 2, 0, false})["state"] == "done");
+    const auto cancelled = EndedJobToJson({JobId("a"), 0, 1, true});
+    CHECK(cancelled["state"] == "cancelled");
+    CHECK(cancelled["cancelled"] == true);
+  }
+}
+
 TEST_CASE("the worker's protocol is written and read as published", "[net]") {
   StartCommand start;
   start.task = {JobId("fill-7"), 2};
--- a/tests/fold/fold_test.cc
+++ b/tests/fold/fold_test.cc
@@ -163,6 +163,119 @@
   }
 }
 
+TEST_CASE("ended jobs leave the state", "[fold]") {
+  Scenario s;
+  const DataCentreId cebu("cebu");
+  const auto submit = [](const std::string& id) {
+    JobSpec spec;
+    spec.id = JobId(id);
+    spec.task_count = 2;
+    return JobSubmitted{spec};
+  };
+  const auto end = [&](const std::string& id, uint64_t epoch) {
+    return JobEnded{JobId(id), cebu, Epoch(epoch), 1, 1};
+  };
+  REQUIRE(s.Add({submit("a"), Claim{kCebu, kA, Epoch(0)}}));
+  CHECK_FALSE(s.Add({end("a", 1)}));
+  REQUIRE(s.Add({JobPlaced{JobId("a"), cebu, Epoch(1)}}));
+  const ControlState& state = s.fold->state();
+
+  SECTION("the record of a stale owner or another data centre is void") {
+    // Guards against a paused owner that ends a job which runs elsewhere.
+    REQUIRE(s.Add({Claim{kCebu, kB, Epoch(1)}}));
+    CHECK_FALSE(s.Add({end("a", 1)}));
+    CHECK_FALSE(
+        s.Add({JobEnded{JobId("a"), DataCentreId("bulacan"), Epoch(2), 2, 0}}));
+    CHECK(state.jobs.size() == 1);
+    CHECK(state.ended_jobs.empty());
+  }
+  SECTION("only a small entry is kept, and its id is taken") {
+    REQUIRE(s.Add({end("a", 1)}));
+    CHECK(state.jobs.empty());
+    REQUIRE(FindEndedJob(state, JobId("a")));
+    CHECK(*FindEndedJob(state, JobId("a")) ==
+          EndedJob{JobId("a"), 1, 1, false});
+    CHECK_FALSE(s.Add({end("a", 1)}));
+    CHECK_FALSE(s.Add({submit("a")}));
+    CHECK_FALSE(s.Add({JobCancelled{JobId("a")}}));
+    CHECK_FALSE(s.Add({JobPlaced{JobId("a"), cebu, Epoch(1)}}));
+  }
+  SECTION("the digest covers what is kept") {
+    // Guards against processes that disagree about ended jobs unnoticed.
+    auto other = ControlFold::Make();
+    s.stream.FoldInto(*other);
+    REQUIRE(s.Add({end("a", 1)}));
+    FakeStream differing = s.stream;
+    differing.entries.pop_back();
+    differing.Add({JobEnded{JobId("a"), cebu, Epoch(1), 2, 0}});
+    differing.FoldInto(*other);
+    REQUIRE(other->state().next == state.next);
+    CHECK(other->Digest() != s.fold->Digest());
+  }
+  SECTION("a cancelled job without a data centre ends at once") {
+    // Guards against jobs that no owner would ever remove.
+    REQUIRE(s.Add({submit("b"), JobCancelled{JobId("b")}}));
+    CHECK(FindEndedJob(state, JobId("b"))->cancelled);
+    TaskProgress done;
+    done.finished = true;
+    REQUIRE(s.Add({JobCancelled{JobId("a")},
+                   JobReleased{JobId("a"), cebu, Epoch(1), {done}}}));
+    CHECK(*FindEndedJob(state, JobId("a")) == EndedJob{JobId("a"), 1, 0, true});
+    CHECK(state.jobs.empty());
+  }
+  SECTION("the latest 1,000 are kept, in a snapshot too") {
+    REQUIRE(s.Add({end("a", 1)}));
+    for (int i = 0; i < 1000; ++i) {
+      const std::string id = "job" + std::to_string(i);
+      REQUIRE(s.Add(
+          {submit(id), JobPlaced{JobId(id), cebu, Epoch(1)}, end(id, 1)}));
+    }
+    CHECK(state.ended_jobs.size() == 1000);
+    CHECK(state.ended_jobs.front().id == JobId("job0"));
+    CHECK_FALSE(FindEndedJob(state, JobId("a")));
+    const uint64_t through = state.next.value() - 1;
+    s.Add({Snapshot{LogOffset(through), s.fold->EncodeSnapshot()}});
+    auto late = ControlFold::Make();
+    late->Restart(LogOffset(through + 1));
+    s.stream.FoldInto(*late);
+    REQUIRE(late->complete());
+    CHECK(late->state().ended_jobs == state.ended_jobs);
+    CHECK(late->Digest() == s.fold->Digest());
+
+    SECTION("the oldest is dropped first, and its id is free again") {
+      CHECK_FALSE(s.Add({submit("job0")}));
+      REQUIRE(s.Add({submit("a"), JobPlaced{JobId("a"), cebu, Epoch(1)}}));
+      REQUIRE(s.Add({end("a", 1)}));
+      CHECK(s.Add({submit("job0")}));
+      s.stream.FoldInto(*late);
+      CHECK(late->Digest() == s.fold->Digest());
+    }
+  }
+}
+
+TEST_CASE("a data centre's stream drops the tasks of ended jobs", "[fold]") {
+  const DataCentreId cebu("cebu");
+  FakeStream stream;
+  auto fold = DataCentreFold::Make(cebu);
+  const auto outcome = [](const std::string& job) {
+    return TaskOutcome{TaskId{JobId(job), 0}, Attempt(1), TaskResult::kDone,
+                       ""};
+  };
+  stream.Add({TaskOutcomes{cebu, Epoch(2), {outcome("a"), outcome("b")}}});
+  // Guards against a stale owner, or another data centre, that drops tasks.
+  stream.Add({JobEnded{JobId("a"), cebu, Epoch(1), 1, 0},
+              JobEnded{JobId("a"), DataCentreId("bulacan"), Epoch(3), 1, 0}});
+  stream.FoldInto(*fold);
+  CHECK(fold->counters().void_records == 2);
+  REQUIRE(fold->state().tasks.size() == 2);
+  stream.Add({JobEnded{JobId("a"), cebu, Epoch(3), 1, 0}});
+  // A late repetition under an earlier epoch must not bring the task back.
+  stream.Add({TaskOutcomes{cebu, Epoch(2), {outcome("a")}}});
+  stream.FoldInto(*fold);
+  REQUIRE(fold->state().tasks.size() == 1);
+  CHECK(fold->state().tasks.contains(TaskId{JobId("b"), 0}));
+}
+
 TEST_CASE("outcomes count once and under the highest epoch", "[fold]") {
   const DataCentreId cebu("cebu");
   const TaskId task{JobId("job"), 0};
@@ -239,7 +352,7 @@
   JobSpec spec;
   spec.id = job;
   spec.task_count = 1;
-  switch (number(9)) {
+  switch (number(11)) {
     case 0:
       return Claim{resource, MakeProcess(vm), Epoch(number(3))};
     case 1:
@@ -258,6 +371,10 @@
       return JobSubmitted{spec};
     case 7:
       return JobPlaced{job, cebu, Epoch(number(3))};
+    case 8:
+      return JobEnded{job, cebu, Epoch(number(3)), 1, 0};
+    case 9:
+      return JobCancelled{job};
     default:
       return ConfigPublished{ConfigVersion(number(3)), kText, vm};
   }
--- a/tests/placement/fake_world.cc
+++ b/tests/placement/fake_world.cc
@@ -1,6 +1,7 @@
 #include "tests/placement/fake_world.h"
 
 #include <algorithm>
+#include <variant>
 
 #include "src/daemon/chart_files.h"
 #include "src/fold/apply.h"
@@ -42,8 +43,8 @@
 }
 
 void FakeWorld::SubmitSpec(const JobSpec& spec) {
-  control.jobs[spec.id].spec = spec;
-  control.next = control.next.Next();
+  ApplyControl(JobSubmitted{spec});
+  submitted[spec.id] = spec.task_count;
 }
 
 void FakeWorld::Submit(const std::string& job,
@@ -59,8 +60,7 @@
 }
 
 void FakeWorld::Cancel(const std::string& job) {
-  control.jobs.at(JobId(job)).cancelled = true;
-  control.next = control.next.Next();
+  ApplyControl(JobCancelled{JobId(job)});
 }
 
 void FakeWorld::SetIn(bool in) {
@@ -121,14 +121,25 @@
 
 TaskProgress FakeWorld::ProgressOfTask(const std::string& job,
                                        uint32_t index) const {
-  const auto all = ProgressOf(control.jobs.at(JobId(job)), data_centre);
+  const auto entry = control.jobs.find(JobId(job));
+  const auto ended = m_ended_progress.find(JobId(job));
+  std::map<uint32_t, TaskProgress> all;
+  if (entry != control.jobs.end())
+    all = ProgressOf(entry->second, data_centre);
+  else if (ended != m_ended_progress.end())
+    all = ended->second;
   const auto found = all.find(index);
   return found == all.end() ? TaskProgress() : found->second;
 }
 
 bool FakeWorld::AllDone() const {
-  for (const auto& [id, job] : control.jobs) {
-    for (uint32_t i = 0; i < job.spec.task_count && !job.cancelled; ++i) {
+  for (const auto& [id, task_count] : submitted) {
+    const auto entry = control.jobs.find(id);
+    const EndedJob* ended = FindEndedJob(control, id);
+    if (entry == control.jobs.end() && !ended)
+      return false;
+    const bool cancelled = ended ? ended->cancelled : entry->second.cancelled;
+    for (uint32_t i = 0; i < task_count && !cancelled; ++i) {
       if (!ProgressOfTask(id.value(), i).finished)
         return false;
     }
@@ -234,6 +245,46 @@
     Arrive(message);
 }
 
+void FakeWorld::ApplyOutcomeRecord(const Record& record) {
+  const Epoch epoch = control.ownership[ResourceId(kBulacan)].epoch;
+  const auto* outcomes = std::get_if<TaskOutcomes>(&record);
+  const auto* ended = std::get_if<JobEnded>(&record);
+  if (outcomes && outcomes->epoch == epoch)
+    ApplyOutcomes(data_centre, *outcomes);
+  if (ended && ended->epoch == epoch)
+    DropTasks(data_centre, ended->job);
+}
+
+void FakeWorld::ApplyControl(const Record& record) {
+  const auto* end = std::get_if<JobEnded>(&record);
+  const auto job = end ? control.jobs.find(end->job) : control.jobs.end();
+  JobEntry before;
+  if (job != control.jobs.end())
+    before = job->second;
+  const bool applied = ApplyControlRecord(control, control.next, record);
+  control.next = control.next.Next();
+  if (end && applied)
+    CheckEnd(*end, before);
+}
+
+// An end is final: nothing may run then, and no outcome may be missing.
+void FakeWorld::CheckEnd(const JobEnded& end, const JobEntry& job) {
+  const auto progress = ProgressOf(job, data_centre);
+  m_ended_progress[end.job] = progress;
+  const auto finished =
+      std::count_if(progress.begin(), progress.end(),
+                    [](const auto& item) { return item.second.finished; });
+  if (finished != end.done + end.failed ||
+      (!job.cancelled && finished != job.spec.task_count))
+    violation = "job ended without its outcomes: " + end.job.value();
+  for (const auto& [id, worker] : workers) {
+    for (const auto& [task, run] : worker.runs) {
+      if (task.job == end.job)
+        violation = "job ended while it runs: " + end.job.value();
+    }
+  }
+}
+
 void FakeWorld::DeliverAppends() {
   if (m_now < m_store_back)
     return;
@@ -247,14 +298,11 @@
   for (const Append& append : due) {
     Owner& owner = m_owners[append.owner];
     if (append.outcomes) {
-      const auto& record = std::get<TaskOutcomes>(append.record);
-      if (record.epoch == control.ownership[ResourceId(kBulacan)].epoch)
-        ApplyOutcomes(data_centre, record);
+      ApplyOutcomeRecord(append.record);
       Refresh(owner);
       OutcomesAppended(owner.placement);
     } else {
-      ApplyControlRecord(control, control.next, append.record);
-      control.next = control.next.Next();
+      ApplyControl(append.record);
     }
   }
 }
--- a/tests/placement/fake_world.h
+++ b/tests/placement/fake_world.h
@@ -52,6 +52,7 @@
 
   ControlState control;
   DataCentreState data_centre;
+  std::map<JobId, uint32_t> submitted;  // task counts of all jobs
   std::vector<VmInfo> vms;
   std::map<VmId, FakeWorker> workers;
   double loss = 0;  // share of messages that are lost
@@ -76,6 +77,9 @@
 
   void Step();
   void Deliver();
+  void ApplyOutcomeRecord(const Record& record);
+  void ApplyControl(const Record& record);
+  void CheckEnd(const JobEnded& end, const JobEntry& job);
   void DeliverAppends();
   void DecideAll();
   void Refresh(Owner& owner);
@@ -94,6 +98,7 @@
   std::vector<Owner> m_owners;
   std::vector<Message> m_messages;
   std::vector<Append> m_appends;
+  std::map<JobId, std::map<uint32_t, TaskProgress>> m_ended_progress;
   std::map<VmId, TimePoint> m_unreachable_until;
   TimePoint m_store_back;
   std::optional<TimePoint> m_out_since;
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -51,6 +51,75 @@
   CHECK(world.violation.empty());
 }
 
+TEST_CASE("a job that has ended leaves the state", "[placement]") {
+  FakeWorld world(2, 7);
+  world.ChangeOwner(seconds(0), false);
+  const JobId fill("fill");
+  world.Submit("fill", 3, seconds(4));
+  world.Run(seconds(2));
+  REQUIRE(world.CountRunning() == 3);
+
+  SECTION("once every outcome was read back") {
+    world.Run(seconds(10));
+    // Guards against state that grows with every job.
+    CHECK(world.control.jobs.empty());
+    CHECK(world.data_centre.tasks.empty());
+    CHECK(world.owner().placement.jobs.empty());
+    REQUIRE(world.control.ended_jobs.size() == 1);
+    CHECK(world.control.ended_jobs[0] == EndedJob{fill, 3, 0, false});
+
+    SECTION("and a resubmission while it is kept does not run") {
+      world.Submit("fill", 3, seconds(4));
+      world.Run(seconds(10));
+      CHECK(world.worker(0).starts.size() + world.worker(1).starts.size() == 3);
+    }
+  }
+  SECTION("not while an outcome is not read back") {
+    // Guards against an end that counts on results the log may not have.
+    world.StopStore(seconds(12));
+    world.Run(seconds(10));
+    CHECK(world.CountRunning() == 0);
+    REQUIRE(world.owner().placement.jobs.contains(fill));
+    CHECK_FALSE(world.owner().placement.jobs.at(fill).end_sent);
+    CHECK(world.control.jobs.contains(fill));
+    world.Run(seconds(20));
+    CHECK(world.control.jobs.empty());
+  }
+  SECTION("with its failed tasks counted") {
+    world.worker(0).fails_all = true;
+    world.worker(1).fails_all = true;
+    world.Submit("bad", 1, milliseconds(100));
+    world.vms.push_back(world.vms[0]);
+    world.vms.back().id = VmId("w2");
+    world.workers[VmId("w2")].capacity = world.workers[VmId("w0")].capacity;
+    world.workers[VmId("w2")].fails_all = true;
+    world.Run(seconds(60));
+    const EndedJob* bad = FindEndedJob(world.control, JobId("bad"));
+    REQUIRE(bad);
+    CHECK(*bad == EndedJob{JobId("bad"), 0, 1, false});
+  }
+  SECTION("a cancelled one only when none of its tasks can run any more") {
+    world.Partition(0, seconds(100));
+    world.Cancel("fill");
+    world.Run(seconds(8));
+    CHECK(world.control.jobs.contains(fill));
+    world.Run(seconds(14));
+    CHECK(world.control.jobs.empty());
+    REQUIRE(world.control.ended_jobs.size() == 1);
+    CHECK(world.control.ended_jobs[0].cancelled);
+  }
+  SECTION("also when its owner dies before the data centre's stream has it") {
+    for (int i = 0; i < 200 && !world.control.jobs.empty(); ++i)
+      world.Run(milliseconds(50));
+    REQUIRE(world.control.jobs.empty());
+    REQUIRE(world.data_centre.tasks.size() == 3);
+    world.ChangeOwner(seconds(3), false);
+    world.Run(seconds(10));
+    CHECK(world.data_centre.tasks.empty());
+  }
+  CHECK(world.violation.empty());
+}
+
 TEST_CASE("a task on a silent worker is started again only after its lease",
           "[placement]") {
   FakeWorld world(2, 2);
--- a/tests/placement/schedule_test.cc
+++ b/tests/placement/schedule_test.cc
@@ -22,7 +22,7 @@
 }
 
 void Submit(FakeWorld& world, int parameter) {
-  const std::string id = "job" + std::to_string(world.control.jobs.size());
+  const std::string id = "job" + std::to_string(world.submitted.size());
   world.Submit(id, 1 + parameter % 5, milliseconds(500 + parameter * 700));
 }
 
--- a/tests/record/codec_test.cc
+++ b/tests/record/codec_test.cc
@@ -50,7 +50,8 @@
           JobPlaced{spec.id, cebu, Epoch(9)},
           JobReleased{spec.id, cebu, Epoch(9), {progress}},
           TaskOutcomes{cebu, Epoch(9), {outcome}},
-          Snapshot{LogOffset(11), std::string("\0\1", 2)}}};
+          Snapshot{LogOffset(11), std::string("\0\1", 2)},
+          JobEnded{spec.id, cebu, Epoch(9), 2, 1}}};
 }
 
 DecodeErrorKind DecodeFailure(std::string_view entry) {
