--- a/src/net/peer_rpc.cc
+++ b/src/net/peer_rpc.cc
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-struct PeerRpc::Impl : kj::TaskSet::ErrorHandler {
+struct PeerRpc::Impl final : kj::TaskSet::ErrorHandler {
   // Objects of the kj thread, created and destroyed on it.
   struct Loop {
     Loop(kj::TaskSet::ErrorHandler& handler, schema::Peer::Client interface)
--- a/src/net/peer_set.cc
+++ b/src/net/peer_set.cc
@@ -232,7 +232,7 @@
   return m_impl->rpc->port();
 }
 
-void PeerSet::SetPeers(std::vector<PeerSpec> peers) {
+void PeerSet::SetPeers(const std::vector<PeerSpec>& peers) {
   std::map<ProcessId, PeerPtr> kept;
   for (const PeerSpec& spec : peers) {
     const auto found = m_impl->peers.find(spec.member.process);
--- a/src/net/peer_set.h
+++ b/src/net/peer_set.h
@@ -62,7 +62,7 @@
 
   uint16_t port() const;
   /** Connects to new peers and drops those that are gone. */
-  void SetPeers(std::vector<PeerSpec> peers);
+  void SetPeers(const std::vector<PeerSpec>& peers);
   std::vector<PeerView> Peers() const;
 
   /** A failure with `request_sent` may have run the request. */
--- a/tests/placement/fake_worker.h
+++ b/tests/placement/fake_worker.h
@@ -27,6 +27,7 @@
   std::vector<TaskOutcome> finished;
   std::map<std::pair<TaskId, Attempt>, int> accepted;
   std::vector<StartCommand> starts;
+  std::map<std::pair<TaskId, Attempt>, TaskOutcome> ends;  // of all time
 
   void Advance(TimePoint now);
   void Restart();
