net: read the VM list only when it has changed

Cause: at the size of two years each process would read and parse 9,135 rows a second: 2.16 MB and 5.7% of a core, against limits of 26 KB and 4.3%. Change: reads carry the entity tag of the last list (If-None-Match); a platform without entity tags is served as before. The stand-in gives tags. Conclusion: each change still sends the whole list.

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -100,6 +100,7 @@
   asio::awaitable<void> AppendRecords(std::vector<Record> records);
   OwnershipView MakeView() const;
   asio::awaitable<void> WatchVmList();
+  void UseVmList(VmListRead read);
   asio::awaitable<std::optional<LogPage>> ReadFromPeer(StreamId stream,
                                                        LogOffset from,
                                                        uint32_t max_entries,
@@ -123,6 +124,7 @@
   std::unique_ptr<HttpServer> admin;
   std::optional<Lifecycle> lifecycle;
   std::vector<VmInfo> vms;
+  std::string vm_list_tag;
   std::shared_ptr<void> role_keep;
   RoleHooks role;
   OwnershipMemory ownership_memory;
@@ -382,19 +384,25 @@
   asio::steady_timer timer(io);
   while (lifecycle->state() != LifecycleState::kStopped) {
     NetError error;
-    auto read =
-        co_await ReadVmList(*http, settings.vm_list, kVmListTimeout, error);
+    auto read = co_await ReadVmList(*http, settings.vm_list, vm_list_tag,
+                                    kVmListTimeout, error);
     ++metrics->Counter("cowslipmast_vm_list_reads_total",
                        {{"result", read ? "ok" : "failed"}});
-    if (read && *read != vms) {
-      vms = std::move(*read);
-      role.on_change();
-    }
+    if (read)
+      UseVmList(std::move(*read));
     timer.expires_after(kVmListInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
+void Process::Impl::UseVmList(VmListRead read) {
+  vm_list_tag = std::move(read.entity_tag);
+  if (!read.vms || *read.vms == vms)
+    return;
+  vms = std::move(*read.vms);
+  role.on_change();
+}
+
 asio::awaitable<std::optional<LogPage>> Process::Impl::ReadFromPeer(
     StreamId stream,
     LogOffset from,
--- a/src/net/vm_list_client.cc
+++ b/src/net/vm_list_client.cc
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+constexpr uint16_t kOk = 200;
+constexpr uint16_t kNotModified = 304;
+
 std::optional<VmKind> ParseKind(const std::string& text) {
   if (text == "entry")
     return VmKind::kEntry;
@@ -90,24 +93,33 @@
   return vms;
 }
 
-asio::awaitable<std::optional<std::vector<VmInfo>>> ReadVmList(
-    HttpClient& http,
-    Endpoint vm_list,
-    Duration timeout,
-    NetError& reason) {
+asio::awaitable<std::optional<VmListRead>> ReadVmList(HttpClient& http,
+                                                      Endpoint vm_list,
+                                                      std::string entity_tag,
+                                                      Duration timeout,
+                                                      NetError& reason) {
   HttpRequest request;
   request.path = "/v1/vms";
+  if (!entity_tag.empty())
+    request.headers.push_back({"If-None-Match", entity_tag});
   const auto response =
       co_await http.Call(vm_list, std::move(request), timeout, reason);
   if (!response)
     co_return std::nullopt;
-  auto vms = ParseVmList(response->body);
-  if (response->status != 200 || !vms) {
+  VmListRead read;
+  if (response->status == kNotModified && !entity_tag.empty()) {
+    read.entity_tag = std::move(entity_tag);
+    co_return read;
+  }
+  read.vms = ParseVmList(response->body);
+  if (response->status != kOk || !read.vms) {
     reason = {NetErrorKind::kBadAnswer, true,
               "status " + std::to_string(response->status)};
     co_return std::nullopt;
   }
-  co_return vms;
+  read.entity_tag =
+      std::string(FindHeader(response->headers, "ETag").value_or(""));
+  co_return read;
 }
 
 }  // namespace cowslipmast
--- a/src/net/vm_list_client.h
+++ b/src/net/vm_list_client.h
@@ -13,12 +13,20 @@
 
 namespace cowslipmast {
 
-/** Reads the platform's list of VMs once. */
-asio::awaitable<std::optional<std::vector<VmInfo>>> ReadVmList(
-    HttpClient& http,
-    Endpoint vm_list,
-    Duration timeout,
-    NetError& reason);
+/** One read of the platform's list of VMs. */
+struct VmListRead {
+  /** Nothing if the list is still the one that `entity_tag` names. */
+  std::optional<std::vector<VmInfo>> vms;
+  std::string entity_tag;  // empty if the platform gives none
+};
+
+/** Reads the list unless it is still the one of `entity_tag`, so that a list
+ * of thousands of rows is not sent and parsed each second. */
+asio::awaitable<std::optional<VmListRead>> ReadVmList(HttpClient& http,
+                                                      Endpoint vm_list,
+                                                      std::string entity_tag,
+                                                      Duration timeout,
+                                                      NetError& reason);
 
 /** Parses the body of `GET /v1/vms`; nothing if any row is malformed. */
 std::optional<std::vector<VmInfo>> ParseVmList(const std::string& body);
--- a/standins/vm_list/vm_list_service.cc
+++ b/standins/vm_list/vm_list_service.cc
@@ -1,5 +1,7 @@
 #include "standins/vm_list/vm_list_service.h"
 
+#include <functional>
+#include <string>
 #include <utility>
 
 #include "standins/common/clock.h"
@@ -13,17 +15,29 @@
   const std::string_view path = PathWithoutQuery(request.path);
   if (path == "/v1/vms") {
     ++m_reads;
-    const Json vms = {{"vms", m_list.Visible(MonotonicNow())}};
-    co_return FaultAnswer{MakeJsonResponse(200, vms.dump())};
+    co_return FaultAnswer{Answer(request)};
   }
   if (path == "/control")
     co_return FaultAnswer{Control(request)};
   if (path == "/stats")
-    co_return FaultAnswer{
-        MakeJsonResponse(200, Json{{"reads", m_reads}}.dump())};
+    co_return FaultAnswer{MakeJsonResponse(
+        200, Json{{"reads", m_reads}, {"unchanged", m_unchanged}}.dump())};
   co_return FaultAnswer{NotFoundResponse()};
 }
 
+HttpResponse VmListService::Answer(const HttpRequest& request) {
+  std::string body = Json{{"vms", m_list.Visible(MonotonicNow())}}.dump();
+  const std::string tag =
+      '"' + std::to_string(std::hash<std::string>{}(body)) + '"';
+  if (FindHeader(request.headers, "If-None-Match") == tag) {
+    ++m_unchanged;
+    return HttpResponse{.status = 304, .headers = {{"ETag", tag}}, .body = {}};
+  }
+  HttpResponse response = MakeJsonResponse(200, std::move(body));
+  response.headers.push_back({"ETag", tag});
+  return response;
+}
+
 HttpResponse VmListService::Control(const HttpRequest& request) {
   const auto json = ParseObject(request.body);
   if (!json)
--- a/standins/vm_list/vm_list_service.h
+++ b/standins/vm_list/vm_list_service.h
@@ -17,10 +17,12 @@
   asio::awaitable<FaultAnswer> Handle(HttpRequest request);
 
  private:
+  HttpResponse Answer(const HttpRequest& request);
   HttpResponse Control(const HttpRequest& request);
 
   VmList m_list;
   uint64_t m_reads = 0;
+  uint64_t m_unchanged = 0;  // answered without a body
 };
 
 }  // namespace cowslipmast::standins
--- a/tests/daemon/membership_test.cc
+++ b/tests/daemon/membership_test.cc
@@ -93,6 +93,7 @@
 
   SECTION("it reads the log from a peer of its region with a lower id") {
     std::vector<PeerView> views;
+    views.reserve(peers.size());
     for (const PeerSpec& spec : peers)
       views.push_back({.member = spec.member,
                        .link = PeerLink::kUp,
