--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -2,20 +2,14 @@
 
 #include <spdlog/spdlog.h>
 
-#include <random>
 #include <utility>
 #include <vector>
 
-#include "src/daemon/admin.h"
-#include "src/daemon/lifecycle.h"
 #include "src/daemon/membership.h"
-#include "src/net/http_server.h"
-#include "src/net/vm_list_client.h"
+#include "src/daemon/process_impl.h"
 
 namespace cowslipmast {
 
-using SteadyClock = std::chrono::steady_clock;
-
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(200);
@@ -29,200 +23,8 @@
 // the next process on its VM takes its place.
 constexpr Duration kLeaveTimeout = std::chrono::seconds(5);
 
-ProcessId MakeProcessId(const Settings& settings, Random& random) {
-  const char* role = settings.role == Role::kEntry ? "entry" : "placer";
-  return ProcessId(
-      fmt::format("{}/{}/{:016x}", settings.vm.value(), role, random()));
-}
-
-uint64_t ChooseSeed(const Settings& settings) {
-  if (settings.seed != 0)
-    return settings.seed;
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-nlohmann::json ToJson(const std::optional<SteadyClock::time_point>& proof) {
-  if (!proof)
-    return nullptr;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             SteadyClock::now() - *proof)
-      .count();
-}
-
-const char* LinkName(PeerLink link) {
-  switch (link) {
-    case PeerLink::kUp:
-      return "up";
-    case PeerLink::kSuspect:
-      return "suspect";
-    case PeerLink::kDown:
-      return "down";
-  }
-  return "";
-}
-
 }  // namespace
 
-struct Process::Impl : std::enable_shared_from_this<Process::Impl> {
-  Impl(asio::io_context& asio_io, const Settings& process_settings)
-      : io(asio_io),
-        settings(process_settings),
-        random(ChooseSeed(settings)),
-        http(HttpClient::Make(io, HttpClientLimits{})),
-        log(LogClient::Make(*http, settings.store)),
-        metrics(Metrics::Make()),
-        control(ControlFold::Make()) {
-    self.process = MakeProcessId(settings, random);
-    self.vm = settings.vm;
-    self.region = settings.region;
-    self.role = settings.role;
-    self.peer_endpoint = settings.peer_listen;
-  }
-
-  bool Open(const ChartSet& charts,
-            const RoleFactory& make_role,
-            ProcessError& reason);
-  bool MakeLifecycle(const ChartSet& charts, ProcessError& reason);
-  bool OpenPeers(ProcessError& reason);
-  bool OpenAdmin(ProcessError& reason);
-  void MakeControlLog();
-  void Fold(const LogEntry& entry);
-  void CompareDigests();
-  void RegisterMetrics();
-
-  void Start();
-  void Handle(LifecycleEvent event);
-  asio::awaitable<void> TickLoop();
-  void Tick();
-  void DecideAndUse();
-  void Submit(std::vector<Record> records);
-  asio::awaitable<void> AppendRecords(std::vector<Record> records);
-  OwnershipView MakeView() const;
-  asio::awaitable<void> WatchVmList();
-  void UseVmList(VmListRead read);
-  asio::awaitable<std::optional<LogPage>> ReadFromPeer(StreamId stream,
-                                                       LogOffset from,
-                                                       uint32_t max_entries,
-                                                       Duration wait);
-  void TickDrain();
-  void OnControlChanged();
-  Heartbeat MakeHeartbeat() const;
-  nlohmann::json Status() const;
-  nlohmann::json Dump() const;
-
-  asio::io_context& io;
-  Settings settings;
-  Random random;
-  Member self;
-  std::unique_ptr<HttpClient> http;
-  std::unique_ptr<LogClient> log;
-  std::unique_ptr<Metrics> metrics;
-  std::unique_ptr<ControlFold> control;
-  std::unique_ptr<StreamFollower> control_log;
-  std::unique_ptr<PeerSet> peers;
-  std::unique_ptr<HttpServer> admin;
-  std::optional<Lifecycle> lifecycle;
-  std::vector<VmInfo> vms;
-  std::string vm_list_tag;
-  std::shared_ptr<void> role_keep;
-  RoleHooks role;
-  OwnershipMemory ownership_memory;
-  OwnershipDecision decision;
-  ConfigVersion logged_version;
-  uint64_t digest = 0;
-  LogOffset digest_at;
-  LogOffset diverged_at;
-  SteadyClock::time_point drain_started;
-  std::optional<SteadyClock::time_point> released_at;  // by a planned stop
-  bool drain_begun = false;
-  bool append_pending = false;
-};
-
-bool Process::Impl::Open(const ChartSet& charts,
-                         const RoleFactory& make_role,
-                         ProcessError& reason) {
-  if (!MakeLifecycle(charts, reason) || !OpenPeers(reason))
-    return false;
-  MakeControlLog();
-  const RoleContext context{io,           settings, self.process, *http,
-                            *log,         *metrics, random,       *control,
-                            *control_log, *peers,   vms};
-  auto made = make_role(context, reason);
-  if (!made)
-    return false;
-  role = std::move(made->hooks);
-  role_keep = std::move(made->keep);
-  RegisterMetrics();
-  return OpenAdmin(reason);
-}
-
-bool Process::Impl::MakeLifecycle(const ChartSet& charts,
-                                  ProcessError& reason) {
-  reason.kind = ProcessErrorKind::kChart;
-  reason.detail = "process.toml";
-  const auto chart = charts.find("process");
-  if (chart == charts.end())
-    return false;
-  lifecycle = Lifecycle::Make(chart->second, reason.detail);
-  return lifecycle.has_value();
-}
-
-bool Process::Impl::OpenPeers(ProcessError& reason) {
-  PeerHandlers handlers;
-  handlers.heartbeat = [this] { return MakeHeartbeat(); };
-  handlers.forward = [this](DeskRequest request) {
-    return role.forward(std::move(request));
-  };
-  handlers.read_log =
-      [this](StreamId stream, LogOffset from, uint32_t max_entries,
-             Duration wait) -> asio::awaitable<std::optional<LogPage>> {
-    if (stream != StreamId("control"))
-      co_return std::nullopt;
-    auto page = co_await control_log->ServePeer(from, max_entries, wait);
-    co_return page;
-  };
-  NetError error;
-  peers = PeerSet::Make(io, settings.peer_listen, std::move(handlers), error);
-  if (!peers)
-    reason = {ProcessErrorKind::kPeerListen, error.detail};
-  return peers != nullptr;
-}
-
-bool Process::Impl::OpenAdmin(ProcessError& reason) {
-  AdminPages pages;
-  pages.serving = [this] {
-    return lifecycle->state() == LifecycleState::kServing;
-  };
-  pages.status = [this] { return Status(); };
-  pages.dump = [this] { return Dump(); };
-  pages.metrics = [this] { return metrics->Render(); };
-  pages.role = role.admin;
-  NetError error;
-  admin = HttpServer::Make(io, settings.admin_listen, HttpServerLimits{},
-                           MakeAdminHandler(std::move(pages)), error);
-  if (!admin)
-    reason = {ProcessErrorKind::kAdminListen, error.detail};
-  return admin != nullptr;
-}
-
-void Process::Impl::MakeControlLog() {
-  StreamFold fold;
-  fold.next = [this] { return control->state().next; };
-  fold.apply = [this](const LogEntry& entry) { Fold(entry); };
-  fold.restart = [this](LogOffset oldest) { control->Restart(oldest); };
-  fold.complete = [this] { return control->complete(); };
-  fold.encode_snapshot = [this] { return control->EncodeSnapshot(); };
-  fold.changed = [this] { OnControlChanged(); };
-  control_log =
-      StreamFollower::Make(io, *log, StreamId("control"),
-                           MakeProducerId(random), random(), std::move(fold));
-  control_log->SetPeerSource([this](StreamId stream, LogOffset from,
-                                    uint32_t max_entries, Duration wait) {
-    return ReadFromPeer(std::move(stream), from, max_entries, wait);
-  });
-}
-
 void Process::Impl::Fold(const LogEntry& entry) {
   control->Apply(entry.offset, entry.data);
   const LogOffset next = control->state().next;
@@ -246,34 +48,6 @@
   }
 }
 
-void Process::Impl::RegisterMetrics() {
-  const auto gauge = [this](const char* name, auto read) {
-    metrics->Gauge(name, {}, [read] { return static_cast<double>(read()); });
-  };
-  gauge("cowslipmast_control_folded_next",
-        [this] { return control->state().next.value(); });
-  gauge("cowslipmast_control_bad_entries",
-        [this] { return control->counters().bad_entries; });
-  gauge("cowslipmast_control_void_records",
-        [this] { return control->counters().void_records; });
-  gauge("cowslipmast_control_duplicate_batches",
-        [this] { return control->counters().duplicate_batches; });
-  gauge("cowslipmast_config_version",
-        [this] { return control->state().config_version.value(); });
-  gauge("cowslipmast_log_reads",
-        [this] { return control_log->counters().reads; });
-  gauge("cowslipmast_log_peer_reads",
-        [this] { return control_log->counters().peer_reads; });
-  gauge("cowslipmast_log_read_failures",
-        [this] { return control_log->counters().read_failures; });
-  gauge("cowslipmast_log_appends",
-        [this] { return control_log->counters().appends; });
-  gauge("cowslipmast_log_append_failures",
-        [this] { return control_log->counters().append_failures; });
-  gauge("cowslipmast_owned_resources",
-        [this] { return decision.usable.size(); });
-}
-
 void Process::Impl::Start() {
   Handle(LifecycleEvent::kPortsOpen);
   asio::co_spawn(io, WatchVmList(), asio::detached);
@@ -353,32 +127,6 @@
   append_pending = false;
 }
 
-OwnershipView Process::Impl::MakeView() const {
-  OwnershipView view;
-  view.self = self.process;
-  view.region = self.region;
-  view.role = self.role;
-  view.now = ToTimePoint(SteadyClock::now());
-  if (const auto proof = control_log->proof())
-    view.proof = ToTimePoint(*proof);
-  for (const PeerView& peer : peers->Peers()) {
-    if (peer.member.region != self.region || !peer.last)
-      continue;
-    view.peers.push_back({.process = peer.member.process,
-                          .folded_next = peer.last->folded_next,
-                          .asked_at = ToTimePoint(peer.asked_at),
-                          .draining = peer.last->draining});
-  }
-  for (const VmInfo& vm : vms) {
-    if (vm.kind == VmKind::kEntry)
-      view.listed_vms.insert(vm.id);
-  }
-  view.resources = role.resources();
-  // During the grace time the own targets still serve new requests.
-  view.draining = drain_begun;
-  return view;
-}
-
 asio::awaitable<void> Process::Impl::WatchVmList() {
   const auto keep = shared_from_this();
   asio::steady_timer timer(io);
@@ -454,52 +202,6 @@
   role.on_change();
 }
 
-Heartbeat Process::Impl::MakeHeartbeat() const {
-  Heartbeat heartbeat;
-  heartbeat.process = self.process;
-  heartbeat.region = self.region;
-  heartbeat.role = self.role;
-  heartbeat.folded_next = control->state().next;
-  heartbeat.digest = digest;
-  heartbeat.digest_at = digest_at;
-  if (const auto proof = control_log->proof()) {
-    heartbeat.proof_age =
-        std::chrono::duration_cast<Duration>(SteadyClock::now() - *proof);
-  }
-  heartbeat.free_slots = role.free_slots();
-  heartbeat.draining = lifecycle->state() == LifecycleState::kDraining;
-  return heartbeat;
-}
-
-nlohmann::json Process::Impl::Status() const {
-  return {{"process", self.process.value()},
-          {"role", self.role == Role::kEntry ? "entry" : "placer"},
-          {"region", self.region.value()},
-          {"data_centre", settings.data_centre.value()},
-          {"state", lifecycle->state_name()},
-          {"config_version", control->state().config_version.value()},
-          {"folded_next", control->state().next.value()},
-          {"digest", fmt::format("{:016x}", digest)},
-          {"digest_at", digest_at.value()},
-          {"proof_age_ms", ToJson(control_log->proof())},
-          {"owned", decision.usable.size()}};
-}
-
-nlohmann::json Process::Impl::Dump() const {
-  nlohmann::json dump = Status();
-  for (const PeerView& peer : peers->Peers()) {
-    dump["peers"].push_back(
-        {{"process", peer.member.process.value()},
-         {"region", peer.member.region.value()},
-         {"link", LinkName(peer.link)},
-         {"folded_next", peer.last ? peer.last->folded_next.value() : 0}});
-  }
-  dump["vms"] = vms.size();
-  dump["jobs"] = control->state().jobs.size();
-  dump["role_state"] = role.dump();
-  return dump;
-}
-
 Process::Process(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
 Process::~Process() = default;
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "src/net/beast_message.h"
+#include "src/net/listen.h"
 
 namespace cowslipmast {
 
@@ -59,7 +60,6 @@
   Impl(asio::io_context& io, const HttpServerLimits& server_limits)
       : acceptor(io), limits(server_limits) {}
 
-  bool Listen(const Endpoint& endpoint, NetError& reason);
   asio::awaitable<void> AcceptLoop();
   asio::awaitable<void> Serve(ConnectionPtr connection);
   asio::awaitable<bool> ServeOne(ConnectionPtr connection,
@@ -84,29 +84,6 @@
   bool stopped = false;
 };
 
-bool HttpServer::Impl::Listen(const Endpoint& endpoint, NetError& reason) {
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(endpoint.address, error);
-  if (error) {
-    reason = {NetErrorKind::kBadAddress, false, endpoint.address};
-    return false;
-  }
-  const tcp::endpoint local(address, endpoint.port);
-  acceptor.open(local.protocol(), error);
-  if (!error)
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    acceptor.bind(local, error);
-  if (!error)
-    acceptor.listen(tcp::acceptor::max_listen_connections, error);
-  if (error) {
-    reason = {NetErrorKind::kListenFailed, false, error.message()};
-    return false;
-  }
-  port = acceptor.local_endpoint().port();
-  return true;
-}
-
 asio::awaitable<void> HttpServer::Impl::AcceptLoop() {
   const auto self = shared_from_this();
   asio::steady_timer timer(acceptor.get_executor());
@@ -235,8 +212,9 @@
                                              NetError& reason) {
   auto impl = std::make_shared<Impl>(io, limits);
   impl->handler = std::move(handler);
-  if (!impl->Listen(endpoint, reason))
+  if (!Listen(impl->acceptor, endpoint, reason))
     return nullptr;
+  impl->port = impl->acceptor.local_endpoint().port();
   asio::co_spawn(io, impl->AcceptLoop(), asio::detached);
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
--- a/standins/common/fault_server.cc
+++ b/standins/common/fault_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/net/beast_message.h"
+#include "src/net/listen.h"
 
 namespace cowslipmast::standins {
 
@@ -47,7 +48,6 @@
 struct FaultServer::Impl : std::enable_shared_from_this<FaultServer::Impl> {
   explicit Impl(asio::io_context& io) : acceptor(io) {}
 
-  bool Listen(const Endpoint& endpoint, NetError& reason);
   asio::awaitable<void> AcceptLoop();
   asio::awaitable<void> Serve(StreamPtr stream);
   asio::awaitable<bool> ServeOne(StreamPtr stream, beast::flat_buffer& buffer);
@@ -59,29 +59,6 @@
   bool stopped = false;
 };
 
-bool FaultServer::Impl::Listen(const Endpoint& endpoint, NetError& reason) {
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(endpoint.address, error);
-  if (error) {
-    reason = {NetErrorKind::kBadAddress, false, endpoint.address};
-    return false;
-  }
-  const tcp::endpoint local(address, endpoint.port);
-  acceptor.open(local.protocol(), error);
-  if (!error)
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    acceptor.bind(local, error);
-  if (!error)
-    acceptor.listen(tcp::acceptor::max_listen_connections, error);
-  if (error) {
-    reason = {NetErrorKind::kListenFailed, false, error.message()};
-    return false;
-  }
-  port = acceptor.local_endpoint().port();
-  return true;
-}
-
 asio::awaitable<void> FaultServer::Impl::AcceptLoop() {
   const auto self = shared_from_this();
   while (!stopped) {
@@ -149,8 +126,9 @@
                                                NetError& reason) {
   auto impl = std::make_shared<Impl>(io);
   impl->handler = std::move(handler);
-  if (!impl->Listen(endpoint, reason))
+  if (!Listen(impl->acceptor, endpoint, reason))
     return nullptr;
+  impl->port = impl->acceptor.local_endpoint().port();
   asio::co_spawn(io, impl->AcceptLoop(), asio::detached);
   return std::unique_ptr<FaultServer>(new FaultServer(std::move(impl)));
 }
