net, standins: one enum for a peer's link, one function that serves a port

Cause: PeerLinkState repeated PeerLink value for value, with a function that mapped one to the other, and two stand-ins served their port with the same lines.

--- a/src/net/peer_link_msm.cc
+++ b/src/net/peer_link_msm.cc
@@ -115,17 +115,17 @@
   return machine.actions;
 }
 
-PeerLinkState PeerLinkMachine::state() const {
+PeerLink PeerLinkMachine::state() const {
   // MSM numbers the states in the order of their first use in the table.
   constexpr int kDownIndex = 0;
   constexpr int kUpIndex = 1;
   switch (m_impl->machine.current_state()[0]) {
     case kDownIndex:
-      return PeerLinkState::kDown;
+      return PeerLink::kDown;
     case kUpIndex:
-      return PeerLinkState::kUp;
+      return PeerLink::kUp;
     default:
-      return PeerLinkState::kSuspect;
+      return PeerLink::kSuspect;
   }
 }
 
--- a/src/net/peer_link_msm.h
+++ b/src/net/peer_link_msm.h
@@ -3,6 +3,8 @@
 
 #include <memory>
 
+#include "src/net/peer_link.h"
+
 namespace cowslipmast {
 
 /** What happened to the connections to one peer. */
@@ -14,9 +16,6 @@
   kRetry,          // time to try a peer that is down
 };
 
-/** Connectivity of one peer; the same values as PeerLink. */
-enum class PeerLinkState { kUp, kSuspect, kDown };
-
 /** What to do with the connections after an event. */
 struct PeerLinkActions {
   bool open_fresh = false;
@@ -32,7 +31,7 @@
   ~PeerLinkMachine();
 
   PeerLinkActions Process(PeerLinkEvent event);
-  PeerLinkState state() const;
+  PeerLink state() const;
 
  private:
   struct Impl;
--- a/src/net/peer_set.cc
+++ b/src/net/peer_set.cc
@@ -32,18 +32,6 @@
 };
 using PeerPtr = std::shared_ptr<Peer>;
 
-PeerLink ToPeerLink(PeerLinkState state) {
-  switch (state) {
-    case PeerLinkState::kUp:
-      return PeerLink::kUp;
-    case PeerLinkState::kSuspect:
-      return PeerLink::kSuspect;
-    case PeerLinkState::kDown:
-      return PeerLink::kDown;
-  }
-  return PeerLink::kDown;
-}
-
 // Waits on the Asio thread for a result that arrives by a callback there.
 template <typename T>
 struct PendingCall {
@@ -129,7 +117,7 @@
 void PeerSet::Impl::Beat(const PeerPtr& peer) {
   const auto silence = std::chrono::steady_clock::now() - peer->answered_at;
   const Duration interval = peer->spec.heartbeat_interval;
-  if (peer->link->state() == PeerLinkState::kDown)
+  if (peer->link->state() == PeerLink::kDown)
     Process(peer, PeerLinkEvent::kRetry);
   else if (silence > kDownAfter * interval)
     Process(peer, PeerLinkEvent::kExpired);
@@ -196,7 +184,7 @@
   if (actions.drop_all)
     peer->current.reset();
   const bool wants_fresh =
-      actions.open_fresh || peer->link->state() == PeerLinkState::kSuspect;
+      actions.open_fresh || peer->link->state() == PeerLink::kSuspect;
   if (wants_fresh && !peer->fresh)
     peer->fresh = rpc->Connect(peer->spec.member.peer_endpoint);
 }
@@ -252,7 +240,7 @@
   std::vector<PeerView> views;
   for (const auto& [id, peer] : m_impl->peers) {
     views.push_back({.member = peer->spec.member,
-                     .link = ToPeerLink(peer->link->state()),
+                     .link = peer->link->state(),
                      .last = peer->last,
                      .asked_at = peer->asked_at});
   }
--- a/src/net/peer_set.h
+++ b/src/net/peer_set.h
@@ -15,12 +15,11 @@
 #include "src/net/asio.h"
 #include "src/net/log_client.h"
 #include "src/net/net_error.h"
+#include "src/net/peer_link.h"
 #include "src/net/peer_message.h"
 
 namespace cowslipmast {
 
-enum class PeerLink { kUp, kSuspect, kDown };
-
 /** What is known of one peer. */
 struct PeerView {
   Member member;
--- a/standins/common/run.cc
+++ b/standins/common/run.cc
@@ -1,6 +1,8 @@
 #include "standins/common/run.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <utility>
 
 namespace cowslipmast::standins {
 
@@ -11,4 +13,18 @@
   io.run();
 }
 
+int ServeUntilSignal(asio::io_context& io,
+                     const Endpoint& endpoint,
+                     FaultHandler handler) {
+  NetError reason;
+  const auto server =
+      FaultServer::Make(io, endpoint, std::move(handler), reason);
+  if (!server) {
+    std::cerr << NetErrorName(reason.kind) << ": " << reason.detail << "\n";
+    return 1;
+  }
+  RunUntilSignal(io);
+  return 0;
+}
+
 }  // namespace cowslipmast::standins
--- a/standins/common/run.h
+++ b/standins/common/run.h
@@ -1,13 +1,20 @@
 #ifndef COWSLIPMAST_STANDINS_COMMON_RUN_H_
 #define COWSLIPMAST_STANDINS_COMMON_RUN_H_
 
+#include "cowslipmast/vm.h"
 #include "src/net/asio.h"
+#include "standins/common/fault_server.h"
 
 namespace cowslipmast::standins {
 
 /** Runs the loop until SIGTERM or SIGINT. */
 void RunUntilSignal(asio::io_context& io);
 
+/** Serves one port until SIGTERM or SIGINT and returns the exit code. */
+int ServeUntilSignal(asio::io_context& io,
+                     const Endpoint& endpoint,
+                     FaultHandler handler);
+
 }  // namespace cowslipmast::standins
 
 #endif  // COWSLIPMAST_STANDINS_COMMON_RUN_H_
--- a/standins/log/main.cc
+++ b/standins/log/main.cc
@@ -3,7 +3,6 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "standins/common/fault_server.h"
 #include "standins/common/run.h"
 #include "standins/common/vm_rows.h"
 #include "standins/log/log_service.h"
@@ -23,17 +22,7 @@
   }
   asio::io_context io;
   LogService service(io, absl::GetFlag(FLAGS_retain));
-  NetError reason;
-  const auto server = FaultServer::Make(
-      io, *endpoint,
-      [&service](HttpRequest request) {
-        return service.Handle(std::move(request));
-      },
-      reason);
-  if (!server) {
-    std::cerr << NetErrorName(reason.kind) << ": " << reason.detail << "\n";
-    return 1;
-  }
-  RunUntilSignal(io);
-  return 0;
+  return ServeUntilSignal(io, *endpoint, [&service](HttpRequest request) {
+    return service.Handle(std::move(request));
+  });
 }
--- a/standins/vm_list/main.cc
+++ b/standins/vm_list/main.cc
@@ -4,7 +4,6 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "absl/time/time.h"
-#include "standins/common/fault_server.h"
 #include "standins/common/run.h"
 #include "standins/common/vm_rows.h"
 #include "standins/vm_list/vm_list_service.h"
@@ -32,17 +31,7 @@
   VmListService service(
       std::move(*rows),
       Duration(absl::ToInt64Microseconds(absl::GetFlag(FLAGS_lag))));
-  NetError reason;
-  const auto server = FaultServer::Make(
-      io, *endpoint,
-      [&service](HttpRequest request) {
-        return service.Handle(std::move(request));
-      },
-      reason);
-  if (!server) {
-    std::cerr << NetErrorName(reason.kind) << ": " << reason.detail << "\n";
-    return 1;
-  }
-  RunUntilSignal(io);
-  return 0;
+  return ServeUntilSignal(io, *endpoint, [&service](HttpRequest request) {
+    return service.Handle(std::move(request));
+  });
 }
--- a/tests/net/peer_set_test.cc
+++ b/tests/net/peer_set_test.cc
@@ -165,26 +165,26 @@
 
 TEST_CASE("the link of a peer races a fresh connection", "[net]") {
   auto link = PeerLinkMachine::Make();
-  CHECK(link->state() == PeerLinkState::kDown);
+  CHECK(link->state() == PeerLink::kDown);
   CHECK(link->Process(PeerLinkEvent::kRetry).open_fresh);
   CHECK(link->Process(PeerLinkEvent::kFreshAnswered).keep_fresh);
-  REQUIRE(link->state() == PeerLinkState::kUp);
+  REQUIRE(link->state() == PeerLink::kUp);
 
   SECTION("when it is silent") {
     CHECK(link->Process(PeerLinkEvent::kSilent).open_fresh);
-    REQUIRE(link->state() == PeerLinkState::kSuspect);
+    REQUIRE(link->state() == PeerLink::kSuspect);
     SECTION("and keeps the old one if that answers first") {
       CHECK(link->Process(PeerLinkEvent::kAnswered).drop_fresh);
-      CHECK(link->state() == PeerLinkState::kUp);
+      CHECK(link->state() == PeerLink::kUp);
     }
     SECTION("and drops both if neither answers") {
       CHECK(link->Process(PeerLinkEvent::kExpired).drop_all);
-      CHECK(link->state() == PeerLinkState::kDown);
+      CHECK(link->state() == PeerLink::kDown);
     }
   }
   SECTION("but an answer while up changes nothing") {
     CHECK_FALSE(link->Process(PeerLinkEvent::kAnswered).drop_fresh);
-    CHECK(link->state() == PeerLinkState::kUp);
+    CHECK(link->state() == PeerLink::kUp);
   }
 }
 
