--- /dev/null
+++ b/include/cowslipmast/sched/codec.h
@@ -0,0 +1,20 @@
+#ifndef COWSLIPMAST_SCHED_CODEC_H_
+#define COWSLIPMAST_SCHED_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cowslipmast/sched/job.h"
+
+namespace cowslipmast::sched {
+
+/** Encodes a job for the store; the inverse of `DecodeJob`. */
+std::string EncodeJob(const JobSpec& spec);
+
+/** Nothing if the bytes are not a job of this version. */
+std::optional<JobSpec> DecodeJob(std::string_view bytes);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SCHED_CODEC_H_
--- /dev/null
+++ b/src/sched/ends.cc
@@ -0,0 +1,96 @@
+#include "src/sched/ends.h"
+
+#include <string>
+
+#include "src/sched/health.h"
+#include "src/sched/jobs.h"
+#include "src/sched/residence.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+// One member that is done stands for its whole gang.
+void FinishGang(State& state, const TaskRef& ref, TimePoint now) {
+  Step& step = StepOf(ref);
+  for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+    const TaskRef member{ref.iteration, ref.step, index};
+    VacateWorker(state, member);
+    FinishTask(state, member, now);
+  }
+}
+
+void ApplyDone(State& state, const TaskRef& ref, TimePoint now) {
+  ++state.counters.done;
+  // A lasting task is started again however it ends.
+  if (SpecOf(ref).lasting) {
+    ReturnTask(state, ref, now);
+    return;
+  }
+  if (SpecOf(ref).gang) {
+    FinishGang(state, ref, now);
+    return;
+  }
+  VacateWorker(state, ref);
+  FinishTask(state, ref, now);
+}
+
+// A gang fails as a whole, whichever member's run failed.
+uint32_t CountFailures(const TaskRef& ref) {
+  if (!SpecOf(ref).gang)
+    return TaskOf(ref).failures;
+  uint32_t failures = 0;
+  for (const Task& task : StepOf(ref).tasks)
+    failures += task.failures;
+  return failures;
+}
+
+void ApplyFailed(State& state, const TaskRef& ref, TimePoint now) {
+  ++state.counters.failed;
+  Task& task = TaskOf(ref);
+  ++task.failures;
+  Job& job = *ref.iteration->job;
+  ReturnTask(state, ref, now);
+  const uint32_t failures = CountFailures(ref);
+  if (SpecOf(ref).lasting || failures < PolicyOf(state, job).attempts)
+    return;
+  Note(state, "job_failed", ref, "attempts=" + std::to_string(failures));
+  EndJob(state, job, JobState::kFailed, now);
+}
+
+}  // namespace
+
+void ApplyEnd(State& state,
+              int32_t worker,
+              const EndedTask& ended,
+              TimePoint now) {
+  const auto ref = FindTask(state, ended.task);
+  if (!ref)
+    return;
+  Task& task = TaskOf(*ref);
+  if (task.worker != worker || task.run != ended.run)
+    return;
+  Note(state, EndKindName(ended.how), *ref,
+       "end=" + std::to_string(ended.number));
+  if (!ended.checkpoint.empty())
+    task.checkpoint = ended.checkpoint;
+  NoteRunEnd(state, worker, ended.how, now);
+  switch (ended.how) {
+    case EndKind::kDone:
+      ApplyDone(state, *ref, now);
+      return;
+    case EndKind::kFailed:
+      ApplyFailed(state, *ref, now);
+      return;
+    case EndKind::kLapsed:
+      ++state.counters.lapsed;
+      break;
+    case EndKind::kStopped:
+    case EndKind::kBroken:
+    case EndKind::kAlone:
+      break;
+  }
+  ReturnTask(state, *ref, now);
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/sched/order.h
@@ -0,0 +1,25 @@
+#ifndef COWSLIPMAST_SRC_SCHED_ORDER_H_
+#define COWSLIPMAST_SRC_SCHED_ORDER_H_
+
+#include "src/sched/state.h"
+
+namespace cowslipmast::sched {
+
+/** Where a waiting step stands in line.
+ *
+ * Answers the load of a burst: more work than capacity for seconds. Within a
+ * priority, work that its caller waits for goes before lasting tasks, which
+ * nobody misses for a moment; work that can still meet its objective goes
+ * before work that cannot, so that a burst makes some jobs late instead of
+ * all. Equal steps go in the order of arrival. */
+ReadyKey MakeReadyKey(const State& state,
+                      Iteration& iteration,
+                      uint32_t step,
+                      TimePoint now);
+
+/** Time by which an iteration meets its queue's objective. */
+TimePoint ObjectiveOf(const State& state, const Iteration& iteration);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHED_ORDER_H_
--- /dev/null
+++ b/src/sched/placing.cc
@@ -0,0 +1,286 @@
+#include "src/sched/placing.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "src/sched/health.h"
+#include "src/sched/jobs.h"
+#include "src/sched/order.h"
+#include "src/sched/residence.h"
+#include "src/sched/workers.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+// Part of a worker's processors that lasting tasks may reserve; short urgent
+// work needs about 5% of the capacity of the first deployments, in large pieces.
+constexpr double kLastingShare = 0.92;
+// Lasting tasks use less than they reserve: 0.42 on average, with waves of half
+// that, in the workloads of the first deployments.
+constexpr double kLastingUse = 0.5;
+// A task that fills starts where this share of its need is left over.
+constexpr double kFillShare = 0.6;
+// Steps that do not fit before the rest of the line is left for the next plan;
+// bounds the time of a plan while much waits.
+constexpr int kMaxMisses = 24;
+
+double Cores(MilliCores cpu) {
+  return static_cast<double>(cpu.count());
+}
+
+// Processor time that neither reserved nor filling tasks are expected to use.
+double LeftOver(const Worker& worker) {
+  const double lasting = Cores(worker.lasting);
+  const double short_work = Cores(worker.reserved.cpu) - lasting;
+  return Cores(worker.info.capacity.cpu) - short_work -
+         lasting * kLastingUse - Cores(worker.filling);
+}
+
+bool HasLabel(const Worker& worker, const std::string& label) {
+  return label.empty() ||
+         std::find(worker.info.labels.begin(), worker.info.labels.end(),
+                   label) != worker.info.labels.end();
+}
+
+bool HasRoom(const Worker& worker, const StepSpec& spec) {
+  Resources need = spec.need;
+  if (spec.fills)
+    need.cpu = MilliCores(0);
+  if (!Fits(need, worker.info.capacity - worker.reserved))
+    return false;
+  if (spec.fills)
+    return LeftOver(worker) >= Cores(spec.need.cpu) * kFillShare;
+  return !spec.lasting || Cores(worker.lasting) + Cores(spec.need.cpu) <=
+                              Cores(worker.info.capacity.cpu) * kLastingShare;
+}
+
+uint32_t CountOfStep(const Worker& worker, const TaskRef& ref) {
+  return static_cast<uint32_t>(std::count_if(
+      worker.tasks.begin(), worker.tasks.end(), [&ref](const TaskRef& other) {
+        return other.iteration == ref.iteration && other.step == ref.step;
+      }));
+}
+
+// Larger is better.
+double ScoreOf(const Worker& worker, const StepSpec& spec, bool far) {
+  // Away from its data a task takes twice as long; any free worker near it
+  // is better than the best one elsewhere.
+  const double penalty = far ? -1000.0 : 0.0;
+  const double capacity = std::max(1.0, Cores(worker.info.capacity.cpu));
+  if (spec.fills)
+    return penalty + LeftOver(worker) / capacity;
+  return penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
+}
+
+bool IsLastAttempt(const QueuePolicy& policy,
+                   const StepSpec& spec,
+                   const Task& task) {
+  return !spec.lasting && task.failures > 0 &&
+         task.failures + 1 >= policy.attempts;
+}
+
+struct PlaceQuery {
+  const StepSpec& spec;
+  const QueuePolicy& policy;
+  const TaskRef& ref;
+  bool last_attempt = false;
+  const RackId* rack = nullptr;  // only this rack, if set
+};
+
+bool IsSuitable(const State& state,
+                const Worker& worker,
+                const PlaceQuery& query,
+                TimePoint now) {
+  return worker.info.service == query.policy.service &&
+         HasRoom(worker, query.spec) &&
+         BarOf(state, worker, now) == WorkerBar::kNone &&
+         IsTrusted(worker, query.last_attempt, now) &&
+         (query.rack == nullptr || worker.info.rack == *query.rack) &&
+         HasLabel(worker, query.spec.label) &&
+         (query.spec.max_per_worker == 0 ||
+          CountOfStep(worker, query.ref) < query.spec.max_per_worker);
+}
+
+int32_t BestWorker(const State& state, const PlaceQuery& query, TimePoint now) {
+  int32_t best = kNowhere;
+  double best_score = 0;
+  for (size_t i = 0; i < state.workers.size(); ++i) {
+    const Worker& worker = state.workers[i];
+    if (!IsSuitable(state, worker, query, now))
+      continue;
+    const bool far = !query.spec.data_rack.empty() &&
+                     worker.info.rack != query.spec.data_rack;
+    const double score = ScoreOf(worker, query.spec, far);
+    if (best == kNowhere || score > best_score) {
+      best = static_cast<int32_t>(i);
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+PlaceQuery QueryOf(const State& state, const TaskRef& ref) {
+  const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
+  const StepSpec& spec = SpecOf(ref);
+  return PlaceQuery{.spec = spec,
+                    .policy = policy,
+                    .ref = ref,
+                    .last_attempt = IsLastAttempt(policy, spec, TaskOf(ref))};
+}
+
+void StartTask(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
+  Task& task = TaskOf(ref);
+  Job& job = *ref.iteration->job;
+  task.phase = TaskPhase::kPlanned;
+  task.run = task.run.Next();
+  job.has_started = true;
+  if (job.state == JobState::kQueued)
+    job.state = JobState::kActive;
+  OccupyWorker(state, ref, worker);
+  Worker& host = state.workers[static_cast<size_t>(worker)];
+  if (host.health.avoid_until)
+    host.health.probing = true;
+  MarkDirty(state, *ref.iteration);
+  plan.starts.push_back(StartCommand{.worker = host.info.id,
+                                     .task = NameOf(ref),
+                                     .run = task.run,
+                                     .payload = job.spec.payload,
+                                     .checkpoint = task.checkpoint});
+  Note(state, "run_planned", ref);
+}
+
+// Places the step's waiting tasks one by one. False if one found no place.
+bool PlaceTasks(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+  Step& step = key.owner->steps[key.step];
+  while (!step.ready.empty()) {
+    const TaskRef ref{key.owner, key.step, step.ready.back()};
+    if (TaskOf(ref).phase != TaskPhase::kReady) {
+      step.ready.pop_back();
+      continue;
+    }
+    const int32_t worker = BestWorker(state, QueryOf(state, ref), now);
+    if (worker == kNowhere)
+      return false;
+    step.ready.pop_back();
+    StartTask(state, ref, worker, plan);
+  }
+  return true;
+}
+
+// Places all members on one rack, or on any if `rack` is not set; none if not
+// all of them fit.
+bool TryPlaceGang(State& state,
+                  const ReadyKey& key,
+                  const RackId* rack,
+                  TimePoint now,
+                  std::vector<int32_t>& places) {
+  Step& step = key.owner->steps[key.step];
+  places.clear();
+  bool complete = true;
+  for (uint32_t index = 0; index < step.tasks.size() && complete; ++index) {
+    const TaskRef ref{key.owner, key.step, index};
+    PlaceQuery query = QueryOf(state, ref);
+    query.rack = rack;
+    const int32_t worker = BestWorker(state, query, now);
+    complete = worker != kNowhere;
+    if (complete) {
+      places.push_back(worker);
+      OccupyWorker(state, ref, worker);
+    }
+  }
+  for (uint32_t index = 0; index < places.size(); ++index)
+    VacateWorker(state, TaskRef{key.owner, key.step, index});
+  return complete;
+}
+
+std::vector<RackId> RacksOf(const State& state, const RackId& first) {
+  std::vector<RackId> racks;
+  for (const Worker& worker : state.workers) {
+    if (std::find(racks.begin(), racks.end(), worker.info.rack) == racks.end())
+      racks.push_back(worker.info.rack);
+  }
+  std::stable_partition(racks.begin(), racks.end(),
+                        [&first](const RackId& rack) { return rack == first; });
+  return racks;
+}
+
+bool FindGangPlaces(State& state,
+                    const ReadyKey& key,
+                    TimePoint now,
+                    std::vector<int32_t>& places) {
+  const StepSpec& spec = key.owner->job->spec.steps[key.step];
+  if (spec.same_rack) {
+    for (const RackId& rack : RacksOf(state, spec.data_rack)) {
+      if (TryPlaceGang(state, key, &rack, now, places))
+        return true;
+    }
+  }
+  return TryPlaceGang(state, key, nullptr, now, places);
+}
+
+bool PlaceGang(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+  Step& step = key.owner->steps[key.step];
+  const bool all_wait = std::all_of(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& task) { return task.phase == TaskPhase::kReady; });
+  std::vector<int32_t> places;
+  if (!all_wait || !FindGangPlaces(state, key, now, places))
+    return false;
+  step.ready.clear();
+  // Members share the run number and the checkpoint of one of them.
+  RunNumber run;
+  std::string checkpoint;
+  for (const Task& task : step.tasks) {
+    run = std::max(run, task.run);
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+    step.tasks[index].run = run;
+    step.tasks[index].checkpoint = checkpoint;
+    StartTask(state, TaskRef{key.owner, key.step, index}, places[index], plan);
+  }
+  return true;
+}
+
+bool PlaceStep(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+  if (key.owner->job->ended_at)
+    return true;
+  if (key.owner->job->spec.steps[key.step].gang)
+    return PlaceGang(state, key, now, plan);
+  return PlaceTasks(state, key, now, plan);
+}
+
+}  // namespace
+
+int32_t FindPlace(const State& state, const TaskRef& ref, TimePoint now) {
+  return BestWorker(state, QueryOf(state, ref), now);
+}
+
+void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
+  int misses = 0;
+  std::vector<ReadyKey> moved;
+  for (auto next = state.ready.begin();
+       next != state.ready.end() && misses < kMaxMisses;) {
+    const ReadyKey key = *next;
+    const ReadyKey current = MakeReadyKey(state, *key.owner, key.step, now);
+    if (key < current || current < key) {
+      moved.push_back(current);
+      next = state.ready.erase(next);
+      continue;
+    }
+    if (PlaceStep(state, key, now, plan)) {
+      next = state.ready.erase(next);
+      continue;
+    }
+    ++misses;
+    ++next;
+  }
+  state.ready.insert(moved.begin(), moved.end());
+  if (!moved.empty())
+    state.changed = true;
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/sched/progress.cc
@@ -0,0 +1,136 @@
+#include "src/sched/progress.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "src/core/strings.h"
+#include "src/sched/jobs.h"
+#include "src/sched/residence.h"
+#include "src/sched/workers.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using nlohmann::json;
+
+// Codes in stored records; they must not change.
+constexpr int kWaitingCode = 0;
+constexpr int kPlacedCode = 1;
+constexpr int kDoneCode = 2;
+
+json EncodeTask(const State& state, const Task& task) {
+  if (task.phase == TaskPhase::kDone)
+    return json(kDoneCode);
+  json fields = json::array();
+  const bool placed = task.worker != kNowhere;
+  fields.push_back(placed ? kPlacedCode : kWaitingCode);
+  fields.push_back(task.run.value());
+  fields.push_back(task.failures);
+  fields.push_back(task.checkpoint);
+  if (placed) {
+    fields.push_back(
+        state.workers[static_cast<size_t>(task.worker)].info.id.value());
+  }
+  return fields;
+}
+
+bool ApplyTask(State& state, const TaskRef& ref, const json& stored) {
+  Task& task = TaskOf(ref);
+  if (stored.is_number()) {
+    task.phase = TaskPhase::kDone;
+    --StepOf(ref).open;
+    return true;
+  }
+  task.run = RunNumber(stored.at(1).get<uint64_t>());
+  task.failures = stored.at(2).get<uint32_t>();
+  task.checkpoint = stored.at(3).get<std::string>();
+  if (task.run.value() > 0)
+    ref.iteration->job->has_started = true;
+  if (stored.at(0).get<int>() != kPlacedCode)
+    return true;
+  const int32_t worker =
+      WorkerIndex(state, WorkerId(stored.at(4).get<std::string>()));
+  OccupyWorker(state, ref, worker);
+  task.phase = TaskPhase::kRunning;
+  // Any listing that carries this owner's fence shows the run or rules it out.
+  task.visible_from = state.claimed;
+  return true;
+}
+
+bool ApplyStoredIteration(State& state, Job& job, uint32_t number, const json& stored) {
+  Iteration& iteration = IterationOf(state, job, number, state.claimed);
+  const json& steps = stored.at("t");
+  if (steps.size() != iteration.steps.size())
+    return false;
+  for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
+    Step& step = iteration.steps[i];
+    if (steps[i].size() != step.tasks.size())
+      return false;
+    const bool was_open = step.open > 0;
+    for (uint32_t index = 0; index < step.tasks.size(); ++index)
+      ApplyTask(state, TaskRef{&iteration, i, index}, steps[i][index]);
+    if (was_open && step.open == 0)
+      --iteration.open;
+  }
+  if (iteration.open == 0)
+    ++job.iterations_done;
+  return true;
+}
+
+std::optional<std::pair<JobId, uint32_t>> SplitKey(std::string_view key) {
+  const size_t dot = key.rfind('.');
+  if (dot == std::string_view::npos)
+    return std::nullopt;
+  const auto number = ParseUnsigned(key.substr(dot + 1));
+  if (!number)
+    return std::nullopt;
+  return std::pair(JobId(std::string(key.substr(0, dot))),
+                   static_cast<uint32_t>(*number));
+}
+
+}  // namespace
+
+std::string ProgressKey(const JobId& id, uint32_t iteration) {
+  return id.value() + "." + std::to_string(iteration);
+}
+
+ProgressRecord EncodeProgress(const State& state, const Iteration& iteration) {
+  json steps = json::array();
+  for (const Step& step : iteration.steps) {
+    json tasks = json::array();
+    for (const Task& task : step.tasks)
+      tasks.push_back(EncodeTask(state, task));
+    steps.push_back(std::move(tasks));
+  }
+  const json stored = {{"s", static_cast<int>(iteration.job->state)},
+                       {"t", std::move(steps)}};
+  const std::vector<uint8_t> bytes = json::to_cbor(stored);
+  return {ProgressKey(iteration.job->spec.id, iteration.number),
+          std::string(bytes.begin(), bytes.end())};
+}
+
+bool ApplyProgress(State& state, const ProgressRecord& record) {
+  const auto key = SplitKey(record.key);
+  if (!key)
+    return false;
+  const auto found = state.jobs.find(key->first);
+  if (found == state.jobs.end())
+    return false;
+  Job& job = *found->second;
+  const json stored = json::from_cbor(record.value, true, false);
+  if (stored.is_discarded())
+    return false;
+  try {
+    const auto end = static_cast<JobState>(stored.at("s").get<int>());
+    if (end == JobState::kFailed || end == JobState::kCancelled ||
+        end == JobState::kCompleted)
+      job.state = end;
+    return ApplyStoredIteration(state, job, key->second, stored);
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/scheduler/cell.cc
@@ -0,0 +1,398 @@
+#include "src/scheduler/cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cowslipmast/sched/codec.h"
+#include "src/scheduler/clock.h"
+#include "src/scheduler/event_log.h"
+#include "src/scheduler/job_intake.h"
+#include "src/scheduler/progress_writer.h"
+#include "src/scheduler/signal.h"
+#include "src/scheduler/topic_follower.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An owner without proof from the store for this long extends no leases, so
+// that a worker that only it can reach becomes free for a later owner. Leases
+// bridge a longer outage.
+constexpr Duration kAuthority = std::chrono::seconds(3);
+// Without other appends, proof is asked for this often.
+constexpr Duration kProveEvery = milliseconds(1000);
+// Time between plans, in which events gather: each plan costs an append.
+constexpr Duration kPlanGap = milliseconds(15);
+constexpr Duration kRetryAfter = milliseconds(100);
+// Answers of the stream of jobs that are older than this do not show that a
+// job does not exist; it must be visible 3 s after its acceptance.
+constexpr Duration kJobsCurrent = milliseconds(2000);
+constexpr FollowTiming kFollowJobs = {.wait = milliseconds(1000),
+                                      .gap = milliseconds(10)};
+// Workers announce themselves about every second; a start may go to a draining
+// worker for 2.5 s.
+constexpr FollowTiming kFollowWorkers = {.wait = milliseconds(1000),
+                                         .gap = milliseconds(250)};
+constexpr Duration kForgetTimeout = milliseconds(1000);
+
+}  // namespace
+
+struct Cell::Impl : std::enable_shared_from_this<Cell::Impl> {
+  Impl(asio::io_context& context,
+       const StorePort& store_port,
+       const WorkerPort& worker_port,
+       const RecordReaders& record_readers,
+       const CellOptions& cell_options,
+       CellHooks cell_hooks)
+      : io(context),
+        store(store_port),
+        workers(worker_port),
+        readers(record_readers),
+        options(cell_options),
+        hooks(std::move(cell_hooks)),
+        writer(store_port, cell_options.epoch),
+        wake(context) {}
+
+  asio::awaitable<void> Run();
+  asio::awaitable<bool> Restore();
+  asio::awaitable<std::optional<TopicSnapshot>> ReadAll(Topic topic);
+  asio::awaitable<void> Prove();
+  asio::awaitable<bool> PlanOnce();
+  asio::awaitable<void> Forget(std::vector<JobId> jobs);
+  void StartFollowing();
+  void ApplyJobRecord(const KeyedRecord& record);
+  void ApplyWorkers(const TopicFollower::Records& newest,
+                    const std::vector<KeyedRecord>& added);
+  void LogDecisions();
+  bool HasAuthority() const;
+  void Lose();
+  void StopAll();
+
+  asio::io_context& io;
+  StorePort store;
+  WorkerPort workers;
+  RecordReaders readers;
+  CellOptions options;
+  CellHooks hooks;
+  ProgressWriter writer;
+  WakeSignal wake;
+  std::unique_ptr<Scheduler> scheduler;
+  std::shared_ptr<WorkerDriver> driver;
+  std::unique_ptr<TopicFollower> jobs;
+  std::unique_ptr<TopicFollower> listed;
+  bool restored = false;
+  bool stopped = false;
+};
+
+bool Cell::Impl::HasAuthority() const {
+  const auto proven = writer.proven_at();
+  return !stopped && proven && MonotonicNow() - *proven < kAuthority;
+}
+
+void Cell::Impl::StopAll() {
+  stopped = true;
+  writer.Abandon();
+  if (driver)
+    driver->Stop();
+  wake.Notify();
+}
+
+void Cell::Impl::Lose() {
+  if (stopped)
+    return;
+  LogEvent("cell_lost",
+           {{"epoch", static_cast<int64_t>(options.epoch.value())}});
+  StopAll();
+  hooks.on_lost();
+}
+
+void Cell::Impl::ApplyJobRecord(const KeyedRecord& record) {
+  const TimePoint now = MonotonicNow();
+  const std::string_view key = record.key;
+  if (record.value.empty())
+    return;
+  if (key.starts_with(kCancelKeyPrefix)) {
+    scheduler->CancelJob(JobId(record.key.substr(kCancelKeyPrefix.size())),
+                         now);
+    return;
+  }
+  const auto spec = key.starts_with(kJobKeyPrefix) ? DecodeJob(record.value)
+                                                   : std::nullopt;
+  if (!spec) {
+    LogEvent("job_unreadable", {{"key", record.key}});
+    return;
+  }
+  scheduler->AddJob(*spec, now, WallNow());
+}
+
+void Cell::Impl::ApplyWorkers(const TopicFollower::Records& newest,
+                              const std::vector<KeyedRecord>& added) {
+  const TimePoint now = MonotonicNow();
+  for (const KeyedRecord& record : added) {
+    const auto info = record.value.empty() ? std::nullopt
+                                           : readers.worker(record);
+    if (info)
+      scheduler->UpsertWorker(*info, now);
+    else
+      scheduler->RemoveWorker(WorkerId(record.key), now);
+  }
+  for (const WorkerInfo& info : scheduler->Workers()) {
+    if (newest.count(info.id.value()) == 0)
+      scheduler->RemoveWorker(info.id, now);
+  }
+  driver->SetWorkers(scheduler->Workers());
+  wake.Notify();
+}
+
+asio::awaitable<std::optional<TopicSnapshot>> Cell::Impl::ReadAll(Topic topic) {
+  while (!stopped) {
+    StoreError error;
+    std::optional<TopicSnapshot> snapshot =
+        co_await store.read_newest(topic, error);
+    if (snapshot)
+      co_return snapshot;
+    co_await Sleep(kRetryAfter);
+  }
+  co_return std::nullopt;
+}
+
+// Fences the earlier owners, then reads what they stored.
+asio::awaitable<bool> Cell::Impl::Restore() {
+  const bool fenced = co_await writer.Fence();
+  if (!fenced || stopped)
+    co_return false;
+  const TimePoint claimed = MonotonicNow();
+  SchedulerOptions scheduler_options = options.scheduler;
+  scheduler_options.earlier_owner_lease =
+      kAuthority + options.lease + options.lease / 20;
+  scheduler_options.lease = options.lease;
+  scheduler = Scheduler::Make(scheduler_options, claimed);
+  scheduler->SetPolicy(hooks.manifest().policy, claimed);
+  const auto job_records = co_await ReadAll(Topic::kJobs);
+  if (!job_records)
+    co_return false;
+  const auto progress = co_await ReadAll(Topic::kProgress);
+  if (!progress)
+    co_return false;
+  // Cancellations follow the progress, which may show an earlier end.
+  for (const KeyedRecord& record : job_records->records) {
+    if (record.key.starts_with(kJobKeyPrefix))
+      ApplyJobRecord(record);
+  }
+  for (const KeyedRecord& record : progress->records) {
+    if (!record.value.empty())
+      scheduler->RestoreProgress({record.key, record.value});
+  }
+  for (const KeyedRecord& record : job_records->records) {
+    if (record.key.starts_with(kCancelKeyPrefix))
+      ApplyJobRecord(record);
+  }
+  scheduler->FinishRestore(MonotonicNow());
+  LogEvent("cell_restored",
+           {{"epoch", static_cast<int64_t>(options.epoch.value())},
+            {"job_records", static_cast<int64_t>(job_records->records.size())},
+            {"progress_records",
+             static_cast<int64_t>(progress->records.size())},
+            {"took_ms", ToMillis(MonotonicNow() - claimed)}});
+  co_return true;
+}
+
+void Cell::Impl::StartFollowing() {
+  const std::weak_ptr<Impl> weak = weak_from_this();
+  WorkerDriverHooks driver_hooks;
+  driver_hooks.has_authority = [this] { return HasAuthority(); };
+  driver_hooks.on_event = [this] { wake.Notify(); };
+  driver_hooks.on_fenced = [this] { Lose(); };
+  driver = WorkerDriver::Make(io, workers, *scheduler, options.epoch,
+                              std::move(driver_hooks));
+  jobs = TopicFollower::Make(
+      io, store, Topic::kJobs, kFollowJobs,
+      [weak](const TopicFollower::Records&,
+             const std::vector<KeyedRecord>& added) {
+        const auto self = weak.lock();
+        if (!self || self->stopped)
+          return;
+        for (const KeyedRecord& record : added)
+          self->ApplyJobRecord(record);
+        self->wake.Notify();
+      });
+  listed = TopicFollower::Make(io, store, Topic::kWorkers, kFollowWorkers,
+                               [weak](const TopicFollower::Records& newest,
+                                      const std::vector<KeyedRecord>& added) {
+                                 const auto self = weak.lock();
+                                 if (self && !self->stopped)
+                                   self->ApplyWorkers(newest, added);
+                               });
+}
+
+// Deletes the submissions of ended jobs before their progress: the other way
+// round, a later owner could take one for a job that never ran.
+asio::awaitable<void> Cell::Impl::Forget(std::vector<JobId> ended) {
+  AppendRequest request;
+  request.topic = Topic::kJobs;
+  request.timeout = kForgetTimeout;
+  for (const JobId& id : ended) {
+    request.records.push_back({std::string(kJobKeyPrefix) + id.value(), ""});
+    request.records.push_back({std::string(kCancelKeyPrefix) + id.value(), ""});
+  }
+  while (!stopped) {
+    StoreError error;
+    const bool stored = co_await store.append(request, error);
+    if (stored)
+      co_return;
+    co_await Sleep(kRetryAfter);
+  }
+}
+
+void Cell::Impl::LogDecisions() {
+  for (const Decision& decision : scheduler->TakeDecisions()) {
+    LogEvent(decision.what,
+             {{"job", decision.task.job.value()},
+              {"iteration", static_cast<int64_t>(decision.task.iteration)},
+              {"step", static_cast<int64_t>(decision.task.step)},
+              {"task", static_cast<int64_t>(decision.task.index)},
+              {"run", static_cast<int64_t>(decision.run.value())},
+              {"worker", decision.worker.value()},
+              {"epoch", static_cast<int64_t>(options.epoch.value())},
+              {"detail", decision.detail}});
+  }
+}
+
+// Stores what was decided, then acts on it. False once the cell is lost.
+asio::awaitable<bool> Cell::Impl::PlanOnce() {
+  Plan plan = scheduler->MakePlan(MonotonicNow(), WallNow());
+  for (const StopCommand& stop : plan.stops)
+    driver->Send(stop);
+  for (const PaceCommand& pace : plan.paces)
+    driver->Send(pace);
+  LogDecisions();
+  if (!plan.forgotten.empty())
+    co_await Forget(std::move(plan.forgotten));
+  if (!plan.records.empty()) {
+    const bool stored = co_await writer.Store(std::move(plan.records));
+    if (stopped)
+      co_return false;
+    if (!stored) {
+      Lose();
+      co_return false;
+    }
+  }
+  scheduler->OnStored(MonotonicNow());
+  for (const StartCommand& start : plan.starts)
+    driver->Send(start);
+  co_return true;
+}
+
+// Keeps the proof of ownership young while there is nothing to store.
+asio::awaitable<void> Cell::Impl::Prove() {
+  const auto proven = writer.proven_at();
+  if (proven && MonotonicNow() - *proven < kProveEvery)
+    co_return;
+  const bool taken = co_await writer.Fence();
+  if (!taken && !stopped)
+    Lose();
+}
+
+asio::awaitable<void> Cell::Impl::Run() {
+  const auto self = shared_from_this();
+  const bool ready = co_await Restore();
+  if (stopped)
+    co_return;
+  if (!ready) {
+    Lose();
+    co_return;
+  }
+  restored = true;
+  StartFollowing();
+  while (!stopped) {
+    const auto due = scheduler->NextDue(MonotonicNow(), WallNow());
+    const Duration wait =
+        due ? *due - MonotonicNow() : Duration(milliseconds(200));
+    if (!scheduler->NeedsPlan())
+      co_await wake.Wait(std::max(Duration(1000), wait));
+    if (stopped)
+      co_return;
+    const bool owning = co_await PlanOnce();
+    if (!owning)
+      co_return;
+    co_await Prove();
+    co_await Sleep(kPlanGap);
+  }
+}
+
+Cell::Cell(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Cell::~Cell() {
+  Stop();
+}
+
+std::shared_ptr<Cell> Cell::Make(asio::io_context& io,
+                                 const StorePort& store,
+                                 const WorkerPort& workers,
+                                 const RecordReaders& readers,
+                                 const CellOptions& options,
+                                 CellHooks hooks) {
+  return std::shared_ptr<Cell>(
+      new Cell(std::make_shared<Impl>(io, store, workers, readers, options,
+                                      std::move(hooks))));
+}
+
+void Cell::Start() {
+  asio::co_spawn(m_impl->io, m_impl->Run(), asio::detached);
+}
+
+void Cell::Stop() {
+  m_impl->StopAll();
+}
+
+void Cell::OnManifest() {
+  if (!m_impl->scheduler || m_impl->stopped)
+    return;
+  m_impl->scheduler->SetPolicy(m_impl->hooks.manifest().policy,
+                               MonotonicNow());
+  m_impl->wake.Notify();
+}
+
+Epoch Cell::epoch() const {
+  return m_impl->options.epoch;
+}
+
+bool Cell::IsCurrent() const {
+  if (m_impl->stopped || !m_impl->restored || !m_impl->jobs)
+    return false;
+  const auto age = m_impl->jobs->Age();
+  return age && *age < kJobsCurrent;
+}
+
+std::optional<Duration> Cell::ProofAge() const {
+  const auto proven = m_impl->writer.proven_at();
+  if (!proven)
+    return std::nullopt;
+  return MonotonicNow() - *proven;
+}
+
+std::optional<JobState> Cell::StateOf(const JobId& id) const {
+  return m_impl->scheduler ? m_impl->scheduler->StateOf(id) : std::nullopt;
+}
+
+size_t Cell::CountWaiting(const QueueId& queue) const {
+  return m_impl->scheduler ? m_impl->scheduler->CountWaiting(queue) : 0;
+}
+
+std::string Cell::Dump() const {
+  return m_impl->scheduler ? m_impl->scheduler->Dump(MonotonicNow()) : "{}";
+}
+
+const SchedulerCounters& Cell::counters() const {
+  static const SchedulerCounters kNone;
+  return m_impl->scheduler ? m_impl->scheduler->counters() : kNone;
+}
+
+const WorkerCallCounters& Cell::calls() const {
+  static const WorkerCallCounters kNone;
+  return m_impl->driver ? m_impl->driver->counters() : kNone;
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/scheduler/clock.h
@@ -0,0 +1,37 @@
+#ifndef COWSLIPMAST_SRC_SCHEDULER_CLOCK_H_
+#define COWSLIPMAST_SRC_SCHEDULER_CLOCK_H_
+
+#include <chrono>
+
+#include "cowslipmast/units.h"
+#include "src/net/asio.h"
+
+namespace cowslipmast::sched {
+
+inline TimePoint MonotonicNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+inline WallTime WallNow() {
+  return WallTime(std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
+/** Whole milliseconds of a duration, for logs and messages. */
+inline int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+/** Waits on the executor of the calling coroutine. */
+inline asio::awaitable<void> Sleep(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHEDULER_CLOCK_H_
--- /dev/null
+++ b/src/scheduler/job_service.cc
@@ -0,0 +1,301 @@
+#include "src/scheduler/job_service.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cowslipmast/sched/codec.h"
+#include "src/scheduler/clock.h"
+#include "src/scheduler/event_log.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kJobsPath = "/v1/jobs/";
+constexpr std::string_view kWaitingPath = "/v1/waiting/";
+constexpr std::string_view kRecordsPath = "/v1/records/";
+
+// Of one question to the owner: 25 ms between regions, and a VM that is short
+// of processor time.
+constexpr Duration kAskTimeout = milliseconds(600);
+constexpr Duration kAskAgainAfter = milliseconds(80);
+// Of an append through the owner, whose own append may take 900 ms.
+constexpr Duration kForwardTimeout = milliseconds(1100);
+// An owner that answered in this time can be expected to answer again.
+constexpr Duration kOwnerAnswers = milliseconds(1000);
+constexpr Duration kWaitingAge = milliseconds(1000);
+
+struct CachedCount {
+  size_t count = 0;
+  TimePoint at;
+};
+
+// Bytes of a record as the body of a forwarded append.
+HttpRequest MakeForward(const KeyedRecord& record) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = std::string(kRecordsPath) + record.key;
+  request.headers.push_back({"Content-Type", "application/octet-stream"});
+  request.body = record.value;
+  return request;
+}
+
+std::optional<JobState> StateFromName(std::string_view name) {
+  for (const JobState state :
+       {JobState::kQueued, JobState::kActive, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (JobStateName(state) == name)
+      return state;
+  }
+  return std::nullopt;
+}
+
+IntakeResult Worse(IntakeResult a, IntakeResult b) {
+  return a == IntakeResult::kUnknown || b == IntakeResult::kUnknown
+             ? IntakeResult::kUnknown
+             : IntakeResult::kRefused;
+}
+
+}  // namespace
+
+struct JobService::Impl : std::enable_shared_from_this<JobService::Impl> {
+  Impl(HttpClient& http,
+       std::shared_ptr<JobIntake> job_intake,
+       std::shared_ptr<OwnerWatch> owner_watch,
+       std::function<std::shared_ptr<Cell>()> own_cell)
+      : client(http),
+        intake(std::move(job_intake)),
+        watch(std::move(owner_watch)),
+        cell(std::move(own_cell)) {}
+
+  std::optional<Endpoint> OtherOwner() const;
+  asio::awaitable<IntakeResult> Store(KeyedRecord record, Duration patience);
+  asio::awaitable<IntakeResult> Forward(Endpoint owner,
+                                        KeyedRecord record,
+                                        Duration patience);
+  asio::awaitable<std::optional<HttpResponse>> AskOwner(std::string path,
+                                                        TimePoint deadline);
+  HttpResponse AnswerState(std::string_view id) const;
+  HttpResponse AnswerWaiting(std::string_view queue) const;
+  asio::awaitable<HttpResponse> AnswerRecord(std::string key,
+                                             std::string value);
+
+  HttpClient& client;
+  std::shared_ptr<JobIntake> intake;
+  std::shared_ptr<OwnerWatch> watch;
+  std::function<std::shared_ptr<Cell>()> cell;
+  std::map<QueueId, CachedCount> waiting;
+};
+
+// The owner's address, if another process owns the cell and answers.
+std::optional<Endpoint> JobService::Impl::OtherOwner() const {
+  const auto owner = watch->owner();
+  const auto age = watch->OwnerAnswerAge();
+  if (!owner || watch->IsOwner() || !age || *age > kOwnerAnswers)
+    return std::nullopt;
+  return owner->control;
+}
+
+asio::awaitable<IntakeResult> JobService::Impl::Forward(Endpoint owner,
+                                                        KeyedRecord record,
+                                                        Duration patience) {
+  HttpRequest request = MakeForward(record);
+  NetError error;
+  const auto response =
+      co_await client.Call(owner, std::move(request),
+                           std::min(patience, kForwardTimeout), error);
+  if (!response) {
+    co_return error.request_sent ? IntakeResult::kUnknown
+                                 : IntakeResult::kRefused;
+  }
+  if (response->status == 200)
+    co_return IntakeResult::kStored;
+  co_return response->status == 503 ? IntakeResult::kRefused
+                                    : IntakeResult::kUnknown;
+}
+
+// Stores a record here, or through the owner where this process cannot reach
+// the store. The same record stored twice counts once.
+asio::awaitable<IntakeResult> JobService::Impl::Store(KeyedRecord record,
+                                                      Duration patience) {
+  const TimePoint deadline = MonotonicNow() + patience;
+  IntakeResult result = IntakeResult::kRefused;
+  if (intake->IsStoreAnswering()) {
+    result = co_await intake->Store(record);
+    if (result == IntakeResult::kStored)
+      co_return result;
+  }
+  const auto owner = OtherOwner();
+  const Duration left = deadline - MonotonicNow();
+  if (!owner || left < milliseconds(100))
+    co_return result;
+  const Endpoint endpoint = *owner;
+  const IntakeResult forwarded =
+      co_await Forward(endpoint, std::move(record), left);
+  co_return forwarded == IntakeResult::kStored ? forwarded
+                                               : Worse(result, forwarded);
+}
+
+// Asks the owner until it answers; a change of owner takes a few seconds.
+asio::awaitable<std::optional<HttpResponse>> JobService::Impl::AskOwner(
+    std::string path,
+    TimePoint deadline) {
+  while (MonotonicNow() < deadline) {
+    const auto owner = watch->owner();
+    if (owner && !watch->IsOwner()) {
+      HttpRequest request;
+      request.path = path;
+      NetError error;
+      const Endpoint endpoint = owner->control;
+      const Duration left = deadline - MonotonicNow();
+      auto response = co_await client.Call(
+          endpoint, std::move(request), std::min(left, kAskTimeout), error);
+      if (response && response->status != 503)
+        co_return response;
+    } else if (watch->IsOwner()) {
+      co_return std::nullopt;
+    }
+    co_await Sleep(kAskAgainAfter);
+  }
+  co_return std::nullopt;
+}
+
+HttpResponse JobService::Impl::AnswerState(std::string_view id) const {
+  const auto owned = cell();
+  if (!owned)
+    return MakeJsonResponse(503, R"({"error":"not_owner"})");
+  const auto state = owned->StateOf(JobId(std::string(id)));
+  if (state) {
+    return MakeJsonResponse(
+        200, nlohmann::json{{"state", JobStateName(*state)}}.dump());
+  }
+  if (!owned->IsCurrent())
+    return MakeJsonResponse(503, R"({"error":"not_current"})");
+  return MakeJsonResponse(404, R"({"error":"no_such_job"})");
+}
+
+HttpResponse JobService::Impl::AnswerWaiting(std::string_view queue) const {
+  const auto owned = cell();
+  if (!owned || !owned->IsCurrent())
+    return MakeJsonResponse(503, R"({"error":"not_current"})");
+  const size_t count = owned->CountWaiting(QueueId(std::string(queue)));
+  return MakeJsonResponse(200, nlohmann::json{{"waiting", count}}.dump());
+}
+
+asio::awaitable<HttpResponse> JobService::Impl::AnswerRecord(
+    std::string key,
+    std::string value) {
+  KeyedRecord record{std::move(key), std::move(value)};
+  const IntakeResult result = co_await intake->Store(std::move(record));
+  if (result == IntakeResult::kStored)
+    co_return MakeJsonResponse(200, "{}");
+  if (result == IntakeResult::kRefused)
+    co_return MakeJsonResponse(503, R"({"error":"store_unavailable"})");
+  co_return MakeJsonResponse(504, R"({"error":"outcome_unknown"})");
+}
+
+JobService::JobService(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+JobService::~JobService() = default;
+
+std::shared_ptr<JobService> JobService::Make(
+    asio::io_context& io,
+    const StorePort& store,
+    HttpClient& client,
+    std::shared_ptr<OwnerWatch> watch,
+    std::function<std::shared_ptr<Cell>()> cell) {
+  return std::shared_ptr<JobService>(new JobService(std::make_shared<Impl>(
+      client, JobIntake::Make(io, store), std::move(watch), std::move(cell))));
+}
+
+asio::awaitable<IntakeResult> JobService::Submit(JobSpec spec,
+                                                 Duration patience) {
+  KeyedRecord record{std::string(kJobKeyPrefix) + spec.id.value(),
+                     EncodeJob(spec)};
+  co_return co_await m_impl->Store(std::move(record), patience);
+}
+
+asio::awaitable<IntakeResult> JobService::Cancel(JobId id, Duration patience) {
+  KeyedRecord record{std::string(kCancelKeyPrefix) + id.value(), "1"};
+  co_return co_await m_impl->Store(std::move(record), patience);
+}
+
+asio::awaitable<std::optional<JobState>>
+JobService::StateOf(JobId id, Duration patience, QueryError& reason) {
+  const auto impl = m_impl;
+  const TimePoint deadline = MonotonicNow() + patience;
+  reason = QueryError::kNoOwner;
+  while (MonotonicNow() < deadline) {
+    HttpResponse answer;
+    if (impl->watch->IsOwner()) {
+      answer = impl->AnswerState(id.value());
+    } else {
+      auto asked = co_await impl->AskOwner(
+          std::string(kJobsPath) + id.value(), deadline);
+      if (!asked)
+        continue;
+      answer = std::move(*asked);
+    }
+    if (answer.status == 404) {
+      reason = QueryError::kNoSuchJob;
+      co_return std::nullopt;
+    }
+    if (answer.status == 200) {
+      const auto j = nlohmann::json::parse(answer.body, nullptr, false);
+      if (j.is_object())
+        co_return StateFromName(j.value("state", ""));
+    }
+    co_await Sleep(kAskAgainAfter);
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<size_t>> JobService::CountWaiting(
+    QueueId queue,
+    Duration patience) {
+  const auto impl = m_impl;
+  const TimePoint now = MonotonicNow();
+  const auto cached = impl->waiting.find(queue);
+  if (cached != impl->waiting.end() && now - cached->second.at < kWaitingAge)
+    co_return cached->second.count;
+  const TimePoint deadline = now + patience;
+  while (MonotonicNow() < deadline) {
+    std::optional<HttpResponse> answer;
+    if (impl->watch->IsOwner())
+      answer = impl->AnswerWaiting(queue.value());
+    else
+      answer = co_await impl->AskOwner(
+          std::string(kWaitingPath) + queue.value(), deadline);
+    if (answer && answer->status == 200) {
+      const auto j = nlohmann::json::parse(answer->body, nullptr, false);
+      if (j.is_object()) {
+        const auto count = j.value("waiting", size_t{0});
+        impl->waiting[queue] = CachedCount{count, now};
+        co_return count;
+      }
+    }
+    co_await Sleep(kAskAgainAfter);
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<HttpResponse>> JobService::AnswerPeer(
+    HttpRequest request) {
+  const std::string path(PathWithoutQuery(request.path));
+  const std::string_view view = path;
+  if (view.starts_with(kJobsPath))
+    co_return m_impl->AnswerState(view.substr(kJobsPath.size()));
+  if (view.starts_with(kWaitingPath))
+    co_return m_impl->AnswerWaiting(view.substr(kWaitingPath.size()));
+  if (request.method == "POST" && view.starts_with(kRecordsPath)) {
+    co_return co_await m_impl->AnswerRecord(
+        std::string(view.substr(kRecordsPath.size())),
+        std::move(request.body));
+  }
+  co_return std::nullopt;
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/scheduler/owner_watch.cc
@@ -0,0 +1,295 @@
+#include "src/scheduler/owner_watch.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/core/random.h"
+#include "src/scheduler/clock.h"
+#include "src/scheduler/event_log.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kAskEvery = milliseconds(300);
+// An answer takes 25 ms between regions; a VM that is out of processor time
+// may need 100 ms more.
+constexpr Duration kAskTimeout = milliseconds(400);
+// Three unanswered questions in a row.
+constexpr Duration kMissedAfter = milliseconds(1200);
+// An owner proves its ownership every second; one without the store for longer
+// cannot start anything.
+constexpr Duration kProofTooOld = milliseconds(2200);
+constexpr Duration kAppendTimeout = milliseconds(800);
+// A candidate waits this many times the latency of its own store calls, so that
+// one near the store, whose appends are quicker, comes first.
+constexpr int kLatencyWeight = 12;
+// Spreads candidates that are equally far, so that most claims meet no other.
+constexpr size_t kSpreadMs = 150;
+
+}  // namespace
+
+std::string EncodePeerHealth(const PeerHealth& health) {
+  nlohmann::json j = {{"epoch", health.epoch.value()},
+                      {"owning", health.owning}};
+  if (health.proof_age)
+    j["proof_age_ms"] = ToMillis(*health.proof_age);
+  return j.dump();
+}
+
+std::optional<PeerHealth> DecodePeerHealth(std::string_view body) {
+  const auto j = nlohmann::json::parse(body, nullptr, false);
+  if (j.is_discarded())
+    return std::nullopt;
+  try {
+    PeerHealth health{.epoch = Epoch(j.at("epoch").get<uint64_t>()),
+                      .owning = j.at("owning").get<bool>(),
+                      .proof_age = std::nullopt};
+    if (j.contains("proof_age_ms"))
+      health.proof_age = milliseconds(j.at("proof_age_ms").get<int64_t>());
+    return health;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+struct OwnerWatch::Impl : std::enable_shared_from_this<OwnerWatch::Impl> {
+  Impl(asio::io_context& context,
+       const StorePort& store_port,
+       HttpClient& http,
+       const CellChart& cell_chart,
+       const Claim& own,
+       uint64_t seed,
+       OwnerWatchHooks watch_hooks)
+      : io(context),
+        store(store_port),
+        client(http),
+        chart(cell_chart),
+        self_claim(own),
+        random(seed),
+        hooks(std::move(watch_hooks)) {}
+
+  asio::awaitable<void> Run();
+  asio::awaitable<bool> AskOwner();
+  asio::awaitable<bool> ReadClaim();
+  asio::awaitable<void> TryToClaim();
+  asio::awaitable<bool> AppendClaim(Claim claim, uint64_t at);
+  asio::awaitable<void> Consider(std::string_view why);
+  Duration ClaimDelay();
+
+  asio::io_context& io;
+  StorePort store;
+  HttpClient& client;
+  CellChart chart;
+  Claim self_claim;
+  Random random;
+  OwnerWatchHooks hooks;
+  std::optional<Claim> known;
+  uint64_t claims_end = 0;  // of the topic, when `known` was read
+  std::optional<TimePoint> answered;
+  Duration store_latency = milliseconds(5);
+  bool stopped = false;
+};
+
+asio::awaitable<bool> OwnerWatch::Impl::ReadClaim() {
+  StoreError error;
+  const TimePoint asked = MonotonicNow();
+  const auto snapshot = co_await store.read_newest(Topic::kOwner, error);
+  if (!snapshot)
+    co_return false;
+  store_latency = MonotonicNow() - asked;
+  claims_end = snapshot->end;
+  for (const KeyedRecord& record : snapshot->records) {
+    if (record.key != kClaimKey)
+      continue;
+    const auto claim = DecodeClaim(record.value);
+    if (!claim) {
+      LogEvent("claim_unreadable", {{"key", record.key}});
+      continue;
+    }
+    if (known != claim) {
+      LogEvent("owner", {{"process", claim->process.value()},
+                         {"epoch", static_cast<int64_t>(claim->epoch.value())},
+                         {"released", static_cast<int64_t>(claim->released)}});
+      known = claim;
+      answered = MonotonicNow();
+    }
+  }
+  co_return true;
+}
+
+// True if the owner answered and can work.
+asio::awaitable<bool> OwnerWatch::Impl::AskOwner() {
+  HttpRequest request;
+  request.path = std::string(kHealthPath);
+  const Endpoint endpoint = known->control;
+  NetError error;
+  const auto response = co_await client.Call(endpoint, std::move(request),
+                                             kAskTimeout, error);
+  if (!response) {
+    client.DropIdle(endpoint);
+    co_return false;
+  }
+  const auto health = DecodePeerHealth(response->body);
+  if (!health || !health->owning || health->epoch < known->epoch)
+    co_return false;
+  if (health->proof_age && *health->proof_age > kProofTooOld)
+    co_return false;
+  answered = MonotonicNow();
+  co_return true;
+}
+
+asio::awaitable<bool> OwnerWatch::Impl::AppendClaim(Claim claim, uint64_t at) {
+  AppendRequest request;
+  request.topic = Topic::kOwner;
+  request.records.push_back({std::string(kClaimKey), EncodeClaim(claim)});
+  request.at = at;
+  request.timeout = kAppendTimeout;
+  StoreError error;
+  const bool stored = co_await store.append(std::move(request), error);
+  if (!stored) {
+    LogEvent("claim_failed",
+             {{"epoch", static_cast<int64_t>(claim.epoch.value())},
+              {"detail", error.detail}});
+  }
+  co_return stored;
+}
+
+asio::awaitable<void> OwnerWatch::Impl::TryToClaim() {
+  Claim claim = self_claim;
+  claim.epoch = known ? known->epoch.Next() : Epoch(1);
+  const uint64_t at = claims_end;
+  const bool stored = co_await AppendClaim(claim, at);
+  if (stopped)
+    co_return;
+  if (!stored) {
+    chart.Process("claim_lost");
+    co_await Sleep(milliseconds(100));
+    co_return;
+  }
+  known = claim;
+  answered = MonotonicNow();
+  LogEvent("claimed", {{"epoch", static_cast<int64_t>(claim.epoch.value())}});
+  if (chart.Process("claim_won") == "start_cell")
+    hooks.on_won(claim.epoch);
+}
+
+Duration OwnerWatch::Impl::ClaimDelay() {
+  return std::min<Duration>(store_latency * kLatencyWeight,
+                            milliseconds(1500)) +
+         milliseconds(RandomBelow(random, kSpreadMs));
+}
+
+// Claims the cell, unless the owner answers or another process is first.
+asio::awaitable<void> OwnerWatch::Impl::Consider(std::string_view why) {
+  if (!hooks.may_claim())
+    co_return;
+  const auto before = known;
+  co_await Sleep(ClaimDelay());
+  const bool read = co_await ReadClaim();
+  if (!read || stopped || known != before)
+    co_return;
+  if (chart.Process("owner_missed") != "claim")
+    co_return;
+  LogEvent("owner_missed",
+           {{"why", why},
+            {"epoch",
+             static_cast<int64_t>(known ? known->epoch.value() : 0)}});
+  co_await TryToClaim();
+}
+
+asio::awaitable<void> OwnerWatch::Impl::Run() {
+  const auto self = shared_from_this();
+  while (!stopped) {
+    if (chart.state() == "owning") {
+      co_await Sleep(kAskEvery);
+      continue;
+    }
+    if (!known) {
+      const bool read = co_await ReadClaim();
+      if (read && !known)
+        co_await Consider("no owner");
+      else
+        co_await Sleep(milliseconds(50));
+      continue;
+    }
+    bool healthy = false;
+    if (!known->released && known->process != self_claim.process)
+      healthy = co_await AskOwner();
+    const bool patient =
+        !known->released && known->process != self_claim.process && answered &&
+        MonotonicNow() - *answered < kMissedAfter;
+    if (!healthy) {
+      // Another process may have claimed the cell already.
+      co_await ReadClaim();
+      if (!patient)
+        co_await Consider(known->released ? "released" : "silent");
+    }
+    co_await Sleep(kAskEvery);
+  }
+}
+
+OwnerWatch::OwnerWatch(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+OwnerWatch::~OwnerWatch() {
+  m_impl->stopped = true;
+}
+
+std::shared_ptr<OwnerWatch> OwnerWatch::Make(asio::io_context& io,
+                                             const StorePort& store,
+                                             HttpClient& client,
+                                             const CellChart& chart,
+                                             const Claim& self,
+                                             uint64_t seed,
+                                             OwnerWatchHooks hooks) {
+  return std::shared_ptr<OwnerWatch>(new OwnerWatch(std::make_shared<Impl>(
+      io, store, client, chart, self, seed, std::move(hooks))));
+}
+
+void OwnerWatch::Start() {
+  asio::co_spawn(m_impl->io, m_impl->Run(), asio::detached);
+}
+
+void OwnerWatch::OnFenced() {
+  m_impl->chart.Process("fenced");
+}
+
+asio::awaitable<void> OwnerWatch::Release() {
+  // The owner is followed on: callers are answered until the process ends.
+  const auto impl = m_impl;
+  const bool release = impl->chart.Process("sigterm") == "release";
+  if (!release || !impl->known)
+    co_return;
+  Claim claim = *impl->known;
+  claim.released = true;
+  const bool read = co_await impl->ReadClaim();
+  if (!read || !impl->known || impl->known->epoch != claim.epoch)
+    co_return;
+  const uint64_t at = impl->claims_end;
+  co_await impl->AppendClaim(claim, at);
+  impl->known = claim;
+  impl->chart.Process("released");
+}
+
+std::optional<Claim> OwnerWatch::owner() const {
+  return m_impl->known;
+}
+
+bool OwnerWatch::IsOwner() const {
+  return m_impl->chart.state() == "owning";
+}
+
+std::optional<Duration> OwnerWatch::OwnerAnswerAge() const {
+  if (!m_impl->answered)
+    return std::nullopt;
+  return MonotonicNow() - *m_impl->answered;
+}
+
+std::string_view OwnerWatch::state() const {
+  return m_impl->chart.state();
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/scheduler/owner_watch.h
@@ -0,0 +1,70 @@
+#ifndef COWSLIPMAST_SRC_SCHEDULER_OWNER_WATCH_H_
+#define COWSLIPMAST_SRC_SCHEDULER_OWNER_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "src/net/asio.h"
+#include "src/net/http_client.h"
+#include "src/scheduler/cell_chart.h"
+#include "src/scheduler/claim.h"
+#include "src/scheduler/ports.h"
+
+namespace cowslipmast::sched {
+
+struct OwnerWatchHooks {
+  /** This process won a claim: it owns the cell from here on. */
+  std::function<void(Epoch)> on_won;
+  /** True once this process could work as the owner. */
+  std::function<bool()> may_claim;
+};
+
+/** Knows which process owns the cell, and claims it when that one is missed. */
+class OwnerWatch {
+ public:
+  static std::shared_ptr<OwnerWatch> Make(asio::io_context& io,
+                                          const StorePort& store,
+                                          HttpClient& client,
+                                          const CellChart& chart,
+                                          const Claim& self,
+                                          uint64_t seed,
+                                          OwnerWatchHooks hooks);
+  ~OwnerWatch();
+
+  void Start();
+  /** The cell was taken by a later owner. */
+  void OnFenced();
+  /** Gives the claim up for a planned stop; returns when that is stored or
+   * cannot be. */
+  asio::awaitable<void> Release();
+
+  /** The owner as far as it is known; nothing before the first claim. */
+  std::optional<Claim> owner() const;
+  bool IsOwner() const;
+  /** How long ago the owner last answered. */
+  std::optional<Duration> OwnerAnswerAge() const;
+  std::string_view state() const;
+
+ private:
+  struct Impl;
+  explicit OwnerWatch(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+/** Answer of a process to a question after its health. */
+struct PeerHealth {
+  Epoch epoch;         // of the cell that it owns
+  bool owning = false;
+  std::optional<Duration> proof_age;  // of its ownership, from the store
+};
+
+std::string EncodePeerHealth(const PeerHealth& health);
+std::optional<PeerHealth> DecodePeerHealth(std::string_view body);
+
+/** Path on the control address that answers with `PeerHealth`. */
+inline constexpr std::string_view kHealthPath = "/v1/owner";
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHEDULER_OWNER_WATCH_H_
