--- a/include/cowslipmast/sched/job.h
+++ b/include/cowslipmast/sched/job.h
@@ -24,13 +24,13 @@
   Duration estimate{0};              // rough run time of a task
   std::vector<uint32_t> depends_on;  // earlier steps that must be done first
   bool checkpointing = false;
-  bool gang = false;         // the tasks run together or not at all
-  bool same_rack = false;    // the tasks are slower across racks
-  bool speculative = false;  // copies may run; the first end counts
-  bool lasting = false;      // runs until the job is cancelled
-  bool fills = false;        // runs on processor time that others leave
-  std::string label;         // that the worker must have; empty for any
-  RackId data_rack;          // tasks are slower elsewhere; empty for any
+  bool gang = false;            // the tasks run together or not at all
+  bool same_rack = false;       // the tasks are slower across racks
+  bool speculative = false;     // copies may run; the first end counts
+  bool lasting = false;         // runs until the job is cancelled
+  bool fills = false;           // runs on processor time that others leave
+  std::string label;            // that the worker must have; empty for any
+  RackId data_rack;             // tasks are slower elsewhere; empty for any
   uint32_t max_per_worker = 0;  // 0 for no limit
   ImageId image;                // tasks of one image behave alike
   Duration latency_target{0};   // of a task's own callers; 0 for none
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -85,11 +85,11 @@
   uint64_t done = 0;
   uint64_t failed = 0;
   uint64_t lapsed = 0;
-  uint64_t lost = 0;      // runs that are gone without an end
-  uint64_t no_room = 0;   // starts refused for want of room
+  uint64_t lost = 0;     // runs that are gone without an end
+  uint64_t no_room = 0;  // starts refused for want of room
   uint64_t stops = 0;
   uint64_t paces = 0;
-  uint64_t foreign = 0;   // listed runs that the records do not explain
+  uint64_t foreign = 0;  // listed runs that the records do not explain
   uint64_t bad_records = 0;
 };
 
@@ -175,6 +175,9 @@
   const SchedulerCounters& counters() const;
   /** Decisions since the last call, oldest first. */
   std::vector<Decision> TakeDecisions();
+  /** What runs on a worker as it was last listed, as JSON text on one line:
+   * for studying how tasks disturb each other. */
+  std::string DescribeWorker(const WorkerId& id) const;
   /** State as indented JSON text, for people. */
   std::string Dump(TimePoint now) const;
 
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -16,11 +16,11 @@
 constexpr Duration kKeepEnded = std::chrono::seconds(150);
 
 bool AreDependenciesDone(const Iteration& iteration, const StepSpec& spec) {
-  return std::all_of(
-      spec.depends_on.begin(), spec.depends_on.end(), [&](uint32_t earlier) {
-        return earlier < iteration.steps.size() &&
-               iteration.steps[earlier].open == 0;
-      });
+  return std::all_of(spec.depends_on.begin(), spec.depends_on.end(),
+                     [&](uint32_t earlier) {
+                       return earlier < iteration.steps.size() &&
+                              iteration.steps[earlier].open == 0;
+                     });
 }
 
 void FinishIteration(State& state, Iteration& iteration, TimePoint now) {
@@ -54,10 +54,7 @@
   state.dirty.push_back(&iteration);
 }
 
-Iteration& IterationOf(State& state,
-                       Job& job,
-                       uint32_t number,
-                       TimePoint due) {
+Iteration& IterationOf(State& state, Job& job, uint32_t number, TimePoint due) {
   std::unique_ptr<Iteration>& slot = job.iterations[number];
   if (slot)
     return *slot;
@@ -71,6 +68,10 @@
     slot->steps[i].open = job.spec.steps[i].count;
     if (slot->steps[i].open > 0)
       ++slot->open;
+    const StepSpec& spec = job.spec.steps[i];
+    slot->steps[i].image = spec.fills
+                               ? FillingImage(state.pressure, spec.image)
+                               : ServingImage(state.pressure, spec.image);
   }
   state.changed = true;
   return *slot;
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -6,10 +6,7 @@
 namespace cowslipmast::sched {
 
 /** Makes the iteration if it does not exist. */
-Iteration& IterationOf(State& state,
-                       Job& job,
-                       uint32_t number,
-                       TimePoint due);
+Iteration& IterationOf(State& state, Job& job, uint32_t number, TimePoint due);
 
 /** Makes the iterations that are due. */
 void OpenDueIterations(State& state, TimePoint now, WallTime wall);
--- a/src/sched/lease.cc
+++ b/src/sched/lease.cc
@@ -19,8 +19,8 @@
                        WorkerClock end) {
   const int64_t ahead = std::max<int64_t>(
       0, end.count() - worker.clock.value_or(WorkerClock(0)).count());
-  const Duration wait(static_cast<int64_t>(
-      static_cast<double>(ahead) * 1000.0 / (1.0 - options.slow_clock)));
+  const Duration wait(static_cast<int64_t>(static_cast<double>(ahead) * 1000.0 /
+                                           (1.0 - options.slow_clock)));
   return worker.clock_at + wait + kKillMargin;
 }
 
--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -33,8 +33,8 @@
 TimePoint ObjectiveOf(const State& state, const Iteration& iteration) {
   const QueuePolicy& policy = PolicyOf(state, *iteration.job);
   const Duration chain = LongestChain(iteration.job->spec, 0);
-  const Duration stretched(
-      static_cast<int64_t>(static_cast<double>(chain.count()) * policy.stretch));
+  const Duration stretched(static_cast<int64_t>(
+      static_cast<double>(chain.count()) * policy.stretch));
   return iteration.due + stretched + policy.target_latency;
 }
 
--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -1,37 +1,165 @@
 #include "src/sched/pacing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
+#include <vector>
 
 namespace cowslipmast::sched {
 
 namespace {
 
-// The tail is a rough figure of the last half second, so a pace has to stand
-// for longer than that before it is judged.
-constexpr Duration kJudgeAfter = std::chrono::milliseconds(600);
-// Share of the latency target at which filling tasks are slowed down, and
-// below which they are sped up.
-constexpr double kTooHigh = 0.95;
-constexpr double kLowEnough = 0.7;
-constexpr uint32_t kRaiseBy = 25;  // percent points
 constexpr uint32_t kFullPace = 100;
-// At a pace near zero a task stands still: a step below stops the work.
-constexpr uint32_t kLowestPace = 10;
+// A pace is sent when it differs by this much, or is full or zero.
+constexpr uint32_t kLeastChange = 12;
+// Utilisation kept free below the target: a task's own load may rise by 0.1
+// until the next listing.
+constexpr double kMargin = 0.06;
+// A filling image whose share presses less than this is not slowed down.
+constexpr double kNoticeable = 0.02;
+// Weight of a new reading of a task's own load; its waves take 10 s.
+constexpr double kOwnLoadWeight = 0.6;
+// Tails over the target in a row, that the model does not explain, after which
+// all filling tasks are slowed down; listings come 0.7 s apart, and a task may
+// be over its target for 4 s.
+constexpr uint32_t kUnexplained = 2;
+constexpr double kSlowDown = 0.4;
+constexpr double kSpeedUp = 0.3;  // added with each listing within the target
 
-// Largest ratio of measured tail to target among the worker's serving tasks.
-double WorstTail(const Worker& worker) {
-  double worst = 0;
+bool IsServing(const StepSpec& spec) {
+  return !spec.fills && spec.latency_target.count() > 0;
+}
+
+double ShareOf(const Worker& worker, double millicores) {
+  return millicores /
+         std::max(1.0, static_cast<double>(worker.info.capacity.cpu.count()));
+}
+
+// Shares that the filling images used when the worker listed them.
+std::vector<FillingShare> UsedShares(const Worker& worker) {
+  std::vector<FillingShare> shares;
   for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(ref);
     const Task& task = TaskOf(ref);
-    if (spec.latency_target.count() == 0 || !task.load || spec.fills)
+    if (!SpecOf(ref).fills || !task.load || *task.load <= 0 ||
+        task.listing != worker.listings)
       continue;
-    const double target_ms =
-        static_cast<double>(spec.latency_target.count()) / 1000.0;
-    worst = std::max(worst, static_cast<double>(*task.load) / target_ms);
+    const double share = ShareOf(worker, static_cast<double>(*task.load));
+    const ImageIndex image = StepOf(ref).image;
+    const auto known = std::find_if(
+        shares.begin(), shares.end(),
+        [image](const FillingShare& other) { return other.image == image; });
+    if (known != shares.end())
+      known->share += share;
+    else
+      shares.push_back({image, share});
   }
-  return worst;
+  return shares;
+}
+
+double TargetMs(const StepSpec& spec) {
+  return static_cast<double>(spec.latency_target.count()) / 1000.0;
+}
+
+// Reads the tails of the worker's serving tasks. True if one is over its target
+// for a reason that the model does not know.
+bool ReadTails(State& state, Worker& worker) {
+  const std::vector<FillingShare> shares = UsedShares(worker);
+  bool unexplained = false;
+  for (const TaskRef& ref : worker.tasks) {
+    const StepSpec& spec = SpecOf(ref);
+    Task& task = TaskOf(ref);
+    // Below 100 percent the task is still starting up.
+    if (!IsServing(spec) || !task.load || *task.load <= 0 ||
+        task.percent < 100 || task.listing != worker.listings)
+      continue;
+    const ImageIndex image = StepOf(ref).image;
+    ServingModel& model = state.pressure.serving[image];
+    const auto tail = static_cast<double>(*task.load);
+    if (model.shortest_tail_ms <= 0 || tail < model.shortest_tail_ms)
+      model.shortest_tail_ms = tail;
+    const double used = UtilisationAt(model, tail, TargetMs(spec));
+    Observe(state.pressure, image, used, shares);
+    const double pressed = TotalPressure(state.pressure, image, shares);
+    const double own = std::clamp(used - pressed, 0.0, 0.8);
+    task.own_load += kOwnLoadWeight * (own - task.own_load);
+    if (tail > TargetMs(spec) && !shares.empty() && pressed < kMargin)
+      unexplained = true;
+  }
+  return unexplained;
+}
+
+// Share of full pace at which the filling tasks leave a serving task within its
+// limit, given what they press on it at full pace.
+double PaceFor(double own_load, double limit, double pressed) {
+  if (pressed <= kNoticeable)
+    return 1.0;
+  return std::clamp((limit - own_load) / pressed, 0.0, 1.0);
+}
+
+double LimitOf(const State& state, const TaskRef& ref) {
+  const double target = TargetMs(SpecOf(ref));
+  return UtilisationAt(state.pressure.serving[StepOf(ref).image], target,
+                       target) -
+         kMargin;
+}
+
+// Processors that a filling task would use at full pace.
+double FullUse(const TaskRef& ref) {
+  const Task& task = TaskOf(ref);
+  const auto declared = static_cast<double>(SpecOf(ref).need.cpu.count());
+  if (!task.load || *task.load <= 0 || task.pace < 20 || task.pace > kFullPace)
+    return declared;
+  return std::min(declared * 1.5, static_cast<double>(*task.load) * 100.0 /
+                                      static_cast<double>(task.pace));
+}
+
+void SetPaces(State& state, Worker& worker) {
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).fills)
+      TaskOf(ref).wanted_pace = kFullPace;
+  }
+  for (const TaskRef& serving : worker.tasks) {
+    if (!IsServing(SpecOf(serving)))
+      continue;
+    const ImageIndex image = StepOf(serving).image;
+    std::vector<std::pair<Task*, double>> pressing;
+    double pressed = 0;
+    for (const TaskRef& ref : worker.tasks) {
+      if (!SpecOf(ref).fills)
+        continue;
+      const double by_task =
+          Pressure(state.pressure, image, StepOf(ref).image) *
+          ShareOf(worker, FullUse(ref));
+      if (by_task < kNoticeable / 2)
+        continue;
+      pressed += by_task;
+      pressing.emplace_back(&TaskOf(ref), by_task);
+    }
+    const double pace =
+        PaceFor(TaskOf(serving).own_load, LimitOf(state, serving), pressed);
+    for (const auto& [task, by_task] : pressing) {
+      task->wanted_pace = std::min(
+          task->wanted_pace, static_cast<uint32_t>(std::lround(pace * 100)));
+    }
+  }
+}
+
+void SlowAllDown(Worker& worker) {
+  for (const TaskRef& ref : worker.tasks) {
+    Task& task = TaskOf(ref);
+    if (SpecOf(ref).fills)
+      task.wanted_pace = static_cast<uint32_t>(
+          static_cast<double>(task.wanted_pace) * worker.fill_factor);
+  }
+}
+
+bool DiffersEnough(const Task& task) {
+  if (task.pace == task.wanted_pace)
+    return false;
+  const uint32_t change = task.pace > task.wanted_pace
+                              ? task.pace - task.wanted_pace
+                              : task.wanted_pace - task.pace;
+  return change >= kLeastChange || task.wanted_pace == 0;
 }
 
 }  // namespace
@@ -42,30 +170,56 @@
   for (const TaskRef& ref : worker.tasks) {
     const StepSpec& spec = SpecOf(ref);
     fills = fills || spec.fills;
-    serves = serves || (!spec.fills && spec.latency_target.count() > 0);
+    serves = serves || IsServing(spec);
   }
   return serves && fills;
 }
 
-void PaceFillingTasks(State& state, int32_t worker, TimePoint now) {
-  Worker& host = state.workers[static_cast<size_t>(worker)];
-  if (!IsShared(host)) {
-    host.fill_pace = kFullPace;
-    return;
+void PaceFillingTasks(State& state, int32_t index, TimePoint) {
+  Worker& worker = state.workers[static_cast<size_t>(index)];
+  const bool unexplained = ReadTails(state, worker);
+  if (!IsShared(worker)) {
+    worker.fill_factor = 1.0;
+    worker.unexplained = 0;
+  } else if (unexplained) {
+    if (++worker.unexplained >= kUnexplained)
+      worker.fill_factor *= kSlowDown;
+  } else {
+    worker.unexplained = 0;
+    worker.fill_factor = std::min(1.0, worker.fill_factor + kSpeedUp);
+  }
+  SetPaces(state, worker);
+  SlowAllDown(worker);
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).fills && DiffersEnough(TaskOf(ref)))
+      state.changed = true;
+  }
+}
+
+double RoomBeside(const State& state,
+                  const Worker& worker,
+                  ImageIndex filling,
+                  MilliCores cpu) {
+  double least = kAmpleRoom;
+  for (const TaskRef& serving : worker.tasks) {
+    if (!IsServing(SpecOf(serving)))
+      continue;
+    const ImageIndex image = StepOf(serving).image;
+    const double added = Pressure(state.pressure, image, filling) *
+                         ShareOf(worker, static_cast<double>(cpu.count()));
+    if (added < kNoticeable / 2)
+      continue;
+    double pressed = added;
+    for (const TaskRef& ref : worker.tasks) {
+      if (SpecOf(ref).fills) {
+        pressed += Pressure(state.pressure, image, StepOf(ref).image) *
+                   ShareOf(worker, FullUse(ref));
+      }
+    }
+    least = std::min(
+        least, LimitOf(state, serving) - TaskOf(serving).own_load - pressed);
   }
-  if (host.pace_changed && now - *host.pace_changed < kJudgeAfter)
-    return;
-  const double tail = WorstTail(host);
-  uint32_t pace = host.fill_pace;
-  if (tail > kTooHigh)
-    pace = pace <= kLowestPace ? 0 : std::max(kLowestPace, pace / 2);
-  else if (tail < kLowEnough)
-    pace = std::min(kFullPace, pace + kRaiseBy);
-  if (pace == host.fill_pace)
-    return;
-  host.fill_pace = pace;
-  host.pace_changed = now;
-  state.changed = true;
+  return least;
 }
 
 void PlanPaces(State& state, Plan& plan) {
@@ -75,9 +229,9 @@
     for (const TaskRef& ref : worker.tasks) {
       Task& task = TaskOf(ref);
       if (!SpecOf(ref).fills || task.phase != TaskPhase::kRunning ||
-          task.pace == worker.fill_pace)
+          !DiffersEnough(task))
         continue;
-      task.pace = worker.fill_pace;
+      task.pace = task.wanted_pace;
       ++state.counters.paces;
       Note(state, "run_paced", ref, "percent=" + std::to_string(task.pace));
       plan.paces.push_back(
--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -1,13 +1,14 @@
 #include "src/sched/placing.h"
 
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
+#include "src/sched/pacing.h"
 #include "src/sched/residence.h"
 #include "src/sched/workers.h"
 
@@ -16,13 +17,14 @@
 namespace {
 
 // Part of a worker's processors that lasting tasks may reserve; short urgent
-// work needs about 5% of the capacity of the first deployments, in large pieces.
+// work needs about 5% of the capacity of the first deployments, in large
+// pieces.
 constexpr double kLastingShare = 0.92;
-// Lasting tasks use less than they reserve: 0.42 on average, with waves of half
-// that, in the workloads of the first deployments.
-constexpr double kLastingUse = 0.5;
 // A task that fills starts where this share of its need is left over.
 constexpr double kFillShare = 0.6;
+// Utilisation that a filling task must leave to the serving tasks beside it;
+// below zero it would start only to be slowed down.
+constexpr double kLeastRoom = 0.0;
 // Steps that do not fit before the rest of the line is left for the next plan;
 // bounds the time of a plan while much waits.
 constexpr int kMaxMisses = 24;
@@ -32,11 +34,16 @@
 }
 
 // Processor time that neither reserved nor filling tasks are expected to use.
+// Lasting tasks use a part of what they reserve, by their load of the moment.
 double LeftOver(const Worker& worker) {
-  const double lasting = Cores(worker.lasting);
-  const double short_work = Cores(worker.reserved.cpu) - lasting;
-  return Cores(worker.info.capacity.cpu) - short_work -
-         lasting * kLastingUse - Cores(worker.filling);
+  double lasting = 0;
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).lasting && !SpecOf(ref).fills)
+      lasting += Cores(SpecOf(ref).need.cpu) * TaskOf(ref).own_load;
+  }
+  const double short_work = Cores(worker.reserved.cpu) - Cores(worker.lasting);
+  return Cores(worker.info.capacity.cpu) - short_work - lasting -
+         Cores(worker.filling);
 }
 
 bool HasLabel(const Worker& worker, const std::string& label) {
@@ -52,7 +59,7 @@
   if (!Fits(need, worker.info.capacity - worker.reserved))
     return false;
   if (spec.fills)
-    return LeftOver(worker) >= Cores(spec.need.cpu) * kFillShare;
+    return true;
   return !spec.lasting || Cores(worker.lasting) + Cores(spec.need.cpu) <=
                               Cores(worker.info.capacity.cpu) * kLastingShare;
 }
@@ -64,15 +71,58 @@
       }));
 }
 
-// Larger is better.
-double ScoreOf(const Worker& worker, const StepSpec& spec, bool far) {
+// How well a filling task fits beside what runs on the worker; nothing if it
+// should rather wait. Room for the serving tasks counts most.
+std::optional<double> FillScore(const State& state,
+                                const Worker& worker,
+                                const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
+  const double left = LeftOver(worker);
+  if (left < Cores(spec.need.cpu) * kFillShare)
+    return std::nullopt;
+  const double room =
+      RoomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
+  if (room < kLeastRoom)
+    return std::nullopt;
+  return room + 0.5 * left / std::max(1.0, Cores(worker.info.capacity.cpu));
+}
+
+// Serving tasks of one image are gathered: a filling image that presses on it
+// then finds workers where it presses on nothing.
+double GatheringScore(const Worker& worker, const TaskRef& ref) {
+  double same = 0;
+  double other = 0;
+  for (const TaskRef& beside : worker.tasks) {
+    const StepSpec& spec = SpecOf(beside);
+    if (!spec.lasting || spec.fills)
+      continue;
+    if (StepOf(beside).image == StepOf(ref).image)
+      same += 1;
+    else
+      other += 1;
+  }
+  return same + other > 0 ? (same - other) / (same + other) : 0.0;
+}
+
+// Larger is better; nothing if the task should not go there now.
+std::optional<double> ScoreOf(const State& state,
+                              const Worker& worker,
+                              const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
   // Away from its data a task takes twice as long; any free worker near it
   // is better than the best one elsewhere.
+  const bool far =
+      !spec.data_rack.empty() && worker.info.rack != spec.data_rack;
   const double penalty = far ? -1000.0 : 0.0;
+  if (spec.fills) {
+    const auto score = FillScore(state, worker, ref);
+    return score ? std::optional(penalty + *score) : std::nullopt;
+  }
   const double capacity = std::max(1.0, Cores(worker.info.capacity.cpu));
-  if (spec.fills)
-    return penalty + LeftOver(worker) / capacity;
-  return penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
+  const double score = penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
+  if (!spec.lasting || spec.latency_target.count() == 0)
+    return score;
+  return score + GatheringScore(worker, ref);
 }
 
 bool IsLastAttempt(const QueuePolicy& policy,
@@ -111,12 +161,10 @@
     const Worker& worker = state.workers[i];
     if (!IsSuitable(state, worker, query, now))
       continue;
-    const bool far = !query.spec.data_rack.empty() &&
-                     worker.info.rack != query.spec.data_rack;
-    const double score = ScoreOf(worker, query.spec, far);
-    if (best == kNowhere || score > best_score) {
+    const auto score = ScoreOf(state, worker, query.ref);
+    if (score && (best == kNowhere || *score > best_score)) {
       best = static_cast<int32_t>(i);
-      best_score = score;
+      best_score = *score;
     }
   }
   return best;
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -59,7 +59,10 @@
   return true;
 }
 
-bool ApplyStoredIteration(State& state, Job& job, uint32_t number, const json& stored) {
+bool ApplyStoredIteration(State& state,
+                          Job& job,
+                          uint32_t number,
+                          const json& stored) {
   Iteration& iteration = IterationOf(state, job, number, state.claimed);
   const json& steps = stored.at("t");
   if (steps.size() != iteration.steps.size())
--- a/src/sched/residence.cc
+++ b/src/sched/residence.cc
@@ -54,6 +54,8 @@
   task.load.reset();
   task.percent = 0;
   task.pace = 100;
+  task.wanted_pace = 100;
+  task.own_load = kUsualOwnLoad;
   state.changed = true;
 }
 
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -240,8 +240,7 @@
 void Scheduler::OnStarted(const StartCommand& command, TimePoint now) {
   State& state = m_impl->state;
   ++state.counters.starts;
-  const auto ref =
-      FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != TaskPhase::kPlanned)
     return;
   Task& task = TaskOf(*ref);
@@ -252,8 +251,7 @@
 
 void Scheduler::OnStartSkipped(const StartCommand& command, TimePoint now) {
   State& state = m_impl->state;
-  const auto ref =
-      FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker, command.task, command.run);
   if (!ref)
     return;
   Note(state, "start_skipped", *ref);
@@ -264,8 +262,7 @@
                                StartRefusal refusal,
                                TimePoint now) {
   State& state = m_impl->state;
-  const auto ref =
-      FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker, command.task, command.run);
   if (!ref)
     return;
   Note(state, "start_refused", *ref, std::string(StartRefusalName(refusal)));
@@ -286,8 +283,7 @@
 
 void Scheduler::OnStartUnknown(const StartCommand& command, TimePoint now) {
   State& state = m_impl->state;
-  const auto ref =
-      FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != TaskPhase::kPlanned)
     return;
   Note(state, "start_unknown", *ref);
@@ -334,12 +330,12 @@
 
 bool Scheduler::IsStillWanted(const StartCommand& command) const {
   const State& state = m_impl->state;
-  const auto ref =
-      FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != TaskPhase::kPlanned ||
       ref->iteration->job->ended_at)
     return false;
-  const Worker& worker = state.workers[static_cast<size_t>(TaskOf(*ref).worker)];
+  const Worker& worker =
+      state.workers[static_cast<size_t>(TaskOf(*ref).worker)];
   return !worker.info.draining && worker.contact == Contact::kInTouch &&
          state.policy.evacuated.count(worker.info.data_centre) == 0;
 }
@@ -384,8 +380,9 @@
   constexpr Duration kTick = std::chrono::milliseconds(200);
   TimePoint due = now + kTick;
   if (!m_impl->state.timed.empty())
-    due = std::min(due, now + std::max(Duration(0),
-                                       m_impl->state.timed.begin()->first - wall));
+    due = std::min(
+        due,
+        now + std::max(Duration(0), m_impl->state.timed.begin()->first - wall));
   return due;
 }
 
@@ -397,13 +394,12 @@
 }
 
 size_t Scheduler::CountWaiting(const QueueId& queue) const {
-  return static_cast<size_t>(
-      std::count_if(m_impl->state.jobs.begin(), m_impl->state.jobs.end(),
-                    [&queue](const auto& entry) {
-                      const Job& job = *entry.second;
-                      return job.spec.queue == queue && !job.has_started &&
-                             !job.ended_at;
-                    }));
+  return static_cast<size_t>(std::count_if(
+      m_impl->state.jobs.begin(), m_impl->state.jobs.end(),
+      [&queue](const auto& entry) {
+        const Job& job = *entry.second;
+        return job.spec.queue == queue && !job.has_started && !job.ended_at;
+      }));
 }
 
 bool Scheduler::NeedsCloseWatch(const WorkerId& id) const {
@@ -435,6 +431,31 @@
   return std::exchange(m_impl->state.decisions, {});
 }
 
+std::string Scheduler::DescribeWorker(const WorkerId& id) const {
+  using nlohmann::json;
+  const int32_t index = FindWorker(m_impl->state, id);
+  if (index == kNowhere)
+    return "{}";
+  const Worker& worker = m_impl->state.workers[static_cast<size_t>(index)];
+  json tasks = json::array();
+  for (const TaskRef& ref : worker.tasks) {
+    const Task& task = TaskOf(ref);
+    const StepSpec& spec = SpecOf(ref);
+    tasks.push_back({{"job", ref.iteration->job->spec.id.value()},
+                     {"image", spec.image.value()},
+                     {"cpu", spec.need.cpu.count()},
+                     {"target_ms", spec.latency_target.count() / 1000},
+                     {"fills", spec.fills},
+                     {"lasting", spec.lasting},
+                     {"percent", task.percent},
+                     {"pace", task.pace},
+                     {"load", task.load.value_or(-1)}});
+  }
+  return json{{"capacity", worker.info.capacity.cpu.count()},
+              {"tasks", std::move(tasks)}}
+      .dump();
+}
+
 std::string Scheduler::Dump(TimePoint now) const {
   using nlohmann::json;
   const State& state = m_impl->state;
@@ -448,7 +469,7 @@
          {"tasks", worker.tasks.size()},
          {"reserved_millicores", worker.reserved.cpu.count()},
          {"filling_millicores", worker.filling.count()},
-         {"fill_pace_percent", worker.fill_pace},
+         {"fill_factor", worker.fill_factor},
          {"lease_left_ms", (worker.lease_over - now).count() / 1000}});
   }
   json jobs = json::array();
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -12,6 +12,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "cowslipmast/sched/scheduler.h"
+#include "src/sched/pressure.h"
 
 namespace cowslipmast::sched {
 
@@ -46,7 +47,9 @@
   /** When `percent` last changed, or the run was first listed. */
   std::optional<TimePoint> progressed;
   std::optional<int64_t> load;
-  uint32_t pace = 100;
+  uint32_t pace = 100;  // percent, as last commanded
+  uint32_t wanted_pace = 100;
+  double own_load = kUsualOwnLoad;  // of a serving task, without pressure
   uint64_t listing = 0;  // number of the last listing that showed the run
 };
 
@@ -54,6 +57,7 @@
   std::vector<Task> tasks;
   std::vector<uint32_t> ready;  // indices of the tasks that wait for a place
   uint32_t open = 0;            // tasks that are not done
+  ImageIndex image = 0;         // in the list of serving or filling images
   bool unblocked = false;
 };
 
@@ -78,7 +82,7 @@
   uint32_t iterations_done = 0;
   uint64_t sequence = 0;  // order of arrival
   TimePoint arrived;
-  uint32_t placed = 0;    // tasks on a worker
+  uint32_t placed = 0;  // tasks on a worker
   bool has_started = false;
   bool cancelled = false;
   std::optional<TimePoint> ended_at;
@@ -116,9 +120,9 @@
   WorkerClock lease_sent;
   /** From then on nothing runs there unless a lease is extended. */
   TimePoint lease_over;
-  Resources reserved;      // by tasks that count against capacity
-  MilliCores filling;      // cpu of tasks that fill
-  MilliCores lasting;      // cpu of lasting tasks, part of `reserved`
+  Resources reserved;  // by tasks that count against capacity
+  MilliCores filling;  // cpu of tasks that fill
+  MilliCores lasting;  // cpu of lasting tasks, part of `reserved`
   std::vector<TaskRef> tasks;
   uint64_t ends_applied = 0;
   uint64_t ends_planned = 0;
@@ -126,8 +130,10 @@
   uint64_t listings = 0;
   std::optional<TimePoint> full_until;  // it refused a start for want of room
   WorkerHealth health;
-  uint32_t fill_pace = 100;
-  std::optional<TimePoint> pace_changed;
+  /** Factor on the pace of all filling tasks, for tails that the pressure
+   * model does not explain. */
+  double fill_factor = 1.0;
+  uint32_t unexplained = 0;  // listings in a row with such a tail
 };
 
 /** Order in which waiting steps get a place; the smallest is first. */
@@ -152,6 +158,7 @@
   TimePoint claimed;
   bool restored = false;  // the stored progress is complete
   Policy policy;
+  PressureModel pressure;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> jobs;
   /** Cancellations that were read before their jobs. */
   std::set<JobId> cancelled_early;
--- a/src/scheduler/cell.cc
+++ b/src/scheduler/cell.cc
@@ -118,8 +118,8 @@
                          now);
     return;
   }
-  const auto spec = key.starts_with(kJobKeyPrefix) ? DecodeJob(record.value)
-                                                   : std::nullopt;
+  const auto spec =
+      key.starts_with(kJobKeyPrefix) ? DecodeJob(record.value) : std::nullopt;
   if (!spec) {
     LogEvent("job_unreadable", {{"key", record.key}});
     return;
@@ -131,8 +131,8 @@
                               const std::vector<KeyedRecord>& added) {
   const TimePoint now = MonotonicNow();
   for (const KeyedRecord& record : added) {
-    const auto info = record.value.empty() ? std::nullopt
-                                           : readers.worker(record);
+    const auto info =
+        record.value.empty() ? std::nullopt : readers.worker(record);
     if (info)
       scheduler->UpsertWorker(*info, now);
     else
@@ -190,12 +190,12 @@
       ApplyJobRecord(record);
   }
   scheduler->FinishRestore(MonotonicNow());
-  LogEvent("cell_restored",
-           {{"epoch", static_cast<int64_t>(options.epoch.value())},
-            {"job_records", static_cast<int64_t>(job_records->records.size())},
-            {"progress_records",
-             static_cast<int64_t>(progress->records.size())},
-            {"took_ms", ToMillis(MonotonicNow() - claimed)}});
+  LogEvent(
+      "cell_restored",
+      {{"epoch", static_cast<int64_t>(options.epoch.value())},
+       {"job_records", static_cast<int64_t>(job_records->records.size())},
+       {"progress_records", static_cast<int64_t>(progress->records.size())},
+       {"took_ms", ToMillis(MonotonicNow() - claimed)}});
   co_return true;
 }
 
@@ -205,19 +205,19 @@
   driver_hooks.has_authority = [this] { return HasAuthority(); };
   driver_hooks.on_event = [this] { wake.Notify(); };
   driver_hooks.on_fenced = [this] { Lose(); };
+  driver_hooks.log_listings = options.log_listings;
   driver = WorkerDriver::Make(io, workers, *scheduler, options.epoch,
                               std::move(driver_hooks));
-  jobs = TopicFollower::Make(
-      io, store, Topic::kJobs, kFollowJobs,
-      [weak](const TopicFollower::Records&,
-             const std::vector<KeyedRecord>& added) {
-        const auto self = weak.lock();
-        if (!self || self->stopped)
-          return;
-        for (const KeyedRecord& record : added)
-          self->ApplyJobRecord(record);
-        self->wake.Notify();
-      });
+  jobs = TopicFollower::Make(io, store, Topic::kJobs, kFollowJobs,
+                             [weak](const TopicFollower::Records&,
+                                    const std::vector<KeyedRecord>& added) {
+                               const auto self = weak.lock();
+                               if (!self || self->stopped)
+                                 return;
+                               for (const KeyedRecord& record : added)
+                                 self->ApplyJobRecord(record);
+                               self->wake.Notify();
+                             });
   listed = TopicFollower::Make(io, store, Topic::kWorkers, kFollowWorkers,
                                [weak](const TopicFollower::Records& newest,
                                       const std::vector<KeyedRecord>& added) {
@@ -334,9 +334,8 @@
                                  const RecordReaders& readers,
                                  const CellOptions& options,
                                  CellHooks hooks) {
-  return std::shared_ptr<Cell>(
-      new Cell(std::make_shared<Impl>(io, store, workers, readers, options,
-                                      std::move(hooks))));
+  return std::shared_ptr<Cell>(new Cell(std::make_shared<Impl>(
+      io, store, workers, readers, options, std::move(hooks))));
 }
 
 void Cell::Start() {
@@ -350,8 +349,7 @@
 void Cell::OnManifest() {
   if (!m_impl->scheduler || m_impl->stopped)
     return;
-  m_impl->scheduler->SetPolicy(m_impl->hooks.manifest().policy,
-                               MonotonicNow());
+  m_impl->scheduler->SetPolicy(m_impl->hooks.manifest().policy, MonotonicNow());
   m_impl->wake.Notify();
 }
 
--- a/src/scheduler/cell.h
+++ b/src/scheduler/cell.h
@@ -17,6 +17,7 @@
 struct CellOptions {
   Epoch epoch;
   Duration lease{0};  // of what runs on workers
+  bool log_listings = false;
   SchedulerOptions scheduler;
 };
 
--- a/src/scheduler/clock.h
+++ b/src/scheduler/clock.h
@@ -28,8 +28,7 @@
 inline asio::awaitable<void> Sleep(Duration duration) {
   asio::steady_timer timer(co_await asio::this_coro::executor, duration);
   boost::system::error_code ignored;
-  co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler/job_service.cc
+++ b/src/scheduler/job_service.cc
@@ -105,9 +105,8 @@
                                                         Duration patience) {
   HttpRequest request = MakeForward(record);
   NetError error;
-  const auto response =
-      co_await client.Call(owner, std::move(request),
-                           std::min(patience, kForwardTimeout), error);
+  const auto response = co_await client.Call(
+      owner, std::move(request), std::min(patience, kForwardTimeout), error);
   if (!response) {
     co_return error.request_sent ? IntakeResult::kUnknown
                                  : IntakeResult::kRefused;
@@ -152,8 +151,8 @@
       NetError error;
       const Endpoint endpoint = owner->control;
       const Duration left = deadline - MonotonicNow();
-      auto response = co_await client.Call(
-          endpoint, std::move(request), std::min(left, kAskTimeout), error);
+      auto response = co_await client.Call(endpoint, std::move(request),
+                                           std::min(left, kAskTimeout), error);
       if (response && response->status != 503)
         co_return response;
     } else if (watch->IsOwner()) {
@@ -233,8 +232,8 @@
     if (impl->watch->IsOwner()) {
       answer = impl->AnswerState(id.value());
     } else {
-      auto asked = co_await impl->AskOwner(
-          std::string(kJobsPath) + id.value(), deadline);
+      auto asked = co_await impl->AskOwner(std::string(kJobsPath) + id.value(),
+                                           deadline);
       if (!asked)
         continue;
       answer = std::move(*asked);
@@ -292,8 +291,7 @@
     co_return m_impl->AnswerWaiting(view.substr(kWaitingPath.size()));
   if (request.method == "POST" && view.starts_with(kRecordsPath)) {
     co_return co_await m_impl->AnswerRecord(
-        std::string(view.substr(kRecordsPath.size())),
-        std::move(request.body));
+        std::string(view.substr(kRecordsPath.size())), std::move(request.body));
   }
   co_return std::nullopt;
 }
--- a/src/scheduler/manifest.cc
+++ b/src/scheduler/manifest.cc
@@ -13,8 +13,7 @@
     if (!EqualsIgnoreCase(route.host, name) ||
         !path.starts_with(route.path_prefix))
       continue;
-    if (best == nullptr ||
-        route.path_prefix.size() > best->path_prefix.size())
+    if (best == nullptr || route.path_prefix.size() > best->path_prefix.size())
       best = &route;
   }
   return best;
--- a/src/scheduler/operator_watch.cc
+++ b/src/scheduler/operator_watch.cc
@@ -55,11 +55,12 @@
   if (next == m_manifest)
     return;
   m_manifest = std::move(next);
-  LogEvent("manifest",
-           {{"version", static_cast<int64_t>(m_manifest.policy.version.value())},
-            {"routes", static_cast<int64_t>(m_manifest.routes.size())},
-            {"evacuated",
-             static_cast<int64_t>(m_manifest.policy.evacuated.size())}});
+  LogEvent(
+      "manifest",
+      {{"version", static_cast<int64_t>(m_manifest.policy.version.value())},
+       {"routes", static_cast<int64_t>(m_manifest.routes.size())},
+       {"evacuated",
+        static_cast<int64_t>(m_manifest.policy.evacuated.size())}});
   m_on_change();
 }
 
--- a/src/scheduler/owner_watch.cc
+++ b/src/scheduler/owner_watch.cc
@@ -127,8 +127,8 @@
   request.path = std::string(kHealthPath);
   const Endpoint endpoint = known->control;
   NetError error;
-  const auto response = co_await client.Call(endpoint, std::move(request),
-                                             kAskTimeout, error);
+  const auto response =
+      co_await client.Call(endpoint, std::move(request), kAskTimeout, error);
   if (!response) {
     client.DropIdle(endpoint);
     co_return false;
@@ -196,8 +196,7 @@
     co_return;
   LogEvent("owner_missed",
            {{"why", why},
-            {"epoch",
-             static_cast<int64_t>(known ? known->epoch.value() : 0)}});
+            {"epoch", static_cast<int64_t>(known ? known->epoch.value() : 0)}});
   co_await TryToClaim();
 }
 
@@ -219,9 +218,9 @@
     bool healthy = false;
     if (!known->released && known->process != self_claim.process)
       healthy = co_await AskOwner();
-    const bool patient =
-        !known->released && known->process != self_claim.process && answered &&
-        MonotonicNow() - *answered < kMissedAfter;
+    const bool patient = !known->released &&
+                         known->process != self_claim.process && answered &&
+                         MonotonicNow() - *answered < kMissedAfter;
     if (!healthy) {
       // Another process may have claimed the cell already.
       co_await ReadClaim();
--- a/src/scheduler/owner_watch.h
+++ b/src/scheduler/owner_watch.h
@@ -54,7 +54,7 @@
 
 /** Answer of a process to a question after its health. */
 struct PeerHealth {
-  Epoch epoch;         // of the cell that it owns
+  Epoch epoch;  // of the cell that it owns
   bool owning = false;
   std::optional<Duration> proof_age;  // of its ownership, from the store
 };
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -71,10 +71,8 @@
       read_newest;
   /** Records from an offset on, waiting up to `wait` for one; `end` is where
    * to follow on from. */
-  std::function<asio::awaitable<std::optional<TopicSnapshot>>(Topic,
-                                                              uint64_t from,
-                                                              Duration wait,
-                                                              StoreError&)>
+  std::function<asio::awaitable<std::optional<
+      TopicSnapshot>>(Topic, uint64_t from, Duration wait, StoreError&)>
       follow;
 };
 
@@ -100,20 +98,17 @@
 
 /** Commands to workers. */
 struct WorkerPort {
-  std::function<asio::awaitable<std::optional<WorkerListing>>(
-      WorkerInfo,
-      ListRequest,
-      WorkerCallError&)>
+  std::function<asio::awaitable<std::optional<WorkerListing>>(WorkerInfo,
+                                                              ListRequest,
+                                                              WorkerCallError&)>
       list;
   std::function<asio::awaitable<
       StartOutcome>(WorkerInfo, StartCommand, uint64_t fence, WorkerClock)>
       start;
   /** True once the worker has confirmed it. */
-  std::function<
-      asio::awaitable<bool>(WorkerInfo, StopCommand, uint64_t fence)>
+  std::function<asio::awaitable<bool>(WorkerInfo, StopCommand, uint64_t fence)>
       stop;
-  std::function<
-      asio::awaitable<bool>(WorkerInfo, PaceCommand, uint64_t fence)>
+  std::function<asio::awaitable<bool>(WorkerInfo, PaceCommand, uint64_t fence)>
       pace;
   /** Forgets open connections to a worker that went silent. */
   std::function<void(const WorkerInfo&)> drop_connections;
--- a/src/scheduler/process.cc
+++ b/src/scheduler/process.cc
@@ -79,6 +79,7 @@
   CellOptions options;
   options.epoch = epoch;
   options.lease = settings.lease;
+  options.log_listings = settings.log_listings;
   options.scheduler.far_factor = settings.far_factor;
   options.scheduler.seed = settings.seed;
   CellHooks hooks;
@@ -192,8 +193,7 @@
           [](const Cell& c) { return c.calls().listings; });
   counter("cowslipmast_failed_listings",
           [](const Cell& c) { return c.calls().failed_listings; });
-  metrics->Gauge("cowslipmast_owning", {},
-                 [this] { return cell ? 1.0 : 0.0; });
+  metrics->Gauge("cowslipmast_owning", {}, [this] { return cell ? 1.0 : 0.0; });
   metrics->Gauge("cowslipmast_dropped_log_lines", {},
                  [] { return static_cast<double>(DroppedLogLines()); });
 }
@@ -240,24 +240,21 @@
 }
 
 void SchedulerProcess::Impl::Connect(const CellChart& chart) {
-  operators =
-      OperatorWatch::Make(io, ports.store, ports.readers, [this] {
-        if (cell)
-          cell->OnManifest();
-      });
+  operators = OperatorWatch::Make(io, ports.store, ports.readers, [this] {
+    if (cell)
+      cell->OnManifest();
+  });
   Claim self;
   self.process = settings.process;
   self.control = settings.control;
   OwnerWatchHooks hooks;
   hooks.on_won = [this](Epoch epoch) { OwnCell(epoch); };
   // Without a manifest the owner would not know the queues of its jobs.
-  hooks.may_claim = [this] {
-    return !stopping && operators->manifest().known;
-  };
+  hooks.may_claim = [this] { return !stopping && operators->manifest().known; };
   watch = OwnerWatch::Make(io, ports.store, peers, chart, self, settings.seed,
                            std::move(hooks));
-  service = JobService::Make(io, ports.store, peers, watch,
-                             [this] { return cell; });
+  service =
+      JobService::Make(io, ports.store, peers, watch, [this] { return cell; });
   watch->Start();
 }
 
@@ -310,7 +307,8 @@
   if (m_impl->stopping)
     return;
   m_impl->stopping = true;
-  LogEvent("stopping", {{"owning", static_cast<int64_t>(m_impl->cell != nullptr)}});
+  LogEvent("stopping",
+           {{"owning", static_cast<int64_t>(m_impl->cell != nullptr)}});
   asio::co_spawn(m_impl->io, m_impl->Drain(std::move(on_stopped)),
                  asio::detached);
 }
--- a/src/scheduler/process.h
+++ b/src/scheduler/process.h
@@ -25,6 +25,7 @@
   double far_factor = 2.0;
   size_t body_bytes = 0;  // of a call, at most
   uint64_t seed = 0;
+  bool log_listings = false;  // every listing of a worker, in full
 };
 
 /** The platform that the process runs on. */
@@ -33,9 +34,8 @@
   WorkerPort workers;
   RecordReaders readers;
   /** Answers a caller. */
-  std::function<asio::awaitable<HttpResponse>(HttpRequest,
-                                              const Manifest&,
-                                              JobService&)>
+  std::function<
+      asio::awaitable<HttpResponse>(HttpRequest, const Manifest&, JobService&)>
       answer_caller;
 };
 
--- a/src/scheduler/topic_follower.cc
+++ b/src/scheduler/topic_follower.cc
@@ -30,8 +30,7 @@
 
 }  // namespace
 
-struct TopicFollower::Impl
-    : std::enable_shared_from_this<TopicFollower::Impl> {
+struct TopicFollower::Impl : std::enable_shared_from_this<TopicFollower::Impl> {
   Impl(const StorePort& store_port,
        Topic followed,
        FollowTiming follow_timing,
--- a/src/scheduler/worker_driver.cc
+++ b/src/scheduler/worker_driver.cc
@@ -123,6 +123,10 @@
     LogEvent("worker_regained", {{"worker", info.id.value()}});
   channel->failing = false;
   scheduler.OnListing(info.id, *listing, asked, MonotonicNow());
+  if (hooks.log_listings) {
+    LogEvent("listing", {{"worker", info.id.value()},
+                         {"state", scheduler.DescribeWorker(info.id)}});
+  }
   if (scheduler.NeedsPlan())
     hooks.on_event();
   if (!hooks.has_authority())
--- a/src/scheduler/worker_driver.h
+++ b/src/scheduler/worker_driver.h
@@ -19,6 +19,8 @@
   std::function<void()> on_event;
   /** A worker has seen a later owner. */
   std::function<void()> on_fenced;
+  /** Logs each listing in full; for studies, as it is a lot. */
+  bool log_listings = false;
 };
 
 /** Counts of calls to workers. */
