--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -64,6 +64,8 @@
 // for a reason that the model does not know.
 bool ReadTails(State& state, Worker& worker) {
   const std::vector<FillingShare> shares = UsedShares(worker);
+  const std::vector<FillingShare> changes =
+      ChangeOfShares(worker.shares, shares);
   bool unexplained = false;
   for (const TaskRef& ref : worker.tasks) {
     const StepSpec& spec = SpecOf(ref);
@@ -78,13 +80,18 @@
     if (model.shortest_tail_ms <= 0 || tail < model.shortest_tail_ms)
       model.shortest_tail_ms = tail;
     const double used = UtilisationAt(model, tail, TargetMs(spec));
-    Observe(state.pressure, image, used, shares);
+    ObserveLevel(state.pressure, image, used, shares);
+    if (task.read_listing + 1 == worker.listings)
+      ObserveChange(state.pressure, image, task.utilisation, used, changes);
+    task.utilisation = used;
+    task.read_listing = worker.listings;
     const double pressed = TotalPressure(state.pressure, image, shares);
     const double own = std::clamp(used - pressed, 0.0, 0.8);
     task.own_load += kOwnLoadWeight * (own - task.own_load);
     if (tail > TargetMs(spec) && !shares.empty() && pressed < kMargin)
       unexplained = true;
   }
+  worker.shares = shares;
   return unexplained;
 }
 
--- a/src/sched/pressure.cc
+++ b/src/sched/pressure.cc
@@ -9,17 +9,26 @@
 
 // Before anything is known a filling image is taken to press a little. Pairs
 // were seen to have a pressure near 0, or of 1 to 5.
-constexpr double kFirstMean = 0.4;
+constexpr double kFirstMean = 0.2;
 constexpr double kFirstVariance = 1.0;
 // Variance of a serving task's own load around the usual one: waves between 0.2
 // and 0.65 have a deviation of 0.16. Successive listings of a task show the
-// same wave, so one counts as a third of an independent observation.
-constexpr double kNoise = 0.16 * 0.16 * 3;
+// same wave, so that many of them count as one independent observation.
+constexpr double kLevelNoise = 0.16 * 0.16 * 12;
+// Variance of the change of a task's own load between two listings: 0.08 a
+// second, and tails in whole milliseconds.
+constexpr double kChangeNoise = 0.09 * 0.09;
 // Growth of the variance with each observation, so that a pressure that changes
 // is learned again.
-constexpr double kDrift = 0.0002;
+constexpr double kDrift = 0.00002;
+// Utilisation from which on the tail says only that it is at least that.
+constexpr double kSaturated = 0.9;
 // Part of the deviation that is added to an uncertain pressure.
 constexpr double kCaution = 0.3;
+// A smaller pressure cannot be told from the noise. It counts as none, since a
+// serving task at the height of its load has no room for any: the task's own
+// load then contains it.
+constexpr double kLeastPressure = 0.35;
 // The tail of an idle task: the shortest that was seen was at a load of 0.2.
 constexpr double kIdleShare = 0.8;
 // Limits of the idle tail as shares of the latency target.
@@ -45,7 +54,7 @@
 
 double Predict(const ServingModel& model,
                const std::vector<FillingShare>& shares) {
-  double utilisation = kUsualOwnLoad;
+  double utilisation = 0;
   for (const FillingShare& share : shares)
     utilisation += model.mean[share.image] * share.share;
   return utilisation;
@@ -63,6 +72,27 @@
   return projected;
 }
 
+// One step of the filter, for a measurement that differs from the expected one
+// by `surprise`.
+void Update(ServingModel& model,
+            double surprise,
+            double noise,
+            const std::vector<FillingShare>& shares) {
+  const size_t size = model.mean.size();
+  for (size_t i = 0; i < size; ++i)
+    model.covariance[i * size + i] += kDrift;
+  const std::vector<double> projected = Project(model, shares);
+  double variance = noise;
+  for (const FillingShare& share : shares)
+    variance += projected[share.image] * share.share;
+  for (size_t i = 0; i < size; ++i) {
+    const double gain = projected[i] / variance;
+    model.mean[i] += gain * surprise;
+    for (size_t j = 0; j < size; ++j)
+      model.covariance[i * size + j] -= gain * projected[j];
+  }
+}
+
 }  // namespace
 
 ImageIndex ServingImage(PressureModel& model, const ImageId& image) {
@@ -89,31 +119,47 @@
   return std::clamp(1.0 - idle / std::max(tail_ms, idle), 0.0, 1.0);
 }
 
-void Observe(PressureModel& model,
-             ImageIndex serving,
-             double observed,
-             const std::vector<FillingShare>& shares) {
-  ServingModel& entry = model.serving[serving];
+void ObserveLevel(PressureModel& model,
+                  ImageIndex serving,
+                  double observed,
+                  const std::vector<FillingShare>& shares) {
   if (shares.empty())
     return;
+  ServingModel& entry = model.serving[serving];
   Grow(entry, model.filling_index.size());
-  const double surprise = observed - Predict(entry, shares);
-  // Near 1 the tail says only that the utilisation is at least that.
-  if (observed > 0.9 && surprise < 0)
+  const double surprise = observed - kUsualOwnLoad - Predict(entry, shares);
+  if (observed < kSaturated || surprise > 0)
+    Update(entry, surprise, kLevelNoise, shares);
+}
+
+void ObserveChange(PressureModel& model,
+                   ImageIndex serving,
+                   double before,
+                   double after,
+                   const std::vector<FillingShare>& changes) {
+  if (changes.empty() || before >= kSaturated)
     return;
-  const size_t size = entry.mean.size();
-  for (size_t i = 0; i < size; ++i)
-    entry.covariance[i * size + i] += kDrift;
-  const std::vector<double> projected = Project(entry, shares);
-  double variance = kNoise;
-  for (const FillingShare& share : shares)
-    variance += projected[share.image] * share.share;
-  for (size_t i = 0; i < size; ++i) {
-    const double gain = projected[i] / variance;
-    entry.mean[i] += gain * surprise;
-    for (size_t j = 0; j < size; ++j)
-      entry.covariance[i * size + j] -= gain * projected[j];
+  ServingModel& entry = model.serving[serving];
+  Grow(entry, model.filling_index.size());
+  const double surprise = after - before - Predict(entry, changes);
+  if (after < kSaturated || surprise > 0)
+    Update(entry, surprise, kChangeNoise, changes);
+}
+
+std::vector<FillingShare> ChangeOfShares(
+    const std::vector<FillingShare>& before,
+    const std::vector<FillingShare>& after) {
+  std::vector<FillingShare> changes = after;
+  for (const FillingShare& old : before) {
+    const auto known = std::find_if(
+        changes.begin(), changes.end(),
+        [&old](const FillingShare& share) { return share.image == old.image; });
+    if (known != changes.end())
+      known->share -= old.share;
+    else
+      changes.push_back({old.image, -old.share});
   }
+  return changes;
 }
 
 double Pressure(const PressureModel& model,
@@ -124,8 +170,9 @@
     return kFirstMean + kCaution * std::sqrt(kFirstVariance);
   const double variance =
       entry.covariance[filling * entry.mean.size() + filling];
-  return std::max(
-      0.0, entry.mean[filling] + kCaution * std::sqrt(std::max(0.0, variance)));
+  const double estimate =
+      entry.mean[filling] + kCaution * std::sqrt(std::max(0.0, variance));
+  return estimate < kLeastPressure ? 0.0 : estimate;
 }
 
 double TotalPressure(const PressureModel& model,
--- a/src/sched/pressure.h
+++ b/src/sched/pressure.h
@@ -46,12 +46,26 @@
                      double tail_ms,
                      double target_ms);
 
-/** Takes in that a task of the image had utilisation `observed`, beside filling
- * images that used `shares`. */
-void Observe(PressureModel& model,
-             ImageIndex serving,
-             double observed,
-             const std::vector<FillingShare>& shares);
+/** Takes in the utilisation of a task of the image, beside filling images that
+ * used `shares`. The task's own load hides small pressures. */
+void ObserveLevel(PressureModel& model,
+                  ImageIndex serving,
+                  double observed,
+                  const std::vector<FillingShare>& shares);
+
+/** Takes in a task's utilisation before and after filling images changed their
+ * shares by `changes`, within about a second: most of its own load cancels out.
+ */
+void ObserveChange(PressureModel& model,
+                   ImageIndex serving,
+                   double before,
+                   double after,
+                   const std::vector<FillingShare>& changes);
+
+/** Shares in `after` less those in `before`. */
+std::vector<FillingShare> ChangeOfShares(
+    const std::vector<FillingShare>& before,
+    const std::vector<FillingShare>& after);
 
 /** Pressure of a filling image on a serving one: the estimate, raised a little
  * while it is uncertain; never negative. */
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -486,7 +486,14 @@
                     {"placed", job->placed},
                     {"age_ms", (now - job->arrived).count() / 1000}});
   }
-  return json{{"policy_version", state.policy.version.value()},
+  json pressures = json::object();
+  for (const auto& [serving, i] : state.pressure.serving_index) {
+    for (const auto& [filling, k] : state.pressure.filling_index)
+      pressures[serving.value()][filling.value()] =
+          Pressure(state.pressure, i, k);
+  }
+  return json{{"pressures", std::move(pressures)},
+              {"policy_version", state.policy.version.value()},
               {"ready_steps", state.ready.size()},
               {"workers", std::move(workers)},
               {"jobs", std::move(jobs)}}
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -51,6 +51,8 @@
   uint32_t pace = 100;  // percent, as last commanded
   uint32_t wanted_pace = 100;
   double own_load = kUsualOwnLoad;  // of a serving task, without pressure
+  double utilisation = 0;           // of a serving task, as last read
+  uint64_t read_listing = 0;        // number of the listing with that reading
   uint64_t listing = 0;  // number of the last listing that showed the run
 };
 
@@ -134,7 +136,8 @@
   /** Factor on the pace of all filling tasks, for tails that the pressure
    * model does not explain. */
   double fill_factor = 1.0;
-  uint32_t unexplained = 0;  // listings in a row with such a tail
+  uint32_t unexplained = 0;          // listings in a row with such a tail
+  std::vector<FillingShare> shares;  // of filling images, as last listed
 };
 
 /** Order in which waiting steps get a place; the smallest is first. */
