--- a/src/cli/exit_code.h
+++ b/src/cli/exit_code.h
@@ -5,7 +5,7 @@
 
 namespace cowslipmast {
 
-/** Exit codes of the `cowslipmast` tool; documented in docs/operations.md. */
+/** Exit codes of the `cowslipmast` tool; documented in docs/OPERATIONS.md. */
 enum class ExitCode {
   kOk = 0,
   kInvalidInput = 1,  // the configuration or job was refused
