--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-enum Rank : uint32_t { kOnTime = 0, kLasting = 1, kLate = 2 };
+enum Rank : uint32_t { kOnTime = 0, kLate = 1, kLasting = 2 };
 
 // Longest chain of estimated run times from step `first` to the end; a step
 // depends only on earlier ones.
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -8,10 +8,10 @@
 /** Where a waiting step stands in line.
  *
  * Answers the load of a burst: more work than capacity for seconds. Within a
- * priority, work that its caller waits for goes before lasting tasks, which
- * nobody misses for a moment; work that can still meet its objective goes
- * before work that cannot, so that a burst makes some jobs late instead of
- * all. Equal steps go in the order of arrival. */
+ * priority, work that can still meet its objective goes before work that
+ * cannot, so that a burst makes some jobs late instead of all. Lasting tasks
+ * come last: they keep their place for as long as they get one, while short
+ * work gives it back soon. Equal steps go in the order of arrival. */
 ReadyKey MakeReadyKey(const State& state,
                       Iteration& iteration,
                       uint32_t step,
--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -1,6 +1,7 @@
 #include "src/sched/placing.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -21,18 +22,19 @@
 // work needs about 5% of the capacity of the first deployments, in large
 // pieces.
 constexpr double kLastingShare = 0.92;
-// A lasting task that waited this long may take that part, too: it must not
-// stay without a place for 3 s while there is room.
+// A lasting task that waited this long may take that part, too, if there is
+// room for two of it: it must not stay without a place for 3 s then.
 constexpr Duration kPatienceOfLasting = std::chrono::milliseconds(1500);
 // A task that fills starts where this share of its need is left over.
 constexpr double kFillShare = 0.6;
 // Utilisation that a filling task must leave to the serving tasks beside it;
 // below zero it would start only to be slowed down.
 constexpr double kLeastRoom = 0.0;
-// Steps that do not fit before the rest of the line is left for the next plan;
-// bounds the time of a plan while much waits. Steps that need no less than one
-// that did not fit are passed over without a look and do not count.
-constexpr size_t kMaxMisses = 40;
+// Steps of one priority and rank that do not fit before the rest of these is
+// left for the next plan; bounds the time of a plan while much waits. Steps
+// that need no less than one that did not fit are passed over without a look
+// and do not count.
+constexpr size_t kMaxMisses = 24;
 
 double Cores(MilliCores cpu) {
   return static_cast<double>(cpu.count());
@@ -177,6 +179,24 @@
   return best;
 }
 
+// True if the service has room for two such tasks, on one worker or on two.
+bool HasRoomTwice(const State& state,
+                  const ServiceId& service,
+                  const StepSpec& spec,
+                  TimePoint now) {
+  int64_t places = 0;
+  for (const Worker& worker : state.workers) {
+    if (worker.info.service != service || !HasRoom(worker, spec, false) ||
+        BarOf(state, worker, now) != WorkerBar::kNone)
+      continue;
+    const Resources free = worker.info.capacity - worker.reserved;
+    places += Fits(spec.need + spec.need, free) ? 2 : 1;
+    if (places >= 2)
+      return true;
+  }
+  return false;
+}
+
 PlaceQuery QueryOf(const State& state, const TaskRef& ref, TimePoint now) {
   const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
   const StepSpec& spec = SpecOf(ref);
@@ -185,7 +205,8 @@
                     .policy = policy,
                     .ref = ref,
                     .last_attempt = IsLastAttempt(policy, spec, task),
-                    .patient = now - task.ready_since < kPatienceOfLasting};
+                    .patient = now - task.ready_since < kPatienceOfLasting ||
+                               !HasRoomTwice(state, policy.service, spec, now)};
 }
 
 void StartTask(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
@@ -318,10 +339,17 @@
 
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
   Misses misses;
+  std::map<std::pair<uint32_t, uint32_t>, size_t> missed;
   std::vector<ReadyKey> moved;
-  for (auto next = state.ready.begin();
-       next != state.ready.end() && misses.size() < kMaxMisses;) {
+  for (auto next = state.ready.begin(); next != state.ready.end();) {
     const ReadyKey key = *next;
+    size_t& count = missed[{key.priority, key.rank}];
+    if (count >= kMaxMisses) {
+      // On to the next priority or rank.
+      next = state.ready.lower_bound(
+          ReadyKey{.priority = key.priority, .rank = key.rank + 1});
+      continue;
+    }
     const ReadyKey current = MakeReadyKey(state, *key.owner, key.step, now);
     if (key < current || current < key) {
       moved.push_back(current);
@@ -337,6 +365,7 @@
       continue;
     }
     misses.Add(state, key);
+    ++count;
     ++next;
   }
   state.ready.insert(moved.begin(), moved.end());
