--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -19,10 +19,12 @@
 constexpr double kNoticeable = 0.02;
 // Weight of a new reading of a task's own load; its waves take 10 s.
 constexpr double kOwnLoadWeight = 0.6;
-// Tails over the target in a row, that the model does not explain, after which
-// all filling tasks are slowed down; listings come 0.7 s apart, and a task may
-// be over its target for 4 s.
-constexpr uint32_t kUnexplained = 2;
+// Listings in a row with a tail over the target after which all filling tasks
+// are slowed down: two where the model does not explain it, four where pacing
+// by the model has not helped. Listings come 0.7 s apart, and a task may be
+// over its target for 4 s.
+constexpr uint32_t kListingsUnexplained = 2;
+constexpr uint32_t kListingsUnhelped = 4;
 constexpr double kSlowDown = 0.4;
 constexpr double kSpeedUp = 0.3;  // added with each listing within the target
 
@@ -60,13 +62,18 @@
   return static_cast<double>(spec.latency_target.count()) / 1000.0;
 }
 
-// Reads the tails of the worker's serving tasks. True if one is over its target
-// for a reason that the model does not know.
-bool ReadTails(State& state, Worker& worker) {
+enum class Tails {
+  kWithinTargets,
+  kExplained,    // one is over its target, as the model expects
+  kUnexplained,  // one is over its target, and the model knows no reason
+};
+
+// Reads the tails of the worker's serving tasks.
+Tails ReadTails(State& state, Worker& worker) {
   const std::vector<FillingShare> shares = UsedShares(worker);
   const std::vector<FillingShare> changes =
       ChangeOfShares(worker.shares, shares);
-  bool unexplained = false;
+  Tails tails = Tails::kWithinTargets;
   for (const TaskRef& ref : worker.tasks) {
     const StepSpec& spec = SpecOf(ref);
     Task& task = TaskOf(ref);
@@ -88,11 +95,15 @@
     const double pressed = TotalPressure(state.pressure, image, shares);
     const double own = std::clamp(used - pressed, 0.0, 0.8);
     task.own_load += kOwnLoadWeight * (own - task.own_load);
-    if (tail > TargetMs(spec) && !shares.empty() && pressed < kMargin)
-      unexplained = true;
+    if (tail <= TargetMs(spec) || shares.empty())
+      continue;
+    if (pressed < kMargin)
+      tails = Tails::kUnexplained;
+    else if (tails == Tails::kWithinTargets)
+      tails = Tails::kExplained;
   }
   worker.shares = shares;
-  return unexplained;
+  return tails;
 }
 
 // Share of full pace at which the filling tasks leave a serving task within its
@@ -184,16 +195,18 @@
 
 void PaceFillingTasks(State& state, int32_t index, TimePoint) {
   Worker& worker = state.workers[static_cast<size_t>(index)];
-  const bool unexplained = ReadTails(state, worker);
+  const Tails tails = ReadTails(state, worker);
   if (!IsShared(worker)) {
     worker.fill_factor = 1.0;
-    worker.unexplained = 0;
-  } else if (unexplained) {
-    if (++worker.unexplained >= kUnexplained)
-      worker.fill_factor *= kSlowDown;
-  } else {
-    worker.unexplained = 0;
+    worker.over_target = 0;
+  } else if (tails == Tails::kWithinTargets) {
+    worker.over_target = 0;
     worker.fill_factor = std::min(1.0, worker.fill_factor + kSpeedUp);
+  } else {
+    const uint32_t patience =
+        tails == Tails::kUnexplained ? kListingsUnexplained : kListingsUnhelped;
+    if (++worker.over_target >= patience)
+      worker.fill_factor *= kSlowDown;
   }
   SetPaces(state, worker);
   SlowAllDown(worker);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -133,10 +133,10 @@
   uint64_t listings = 0;
   std::optional<TimePoint> full_until;  // it refused a start for want of room
   WorkerHealth health;
-  /** Factor on the pace of all filling tasks, for tails that the pressure
-   * model does not explain. */
+  /** Factor on the pace of all filling tasks, for tails over their targets
+   * that pacing by the pressure model does not help. */
   double fill_factor = 1.0;
-  uint32_t unexplained = 0;          // listings in a row with such a tail
+  uint32_t over_target = 0;          // listings in a row with such a tail
   std::vector<FillingShare> shares;  // of filling images, as last listed
 };
 
