--- /dev/null
+++ b/src/sched/dump.cc
@@ -0,0 +1,68 @@
+#include "src/sched/dump.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cowslipmast::sched {
+
+using nlohmann::json;
+
+std::string DescribeTasks(const Worker& worker) {
+  json tasks = json::array();
+  for (const TaskRef& ref : worker.tasks) {
+    const Task& task = TaskOf(ref);
+    const StepSpec& spec = SpecOf(ref);
+    tasks.push_back({{"job", ref.iteration->job->spec.id.value()},
+                     {"image", spec.image.value()},
+                     {"cpu", spec.need.cpu.count()},
+                     {"target_ms", spec.latency_target.count() / 1000},
+                     {"fills", spec.fills},
+                     {"lasting", spec.lasting},
+                     {"percent", task.percent},
+                     {"pace", task.pace},
+                     {"load", task.load.value_or(-1)}});
+  }
+  return json{{"capacity", worker.info.capacity.cpu.count()},
+              {"tasks", std::move(tasks)}}
+      .dump();
+}
+
+std::string DumpState(const State& state, TimePoint now) {
+  json workers = json::array();
+  for (const Worker& worker : state.workers) {
+    workers.push_back(
+        {{"worker", worker.info.id.value()},
+         {"listed", worker.listed},
+         {"draining", worker.info.draining},
+         {"contact", static_cast<int>(worker.contact)},
+         {"tasks", worker.tasks.size()},
+         {"reserved_millicores", worker.reserved.cpu.count()},
+         {"filling_millicores", worker.filling.count()},
+         {"fill_factor", worker.fill_factor},
+         {"lease_left_ms", (worker.lease_over - now).count() / 1000}});
+  }
+  json jobs = json::array();
+  for (const auto& [id, job] : state.jobs) {
+    if (job->ended_at)
+      continue;
+    jobs.push_back({{"job", id.value()},
+                    {"queue", job->spec.queue.value()},
+                    {"state", JobStateName(job->state)},
+                    {"placed", job->placed},
+                    {"age_ms", (now - job->arrived).count() / 1000}});
+  }
+  json pressures = json::object();
+  for (const auto& [serving, i] : state.pressure.serving_index) {
+    for (const auto& [filling, k] : state.pressure.filling_index)
+      pressures[serving.value()][filling.value()] =
+          Pressure(state.pressure, i, k);
+  }
+  return json{{"pressures", std::move(pressures)},
+              {"policy_version", state.policy.version.value()},
+              {"ready_steps", state.ready.size()},
+              {"workers", std::move(workers)},
+              {"jobs", std::move(jobs)}}
+      .dump(2);
+}
+
+}  // namespace cowslipmast::sched
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -1,9 +1,9 @@
 #include "cowslipmast/sched/scheduler.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/sched/dump.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
 #include "src/sched/listing.h"
@@ -436,68 +436,15 @@
 }
 
 std::string Scheduler::DescribeWorker(const WorkerId& id) const {
-  using nlohmann::json;
-  const int32_t index = FindWorker(m_impl->state, id);
-  if (index == kNowhere)
-    return "{}";
-  const Worker& worker = m_impl->state.workers[static_cast<size_t>(index)];
-  json tasks = json::array();
-  for (const TaskRef& ref : worker.tasks) {
-    const Task& task = TaskOf(ref);
-    const StepSpec& spec = SpecOf(ref);
-    tasks.push_back({{"job", ref.iteration->job->spec.id.value()},
-                     {"image", spec.image.value()},
-                     {"cpu", spec.need.cpu.count()},
-                     {"target_ms", spec.latency_target.count() / 1000},
-                     {"fills", spec.fills},
-                     {"lasting", spec.lasting},
-                     {"percent", task.percent},
-                     {"pace", task.pace},
-                     {"load", task.load.value_or(-1)}});
-  }
-  return json{{"capacity", worker.info.capacity.cpu.count()},
-              {"tasks", std::move(tasks)}}
-      .dump();
+  const int32_t worker = FindWorker(m_impl->state, id);
+  return worker == kNowhere
+             ? "{}"
+             : DescribeTasks(
+                   m_impl->state.workers[static_cast<size_t>(worker)]);
 }
 
 std::string Scheduler::Dump(TimePoint now) const {
-  using nlohmann::json;
-  const State& state = m_impl->state;
-  json workers = json::array();
-  for (const Worker& worker : state.workers) {
-    workers.push_back(
-        {{"worker", worker.info.id.value()},
-         {"listed", worker.listed},
-         {"draining", worker.info.draining},
-         {"contact", static_cast<int>(worker.contact)},
-         {"tasks", worker.tasks.size()},
-         {"reserved_millicores", worker.reserved.cpu.count()},
-         {"filling_millicores", worker.filling.count()},
-         {"fill_factor", worker.fill_factor},
-         {"lease_left_ms", (worker.lease_over - now).count() / 1000}});
-  }
-  json jobs = json::array();
-  for (const auto& [id, job] : state.jobs) {
-    if (job->ended_at)
-      continue;
-    jobs.push_back({{"job", id.value()},
-                    {"queue", job->spec.queue.value()},
-                    {"state", JobStateName(job->state)},
-                    {"placed", job->placed},
-                    {"age_ms", (now - job->arrived).count() / 1000}});
-  }
-  json pressures = json::object();
-  for (const auto& [serving, i] : state.pressure.serving_index) {
-    for (const auto& [filling, k] : state.pressure.filling_index)
-      pressures[serving.value()][filling.value()] =
-          Pressure(state.pressure, i, k);
-  }
-  return json{{"pressures", std::move(pressures)},
-              {"policy_version", state.policy.version.value()},
-              {"ready_steps", state.ready.size()},
-              {"workers", std::move(workers)},
-              {"jobs", std::move(jobs)}}
-      .dump(2);
+  return DumpState(m_impl->state, now);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler/job_service.cc
+++ b/src/scheduler/job_service.cc
@@ -137,7 +137,7 @@
   const Duration left = deadline - MonotonicNow();
   if (!owner || left < milliseconds(100))
     co_return result;
-  const Endpoint endpoint = *owner;
+  const Endpoint& endpoint = *owner;
   const IntakeResult forwarded =
       co_await Forward(endpoint, std::move(record), left);
   co_return forwarded == IntakeResult::kStored ? forwarded
--- a/tests/sched/fake_cell.cc
+++ b/tests/sched/fake_cell.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 constexpr Duration kStep = milliseconds(10);
@@ -146,7 +145,7 @@
       List(worker);
   }
   if (!m_pending)
-    Plan_();
+    DecideNext();
   for (const auto& [id, spec] : m_jobs) {
     const auto state = m_scheduler->StateOf(id);
     if (state && *state != JobState::kQueued && *state != JobState::kActive)
@@ -267,7 +266,7 @@
                          m_now);
 }
 
-void FakeCell::Plan_() {
+void FakeCell::DecideNext() {
   m_pending = m_scheduler->MakePlan(m_now, WallTime(m_now.time_since_epoch()));
   for (const StopCommand& stop : m_pending->stops)
     Stop(stop);
--- a/tests/sched/fake_cell.h
+++ b/tests/sched/fake_cell.h
@@ -103,7 +103,7 @@
   void AdvanceWorker(FakeWorker& worker);
   void UpdateTails(FakeWorker& worker);
   void List(FakeWorker& worker);
-  void Plan_();
+  void DecideNext();
   void Act();
   void Start(const StartCommand& command);
   void Stop(const StopCommand& command);
--- a/tests/sched/load_test.cc
+++ b/tests/sched/load_test.cc
@@ -84,7 +84,7 @@
     // No serving task may be over its target for 4 s because of what fills.
     CHECK(cell.verdict().longest_over_target_s < 4.0);
     // With 24 serving tasks of each image for 40 s, a twentieth of the time.
-    CHECK(cell.verdict().tail_over_target_s < 48 * 40 / 20);
+    CHECK(cell.verdict().tail_over_target_s < 48 * 40.0 / 20);
     int in_time = 0;
     for (int i = 0; i < submitted; ++i) {
       in_time +=
