sched, scheduler: remove what is dead, read jobs once at a takeover

- A new owner read and decoded all jobs twice, once to restore and once to follow them; the follower now starts from what was restored.
- Each question after the owner's health copied all workers to count them; a plan looked for room of lasting tasks for every task that had waited.
- Own answers and those of the owner went through two loops in two functions; one function serves both, and answers other processes as well.
- The chart is read by the function that the daemon has; looking a worker up, adding to an image's share and the pressure of a task stand once; a topic that nobody has written to is an error of its own instead of a text that is compared.
Behaviour is as before.

--- a/include/cowslipmast/sched/policy.h
+++ b/include/cowslipmast/sched/policy.h
@@ -17,7 +17,6 @@
   uint32_t attempts = 1;  // failed runs of a task after which the job fails
   double stretch = 1.0;   // objective: this times the longest chain of work,
   Duration target_latency{0};  // and this much more
-  bool needs_advice = false;   // an advisor must permit each worker
 
   bool operator==(const QueuePolicy&) const = default;
 };
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -23,9 +23,6 @@
   Duration earlier_owner_lease = std::chrono::seconds(10);
   /** How much slower than ours a worker's clock may run. */
   double slow_clock = 0.02;
-  /** Run time factor of a task that is away from its data. */
-  double far_factor = 2.0;
-  uint64_t seed = 0;
 };
 
 /** Starts a run on a worker. */
@@ -137,9 +134,9 @@
                       TimePoint now);
   /** The start may have been carried out, or may yet be. */
   void OnStartUnknown(const StartCommand& command, TimePoint now);
-  /** The worker confirmed the stop. */
+  /** The worker confirmed the stop; one that is not confirmed is planned again.
+   */
   void OnStopped(const StopCommand& command, TimePoint now);
-  void OnStopUnknown(const StopCommand& command, TimePoint now);
   /** The pace may not be in force: it is sent again. */
   void OnPaceUnknown(const PaceCommand& command);
 
@@ -158,7 +155,7 @@
   /** True if a plan made now could differ from none. */
   bool NeedsPlan() const;
   /** When a plan is due at the latest though nothing happens. */
-  std::optional<TimePoint> NextDue(TimePoint now, WallTime wall) const;
+  TimePoint NextDue(TimePoint now, WallTime wall) const;
 
   /** State that may be shown to callers; nothing for an unknown job. */
   std::optional<JobState> StateOf(const JobId& id) const;
@@ -172,6 +169,7 @@
 
   /** Workers that the platform lists. */
   std::vector<WorkerInfo> Workers() const;
+  size_t CountWorkers() const;
   const SchedulerCounters& counters() const;
   /** Decisions since the last call, oldest first. */
   std::vector<Decision> TakeDecisions();
--- a/src/daemon/chart_files.cc
+++ b/src/daemon/chart_files.cc
@@ -40,8 +40,11 @@
   return paths;
 }
 
-std::optional<Chart> LoadChart(const fs::path& path, ChartFileError& reason) {
-  reason.path = path.string();
+}  // namespace
+
+std::optional<Chart> LoadChart(const std::string& path,
+                               ChartFileError& reason) {
+  reason.path = path;
   const auto text = ReadFile(path);
   if (!text) {
     reason.kind = ChartFileErrorKind::kFileUnreadable;
@@ -52,15 +55,13 @@
     reason.kind = ChartFileErrorKind::kInvalidChart;
     return std::nullopt;
   }
-  if (chart->name != path.stem().string()) {
+  if (chart->name != fs::path(path).stem().string()) {
     reason.kind = ChartFileErrorKind::kNameMismatch;
     return std::nullopt;
   }
   return chart;
 }
 
-}  // namespace
-
 std::optional<ChartSet> LoadCharts(const std::string& directory,
                                    ChartFileError& reason) {
   const auto paths = ListFiles(directory);
@@ -70,7 +71,7 @@
   }
   ChartSet charts;
   for (const fs::path& path : *paths) {
-    auto chart = LoadChart(path, reason);
+    auto chart = LoadChart(path.string(), reason);
     if (!chart)
       return std::nullopt;
     charts.emplace(chart->name, std::move(*chart));
--- a/src/daemon/chart_files.h
+++ b/src/daemon/chart_files.h
@@ -26,6 +26,9 @@
   ChartError chart;  // only with kInvalidChart
 };
 
+/** Reads and checks one file. */
+std::optional<Chart> LoadChart(const std::string& path, ChartFileError& reason);
+
 /** Reads and checks all `*.toml` files of a directory. */
 std::optional<ChartSet> LoadCharts(const std::string& directory,
                                    ChartFileError& reason);
--- a/src/sched/misses.h
+++ b/src/sched/misses.h
@@ -14,7 +14,6 @@
   /** True if a step that needs no more, of the same kind and free to go
    * anywhere, found no place. */
   bool Cover(const State& state, const ReadyKey& key) const;
-  size_t size() const { return m_kinds.size(); }
 
  private:
   struct Kind {
--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr uint32_t kFullPace = 100;
-// A pace is sent when it differs by this much, or is full or zero.
+// A pace is sent when it differs by this much, or is zero.
 constexpr uint32_t kLeastChange = 12;
 // Utilisation kept free below the target: a task's own load may rise by 0.1
 // until the next listing.
@@ -45,15 +45,8 @@
     if (!SpecOf(ref).fills || !task.load || *task.load <= 0 ||
         task.listing != worker.listings)
       continue;
-    const double share = ShareOf(worker, static_cast<double>(*task.load));
-    const ImageIndex image = StepOf(ref).image;
-    const auto known = std::find_if(
-        shares.begin(), shares.end(),
-        [image](const FillingShare& other) { return other.image == image; });
-    if (known != shares.end())
-      known->share += share;
-    else
-      shares.push_back({image, share});
+    AddShare(shares, StepOf(ref).image,
+             ShareOf(worker, static_cast<double>(*task.load)));
   }
   return shares;
 }
@@ -131,6 +124,15 @@
                                       static_cast<double>(task.pace));
 }
 
+// What a filling task presses on tasks of a serving image at full pace.
+double PressureOf(const State& state,
+                  const Worker& worker,
+                  ImageIndex serving,
+                  const TaskRef& filling) {
+  return Pressure(state.pressure, serving, StepOf(filling).image) *
+         ShareOf(worker, FullUse(filling));
+}
+
 void SetPaces(State& state, Worker& worker) {
   for (const TaskRef& ref : worker.tasks) {
     if (SpecOf(ref).fills)
@@ -140,22 +142,20 @@
     if (!IsServing(SpecOf(serving)))
       continue;
     const ImageIndex image = StepOf(serving).image;
-    std::vector<std::pair<Task*, double>> pressing;
+    std::vector<Task*> pressing;
     double pressed = 0;
     for (const TaskRef& ref : worker.tasks) {
       if (!SpecOf(ref).fills)
         continue;
-      const double by_task =
-          Pressure(state.pressure, image, StepOf(ref).image) *
-          ShareOf(worker, FullUse(ref));
+      const double by_task = PressureOf(state, worker, image, ref);
       if (by_task < kNoticeable / 2)
         continue;
       pressed += by_task;
-      pressing.emplace_back(&TaskOf(ref), by_task);
+      pressing.push_back(&TaskOf(ref));
     }
     const double pace =
         PaceFor(TaskOf(serving).own_load, LimitOf(state, serving), pressed);
-    for (const auto& [task, by_task] : pressing) {
+    for (Task* task : pressing) {
       task->wanted_pace = std::min(
           task->wanted_pace, static_cast<uint32_t>(std::lround(pace * 100)));
     }
@@ -193,7 +193,7 @@
   return serves && fills;
 }
 
-void PaceFillingTasks(State& state, int32_t index, TimePoint) {
+void PaceFillingTasks(State& state, int32_t index) {
   Worker& worker = state.workers[static_cast<size_t>(index)];
   const Tails tails = ReadTails(state, worker);
   if (!IsShared(worker)) {
@@ -231,10 +231,8 @@
       continue;
     double pressed = added;
     for (const TaskRef& ref : worker.tasks) {
-      if (SpecOf(ref).fills) {
-        pressed += Pressure(state.pressure, image, StepOf(ref).image) *
-                   ShareOf(worker, FullUse(ref));
-      }
+      if (SpecOf(ref).fills)
+        pressed += PressureOf(state, worker, image, ref);
     }
     least = std::min(
         least, LimitOf(state, serving) - TaskOf(serving).own_load - pressed);
--- a/src/sched/pacing.h
+++ b/src/sched/pacing.h
@@ -13,7 +13,7 @@
  * the images that press on a task near its target are slowed down, as far as
  * the task's own load of the moment makes necessary. A tail over the target
  * that the model does not explain slows all of them down. */
-void PaceFillingTasks(State& state, int32_t worker, TimePoint now);
+void PaceFillingTasks(State& state, int32_t worker);
 
 /** Adds a command for each run whose pace is not the wanted one. */
 void PlanPaces(State& state, Plan& plan);
--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -205,7 +205,8 @@
                     .policy = policy,
                     .ref = ref,
                     .last_attempt = IsLastAttempt(policy, spec, task),
-                    .patient = now - task.ready_since < kPatienceOfLasting ||
+                    .patient = !spec.lasting ||
+                               now - task.ready_since < kPatienceOfLasting ||
                                !HasRoomTwice(state, policy.service, spec, now)};
 }
 
--- a/src/sched/pressure.cc
+++ b/src/sched/pressure.cc
@@ -146,19 +146,24 @@
     Update(entry, surprise, kChangeNoise, changes);
 }
 
+void AddShare(std::vector<FillingShare>& shares,
+              ImageIndex image,
+              double share) {
+  const auto known = std::find_if(
+      shares.begin(), shares.end(),
+      [image](const FillingShare& other) { return other.image == image; });
+  if (known != shares.end())
+    known->share += share;
+  else
+    shares.push_back({image, share});
+}
+
 std::vector<FillingShare> ChangeOfShares(
     const std::vector<FillingShare>& before,
     const std::vector<FillingShare>& after) {
   std::vector<FillingShare> changes = after;
-  for (const FillingShare& old : before) {
-    const auto known = std::find_if(
-        changes.begin(), changes.end(),
-        [&old](const FillingShare& share) { return share.image == old.image; });
-    if (known != changes.end())
-      known->share -= old.share;
-    else
-      changes.push_back({old.image, -old.share});
-  }
+  for (const FillingShare& old : before)
+    AddShare(changes, old.image, -old.share);
   return changes;
 }
 
--- a/src/sched/pressure.h
+++ b/src/sched/pressure.h
@@ -62,6 +62,11 @@
                    double after,
                    const std::vector<FillingShare>& changes);
 
+/** Adds to the share of an image. */
+void AddShare(std::vector<FillingShare>& shares,
+              ImageIndex image,
+              double share);
+
 /** Shares in `after` less those in `before`. */
 std::vector<FillingShare> ChangeOfShares(
     const std::vector<FillingShare>& before,
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -36,12 +36,12 @@
   return fields;
 }
 
-bool ApplyTask(State& state, const TaskRef& ref, const json& stored) {
+void ApplyTask(State& state, const TaskRef& ref, const json& stored) {
   Task& task = TaskOf(ref);
   if (stored.is_number()) {
     task.phase = TaskPhase::kDone;
     --StepOf(ref).open;
-    return true;
+    return;
   }
   task.run = RunNumber(stored.at(1).get<uint64_t>());
   task.failures = stored.at(2).get<uint32_t>();
@@ -49,14 +49,13 @@
   if (task.run.value() > 0)
     ref.iteration->job->has_started = true;
   if (stored.at(0).get<int>() != kPlacedCode)
-    return true;
+    return;
   const int32_t worker =
       WorkerIndex(state, WorkerId(stored.at(4).get<std::string>()));
   OccupyWorker(state, ref, worker);
   task.phase = TaskPhase::kRunning;
   // Any listing that carries this owner's fence shows the run or rules it out.
   task.visible_from = state.claimed;
-  return true;
 }
 
 bool ApplyStoredIteration(State& state,
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -183,7 +183,6 @@
     state.cancelled_early.insert(id);
     return;
   }
-  found->second->cancelled = true;
   if (state.restored)
     EndJob(state, *found->second, JobState::kCancelled, now);
   else if (found->second->state != JobState::kCompleted)
@@ -200,10 +199,10 @@
 }
 
 void Scheduler::RemoveWorker(const WorkerId& id, TimePoint) {
-  const int32_t worker = FindWorker(m_impl->state, id);
-  if (worker == kNowhere)
+  Worker* worker = LookUpWorker(m_impl->state, id);
+  if (worker == nullptr)
     return;
-  m_impl->state.workers[static_cast<size_t>(worker)].listed = false;
+  worker->listed = false;
   m_impl->state.changed = true;
 }
 
@@ -215,16 +214,13 @@
   if (worker == kNowhere)
     return;
   ApplyListing(m_impl->state, worker, listing, asked, now);
-  PaceFillingTasks(m_impl->state, worker, now);
+  PaceFillingTasks(m_impl->state, worker);
 }
 
 void Scheduler::OnSilence(const WorkerId& id, TimePoint) {
-  const int32_t index = FindWorker(m_impl->state, id);
-  if (index == kNowhere)
-    return;
-  Worker& worker = m_impl->state.workers[static_cast<size_t>(index)];
-  if (worker.contact == Contact::kInTouch)
-    worker.contact = Contact::kSilent;
+  Worker* worker = LookUpWorker(m_impl->state, id);
+  if (worker != nullptr && worker->contact == Contact::kInTouch)
+    worker->contact = Contact::kSilent;
 }
 
 void Scheduler::OnWorkerDead(const WorkerId& id, TimePoint now) {
@@ -299,10 +295,6 @@
   TaskOf(*ref).visible_from = now;
 }
 
-void Scheduler::OnStopUnknown(const StopCommand&, TimePoint) {
-  // The plan repeats a stop that was not confirmed.
-}
-
 void Scheduler::OnPaceUnknown(const PaceCommand& command) {
   const auto ref =
       FindRun(m_impl->state, command.worker, command.task, command.run);
@@ -314,22 +306,17 @@
 
 std::optional<WorkerClock> Scheduler::LeaseEnd(const WorkerId& id,
                                                TimePoint now) {
-  const int32_t worker = FindWorker(m_impl->state, id);
+  Worker* worker = LookUpWorker(m_impl->state, id);
   // A call to a silent worker may arrive all the same: if it carried a lease
   // end, the time when the worker's tasks are over would move on for ever.
-  if (worker == kNowhere ||
-      m_impl->state.workers[static_cast<size_t>(worker)].contact ==
-          Contact::kSilent)
+  if (worker == nullptr || worker->contact == Contact::kSilent)
     return std::nullopt;
-  return ExtendLease(m_impl->state.options,
-                     m_impl->state.workers[static_cast<size_t>(worker)], now);
+  return ExtendLease(m_impl->state.options, *worker, now);
 }
 
 uint64_t Scheduler::AcknowledgedEnds(const WorkerId& id) const {
-  const int32_t worker = FindWorker(m_impl->state, id);
-  return worker == kNowhere
-             ? 0
-             : m_impl->state.workers[static_cast<size_t>(worker)].ends_stored;
+  const Worker* worker = LookUpWorker(m_impl->state, id);
+  return worker == nullptr ? 0 : worker->ends_stored;
 }
 
 bool Scheduler::IsStillWanted(const StartCommand& command) const {
@@ -377,8 +364,7 @@
   return m_impl->state.changed;
 }
 
-std::optional<TimePoint> Scheduler::NextDue(TimePoint now,
-                                            WallTime wall) const {
+TimePoint Scheduler::NextDue(TimePoint now, WallTime wall) const {
   // Leases that end, stops to repeat and workers that are trusted again are
   // looked at this often.
   constexpr Duration tick = std::chrono::milliseconds(200);
@@ -407,15 +393,13 @@
 }
 
 bool Scheduler::NeedsCloseWatch(const WorkerId& id) const {
-  const int32_t worker = FindWorker(m_impl->state, id);
-  return worker != kNowhere &&
-         IsShared(m_impl->state.workers[static_cast<size_t>(worker)]);
+  const Worker* worker = LookUpWorker(m_impl->state, id);
+  return worker != nullptr && IsShared(*worker);
 }
 
 bool Scheduler::HasTasks(const WorkerId& id) const {
-  const int32_t worker = FindWorker(m_impl->state, id);
-  return worker != kNowhere &&
-         !m_impl->state.workers[static_cast<size_t>(worker)].tasks.empty();
+  const Worker* worker = LookUpWorker(m_impl->state, id);
+  return worker != nullptr && !worker->tasks.empty();
 }
 
 std::vector<WorkerInfo> Scheduler::Workers() const {
@@ -427,6 +411,12 @@
   return workers;
 }
 
+size_t Scheduler::CountWorkers() const {
+  return static_cast<size_t>(
+      std::count_if(m_impl->state.workers.begin(), m_impl->state.workers.end(),
+                    [](const Worker& worker) { return worker.listed; }));
+}
+
 const SchedulerCounters& Scheduler::counters() const {
   return m_impl->state.counters;
 }
@@ -436,11 +426,8 @@
 }
 
 std::string Scheduler::DescribeWorker(const WorkerId& id) const {
-  const int32_t worker = FindWorker(m_impl->state, id);
-  return worker == kNowhere
-             ? "{}"
-             : DescribeTasks(
-                   m_impl->state.workers[static_cast<size_t>(worker)]);
+  const Worker* worker = LookUpWorker(m_impl->state, id);
+  return worker == nullptr ? "{}" : DescribeTasks(*worker);
 }
 
 std::string Scheduler::Dump(TimePoint now) const {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -87,7 +87,6 @@
   TimePoint arrived;
   uint32_t placed = 0;  // tasks on a worker
   bool has_started = false;
-  bool cancelled = false;
   std::optional<TimePoint> ended_at;
 };
 
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -10,6 +10,12 @@
   return found == state.worker_index.end() ? kNowhere : found->second;
 }
 
+Worker* LookUpWorker(State& state, const WorkerId& id) {
+  const int32_t index = FindWorker(state, id);
+  return index == kNowhere ? nullptr
+                           : &state.workers[static_cast<size_t>(index)];
+}
+
 int32_t WorkerIndex(State& state, const WorkerId& id) {
   const int32_t known = FindWorker(state, id);
   if (known != kNowhere)
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -12,6 +12,9 @@
 /** Index of a known worker, or kNowhere. */
 int32_t FindWorker(const State& state, const WorkerId& id);
 
+/** A known worker, or null; valid until the next worker becomes known. */
+Worker* LookUpWorker(State& state, const WorkerId& id);
+
 /** Why a worker may get no new task. */
 enum class WorkerBar {
   kNone,
--- a/src/scheduler/cell.cc
+++ b/src/scheduler/cell.cc
@@ -25,6 +25,8 @@
 constexpr Duration kProveEvery = milliseconds(1000);
 // Time between plans, in which events gather: each plan costs an append.
 constexpr Duration kPlanGap = milliseconds(15);
+// Keeps an iteration that is due at this moment from making the loop spin.
+constexpr Duration kLeastWait = milliseconds(1);
 constexpr Duration kRetryAfter = milliseconds(100);
 // Answers of the stream of jobs that are older than this do not show that a
 // job does not exist; it must be visible 3 s after its acceptance.
@@ -82,6 +84,7 @@
   std::shared_ptr<WorkerDriver> driver;
   std::unique_ptr<TopicFollower> jobs;
   std::unique_ptr<TopicFollower> listed;
+  std::optional<FollowStart> restored_jobs;  // until they are followed
   bool restored = false;
   bool stopped = false;
 };
@@ -138,11 +141,15 @@
     else
       scheduler->RemoveWorker(WorkerId(record.key), now);
   }
-  for (const WorkerInfo& info : scheduler->Workers()) {
-    if (newest.count(info.id.value()) == 0)
+  // After a gap in the stream a worker may be gone without a record.
+  std::vector<WorkerInfo> known = scheduler->Workers();
+  std::erase_if(known, [&](const WorkerInfo& info) {
+    const bool gone = newest.count(info.id.value()) == 0;
+    if (gone)
       scheduler->RemoveWorker(info.id, now);
-  }
-  driver->SetWorkers(scheduler->Workers());
+    return gone;
+  });
+  driver->SetWorkers(known);
   wake.Notify();
 }
 
@@ -170,7 +177,8 @@
   scheduler_options.lease = options.lease;
   scheduler = Scheduler::Make(scheduler_options, claimed);
   scheduler->SetPolicy(hooks.manifest().policy, claimed);
-  const auto job_records = co_await ReadAll(Topic::kJobs);
+  const TimePoint asked = MonotonicNow();
+  auto job_records = co_await ReadAll(Topic::kJobs);
   if (!job_records)
     co_return false;
   const auto progress = co_await ReadAll(Topic::kProgress);
@@ -196,6 +204,7 @@
        {"job_records", static_cast<int64_t>(job_records->records.size())},
        {"progress_records", static_cast<int64_t>(progress->records.size())},
        {"took_ms", ToMillis(MonotonicNow() - claimed)}});
+  restored_jobs = FollowStart{std::move(*job_records), asked};
   co_return true;
 }
 
@@ -208,16 +217,18 @@
   driver_hooks.log_listings = options.log_listings;
   driver = WorkerDriver::Make(io, workers, *scheduler, options.epoch,
                               std::move(driver_hooks));
-  jobs = TopicFollower::Make(io, store, Topic::kJobs, kFollowJobs,
-                             [weak](const TopicFollower::Records&,
-                                    const std::vector<KeyedRecord>& added) {
-                               const auto self = weak.lock();
-                               if (!self || self->stopped)
-                                 return;
-                               for (const KeyedRecord& record : added)
-                                 self->ApplyJobRecord(record);
-                               self->wake.Notify();
-                             });
+  const auto on_jobs = [weak](const TopicFollower::Records&,
+                              const std::vector<KeyedRecord>& added) {
+    const auto self = weak.lock();
+    if (!self || self->stopped)
+      return;
+    for (const KeyedRecord& record : added)
+      self->ApplyJobRecord(record);
+    self->wake.Notify();
+  };
+  // The jobs that were restored are not read again.
+  jobs = TopicFollower::Make(io, store, Topic::kJobs, kFollowJobs, on_jobs,
+                             std::exchange(restored_jobs, std::nullopt));
   listed = TopicFollower::Make(io, store, Topic::kWorkers, kFollowWorkers,
                                [weak](const TopicFollower::Records& newest,
                                       const std::vector<KeyedRecord>& added) {
@@ -307,11 +318,10 @@
   restored = true;
   StartFollowing();
   while (!stopped) {
-    const auto due = scheduler->NextDue(MonotonicNow(), WallNow());
-    const Duration wait =
-        due ? *due - MonotonicNow() : Duration(milliseconds(200));
+    const TimePoint now = MonotonicNow();
+    const Duration wait = scheduler->NextDue(now, WallNow()) - now;
     if (!scheduler->NeedsPlan())
-      co_await wake.Wait(std::max(Duration(1000), wait));
+      co_await wake.Wait(std::max(kLeastWait, wait));
     if (stopped)
       co_return;
     const bool owning = co_await PlanOnce();
@@ -380,7 +390,7 @@
 }
 
 size_t Cell::WorkerCount() const {
-  return m_impl->scheduler ? m_impl->scheduler->Workers().size() : 0;
+  return m_impl->scheduler ? m_impl->scheduler->CountWorkers() : 0;
 }
 
 std::string Cell::Dump() const {
--- a/src/scheduler/job_service.cc
+++ b/src/scheduler/job_service.cc
@@ -82,6 +82,7 @@
                                         Duration patience);
   asio::awaitable<std::optional<HttpResponse>> AskOwner(std::string path,
                                                         TimePoint deadline);
+  std::optional<HttpResponse> AnswerQuestion(std::string_view path) const;
   HttpResponse AnswerState(std::string_view id) const;
   HttpResponse AnswerWaiting(std::string_view queue) const;
   asio::awaitable<HttpResponse> AnswerRecord(std::string key,
@@ -144,30 +145,42 @@
                                                : Worse(result, forwarded);
 }
 
-// Asks the owner until it answers; a change of owner takes a few seconds.
+// Asks the owner, which may be this process, until it answers; a change of
+// owner takes a few seconds. Nothing after the deadline.
 asio::awaitable<std::optional<HttpResponse>> JobService::Impl::AskOwner(
     std::string path,
     TimePoint deadline) {
   while (MonotonicNow() < deadline) {
     const auto owner = watch->owner();
-    if (owner && !watch->IsOwner()) {
+    std::optional<HttpResponse> response;
+    if (watch->IsOwner()) {
+      response = AnswerQuestion(path);
+    } else if (owner) {
       HttpRequest request;
       request.path = path;
       NetError error;
       const Endpoint endpoint = owner->control;
       const Duration left = deadline - MonotonicNow();
-      auto response = co_await client.Call(endpoint, std::move(request),
-                                           std::min(left, kAskTimeout), error);
-      if (response && response->status != 503)
-        co_return response;
-    } else if (watch->IsOwner()) {
-      co_return std::nullopt;
+      response = co_await client.Call(endpoint, std::move(request),
+                                      std::min(left, kAskTimeout), error);
     }
+    if (response && response->status != 503)
+      co_return response;
     co_await Sleep(kAskAgainAfter);
   }
   co_return std::nullopt;
 }
 
+// Answers from the cell that this process owns; nothing for another path.
+std::optional<HttpResponse> JobService::Impl::AnswerQuestion(
+    std::string_view path) const {
+  if (path.starts_with(kJobsPath))
+    return AnswerState(path.substr(kJobsPath.size()));
+  if (path.starts_with(kWaitingPath))
+    return AnswerWaiting(path.substr(kWaitingPath.size()));
+  return std::nullopt;
+}
+
 HttpResponse JobService::Impl::AnswerState(std::string_view id) const {
   const auto owned = cell();
   if (!owned)
@@ -242,31 +255,14 @@
 asio::awaitable<std::optional<JobState>>
 JobService::StateOf(JobId id, Duration patience, QueryError& reason) {
   const auto impl = m_impl;
-  const TimePoint deadline = MonotonicNow() + patience;
-  reason = QueryError::kNoOwner;
-  while (MonotonicNow() < deadline) {
-    HttpResponse answer;
-    if (impl->watch->IsOwner()) {
-      answer = impl->AnswerState(id.value());
-    } else {
-      auto asked = co_await impl->AskOwner(std::string(kJobsPath) + id.value(),
-                                           deadline);
-      if (!asked)
-        continue;
-      answer = std::move(*asked);
-    }
-    if (answer.status == 404) {
-      reason = QueryError::kNoSuchJob;
-      co_return std::nullopt;
-    }
-    if (answer.status == 200) {
-      const auto j = nlohmann::json::parse(answer.body, nullptr, false);
-      if (j.is_object())
-        co_return StateFromName(j.value("state", ""));
-    }
-    co_await Sleep(kAskAgainAfter);
-  }
-  co_return std::nullopt;
+  const auto answer = co_await impl->AskOwner(
+      std::string(kJobsPath) + id.value(), MonotonicNow() + patience);
+  reason = answer && answer->status == 404 ? QueryError::kNoSuchJob
+                                           : QueryError::kNoOwner;
+  if (!answer || answer->status != 200)
+    co_return std::nullopt;
+  const auto j = nlohmann::json::parse(answer->body, nullptr, false);
+  co_return j.is_object() ? StateFromName(j.value("state", "")) : std::nullopt;
 }
 
 asio::awaitable<std::optional<size_t>> JobService::CountWaiting(
@@ -277,40 +273,26 @@
   const auto cached = impl->waiting.find(queue);
   if (cached != impl->waiting.end() && now - cached->second.at < kWaitingAge)
     co_return cached->second.count;
-  const TimePoint deadline = now + patience;
-  while (MonotonicNow() < deadline) {
-    std::optional<HttpResponse> answer;
-    if (impl->watch->IsOwner())
-      answer = impl->AnswerWaiting(queue.value());
-    else
-      answer = co_await impl->AskOwner(
-          std::string(kWaitingPath) + queue.value(), deadline);
-    if (answer && answer->status == 200) {
-      const auto j = nlohmann::json::parse(answer->body, nullptr, false);
-      if (j.is_object()) {
-        const auto count = j.value("waiting", size_t{0});
-        impl->waiting[queue] = CachedCount{count, now};
-        co_return count;
-      }
-    }
-    co_await Sleep(kAskAgainAfter);
-  }
-  co_return std::nullopt;
+  const auto answer = co_await impl->AskOwner(
+      std::string(kWaitingPath) + queue.value(), now + patience);
+  if (!answer || answer->status != 200)
+    co_return std::nullopt;
+  const auto j = nlohmann::json::parse(answer->body, nullptr, false);
+  if (!j.is_object())
+    co_return std::nullopt;
+  const auto count = j.value("waiting", size_t{0});
+  impl->waiting[queue] = CachedCount{count, now};
+  co_return count;
 }
 
 asio::awaitable<std::optional<HttpResponse>> JobService::AnswerPeer(
     HttpRequest request) {
   const std::string path(PathWithoutQuery(request.path));
-  const std::string_view view = path;
-  if (view.starts_with(kJobsPath))
-    co_return m_impl->AnswerState(view.substr(kJobsPath.size()));
-  if (view.starts_with(kWaitingPath))
-    co_return m_impl->AnswerWaiting(view.substr(kWaitingPath.size()));
-  if (request.method == "POST" && view.starts_with(kRecordsPath)) {
-    co_return co_await m_impl->AnswerRecord(
-        std::string(view.substr(kRecordsPath.size())), std::move(request.body));
+  if (request.method == "POST" && path.starts_with(kRecordsPath)) {
+    co_return co_await m_impl->AnswerRecord(path.substr(kRecordsPath.size()),
+                                            std::move(request.body));
   }
-  co_return std::nullopt;
+  co_return m_impl->AnswerQuestion(path);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -30,6 +30,7 @@
   kFenced,       // a later epoch has written
   kConflict,     // the condition did not hold: nothing was done
   kTrimmed,      // the records asked for are gone
+  kNoSuchTopic,  // nobody has written to it yet
   kBadAnswer,
 };
 
--- a/src/scheduler/process.cc
+++ b/src/scheduler/process.cc
@@ -84,8 +84,6 @@
   options.epoch = epoch;
   options.lease = settings.lease;
   options.log_listings = settings.log_listings;
-  options.scheduler.far_factor = settings.far_factor;
-  options.scheduler.seed = settings.seed;
   CellHooks hooks;
   hooks.manifest = [this]() -> const Manifest& {
     return operators->manifest();
--- a/src/scheduler/process.h
+++ b/src/scheduler/process.h
@@ -24,9 +24,8 @@
   std::vector<Endpoint> seeds;  // control addresses of some processes
   Duration lease{0};
   Duration stop_grace{0};  // between SIGTERM and SIGKILL
-  double far_factor = 2.0;
-  double cores = 1.0;     // processor share of the VM
-  size_t body_bytes = 0;  // of a call, at most
+  double cores = 1.0;      // processor share of the VM
+  size_t body_bytes = 0;   // of a call, at most
   uint64_t seed = 0;
   bool log_listings = false;  // every listing of a worker, in full
 };
--- a/src/scheduler/topic_follower.cc
+++ b/src/scheduler/topic_follower.cc
@@ -43,6 +43,7 @@
   asio::awaitable<void> Run();
   asio::awaitable<bool> ReadAll();
   asio::awaitable<bool> ReadNext();
+  void Begin(const TopicSnapshot& snapshot, TimePoint asked);
   void NoteError(const StoreError& error);
   void NoteAnswer(TimePoint asked);
 
@@ -73,6 +74,16 @@
   answered = asked;
 }
 
+void TopicFollower::Impl::Begin(const TopicSnapshot& snapshot,
+                                TimePoint asked) {
+  NoteAnswer(asked);
+  newest.clear();
+  for (const KeyedRecord& record : snapshot.records)
+    newest[record.key] = record.value;
+  next = snapshot.end;
+  complete = true;
+}
+
 asio::awaitable<bool> TopicFollower::Impl::ReadAll() {
   StoreError error;
   const TimePoint asked = MonotonicNow();
@@ -84,12 +95,7 @@
     NoteError(error);
     co_return false;
   }
-  NoteAnswer(asked);
-  newest.clear();
-  for (const KeyedRecord& record : snapshot->records)
-    newest[record.key] = record.value;
-  next = snapshot->end;
-  complete = true;
+  Begin(*snapshot, asked);
   on_records(newest, snapshot->records);
   co_return true;
 }
@@ -144,25 +150,21 @@
   m_impl->stopped = true;
 }
 
-std::unique_ptr<TopicFollower> TopicFollower::Make(asio::io_context& io,
-                                                   const StorePort& store,
-                                                   Topic topic,
-                                                   FollowTiming timing,
-                                                   OnRecords on_records) {
+std::unique_ptr<TopicFollower> TopicFollower::Make(
+    asio::io_context& io,
+    const StorePort& store,
+    Topic topic,
+    FollowTiming timing,
+    OnRecords on_records,
+    std::optional<FollowStart> start) {
   auto impl =
       std::make_shared<Impl>(store, topic, timing, std::move(on_records));
+  if (start)
+    impl->Begin(start->snapshot, start->asked);
   asio::co_spawn(io, impl->Run(), asio::detached);
   return std::unique_ptr<TopicFollower>(new TopicFollower(std::move(impl)));
 }
 
-const TopicFollower::Records& TopicFollower::newest() const {
-  return m_impl->newest;
-}
-
-bool TopicFollower::complete() const {
-  return m_impl->complete;
-}
-
 std::optional<Duration> TopicFollower::Age() const {
   if (!m_impl->answered)
     return std::nullopt;
--- a/src/scheduler/topic_follower.h
+++ b/src/scheduler/topic_follower.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,12 @@
   Duration gap{0};   // between an answer with records and the next call
 };
 
+/** Newest records that were read already, and when they were asked for. */
+struct FollowStart {
+  TopicSnapshot snapshot;
+  TimePoint asked;
+};
+
 /** Reads a topic's newest records, then follows what is added. Reads the newest
  * records again when history was dropped. */
 class TopicFollower {
@@ -28,19 +35,18 @@
   using OnRecords =
       std::function<void(const Records&, const std::vector<KeyedRecord>&)>;
 
-  static std::unique_ptr<TopicFollower> Make(asio::io_context& io,
-                                             const StorePort& store,
-                                             Topic topic,
-                                             FollowTiming timing,
-                                             OnRecords on_records);
+  /** Follows on from `start` where it is set, without a callback for it. */
+  static std::unique_ptr<TopicFollower> Make(
+      asio::io_context& io,
+      const StorePort& store,
+      Topic topic,
+      FollowTiming timing,
+      OnRecords on_records,
+      std::optional<FollowStart> start = std::nullopt);
   ~TopicFollower();
   TopicFollower(const TopicFollower&) = delete;
   TopicFollower& operator=(const TopicFollower&) = delete;
 
-  /** Newest value of each key that is not deleted. */
-  const Records& newest() const;
-  /** True once the newest records were read. */
-  bool complete() const;
   /** How long ago the last answer was asked for. */
   std::optional<Duration> Age() const;
 
--- a/src/scheduler/worker_driver.cc
+++ b/src/scheduler/worker_driver.cc
@@ -223,12 +223,10 @@
   const bool confirmed = co_await port.stop(info, command, epoch.value());
   if (stopped)
     co_return;
-  if (confirmed) {
+  if (confirmed)
     scheduler.OnStopped(command, MonotonicNow());
-  } else {
+  else
     ++counters.failed_commands;
-    scheduler.OnStopUnknown(command, MonotonicNow());
-  }
 }
 
 asio::awaitable<void> WorkerDriver::Impl::Carry(ChannelPtr channel,
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -1,7 +1,5 @@
 #include "tests/platform/test_system.h"
 
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,6 +7,7 @@
 #include "platform/records.h"
 #include "platform/store_client.h"
 #include "platform/worker_calls.h"
+#include "src/daemon/chart_files.h"
 #include "src/scheduler/clock.h"
 
 namespace cowslipmast::platform {
@@ -27,11 +26,11 @@
 }
 
 sched::CellChart ReadCellChart() {
-  std::ifstream file(std::string(COWSLIPMAST_CHARTS_DIR) + "/cell.toml");
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
-  ChartError error;
+  ChartFileError error;
   std::string missing;
-  return *sched::CellChart::Make(*ParseChart(text, error), missing);
+  const auto chart =
+      LoadChart(std::string(COWSLIPMAST_CHARTS_DIR) + "/cell.toml", error);
+  return *sched::CellChart::Make(*chart, missing);
 }
 
 std::string MakeConfig() {
--- a/tests/sched/fake_cell.cc
+++ b/tests/sched/fake_cell.cc
@@ -350,10 +350,8 @@
 
 void FakeCell::Stop(const StopCommand& command) {
   FakeWorker* worker = Find(command.worker);
-  if (worker == nullptr || !worker->up || !worker->reachable) {
-    m_scheduler->OnStopUnknown(command, m_now);
+  if (worker == nullptr || !worker->up || !worker->reachable)
     return;
-  }
   const auto run = worker->running.find(command.task);
   if (run != worker->running.end() && run->second.run == command.run)
     EndRun(*worker, command.task, EndKind::kStopped);
