sched: pack serving tasks by image, so that some workers carry none

Cause: serving tasks were spread over all workers. Change: lasting tasks with a target go to the fullest worker with their image; the part that is kept for short work counts for the service instead of each worker.

--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -18,7 +18,7 @@
 
 namespace {
 
-// Part of a worker's processors that lasting tasks may reserve; short urgent
+// Part of a service's processors that lasting tasks may reserve; short urgent
 // work needs about 5% of the capacity of the first deployments, in large
 // pieces.
 constexpr double kLastingShare = 0.92;
@@ -59,17 +59,26 @@
                    label) != worker.info.labels.end();
 }
 
-bool HasRoom(const Worker& worker, const StepSpec& spec, bool patient) {
+bool HasRoom(const Worker& worker, const StepSpec& spec) {
   Resources need = spec.need;
   if (spec.fills)
     need.cpu = MilliCores(0);
-  if (!Fits(need, worker.info.capacity - worker.reserved))
-    return false;
-  if (spec.fills)
-    return true;
-  return !spec.lasting || !patient ||
-         Cores(worker.lasting) + Cores(spec.need.cpu) <=
-             Cores(worker.info.capacity.cpu) * kLastingShare;
+  return Fits(need, worker.info.capacity - worker.reserved);
+}
+
+// True if lasting tasks stay within their part of the service with this one.
+bool StaysWithinLastingShare(const State& state,
+                             const ServiceId& service,
+                             const StepSpec& spec) {
+  double capacity = 0;
+  double lasting = Cores(spec.need.cpu);
+  for (const Worker& worker : state.workers) {
+    if (worker.info.service != service || !worker.listed)
+      continue;
+    capacity += Cores(worker.info.capacity.cpu);
+    lasting += Cores(worker.lasting);
+  }
+  return lasting <= capacity * kLastingShare;
 }
 
 uint32_t CountOfStep(const Worker& worker, const TaskRef& ref) {
@@ -95,8 +104,9 @@
   return room + 0.5 * left / std::max(1.0, Cores(worker.info.capacity.cpu));
 }
 
-// Serving tasks of one image are gathered: a filling image that presses on it
-// then finds workers where it presses on nothing.
+// Serving tasks of one image are gathered, and packed on few workers: a filling
+// image then finds workers where it presses on nothing, as it presses on some
+// serving images only and on no worker without serving tasks.
 double GatheringScore(const Worker& worker, const TaskRef& ref) {
   double same = 0;
   double other = 0;
@@ -109,7 +119,10 @@
     else
       other += 1;
   }
-  return same + other > 0 ? (same - other) / (same + other) : 0.0;
+  const double gathered =
+      same + other > 0 ? (same - other) / (same + other) : 0.0;
+  return gathered +
+         Cores(worker.lasting) / std::max(1.0, Cores(worker.info.capacity.cpu));
 }
 
 // Larger is better; nothing if the task should not go there now.
@@ -126,11 +139,10 @@
     const auto score = FillScore(state, worker, ref);
     return score ? std::optional(penalty + *score) : std::nullopt;
   }
+  if (spec.lasting && spec.latency_target.count() > 0)
+    return penalty + GatheringScore(worker, ref);
   const double capacity = std::max(1.0, Cores(worker.info.capacity.cpu));
-  const double score = penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
-  if (!spec.lasting || spec.latency_target.count() == 0)
-    return score;
-  return score + GatheringScore(worker, ref);
+  return penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
 }
 
 bool IsLastAttempt(const QueuePolicy& policy,
@@ -145,7 +157,7 @@
   const QueuePolicy& policy;
   const TaskRef& ref;
   bool last_attempt = false;
-  bool patient = true;
+  bool waits = false;            // leaves the remaining room to short work
   const RackId* rack = nullptr;  // only this rack, if set
 };
 
@@ -154,7 +166,7 @@
                 const PlaceQuery& query,
                 TimePoint now) {
   return worker.info.service == query.policy.service &&
-         HasRoom(worker, query.spec, query.patient) &&
+         HasRoom(worker, query.spec) &&
          BarOf(state, worker, now) == WorkerBar::kNone &&
          IsTrusted(worker, query.last_attempt, now) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
@@ -164,6 +176,8 @@
 }
 
 int32_t BestWorker(const State& state, const PlaceQuery& query, TimePoint now) {
+  if (query.waits)
+    return kNowhere;
   int32_t best = kNowhere;
   double best_score = 0;
   for (size_t i = 0; i < state.workers.size(); ++i) {
@@ -186,7 +200,7 @@
                   TimePoint now) {
   int64_t places = 0;
   for (const Worker& worker : state.workers) {
-    if (worker.info.service != service || !HasRoom(worker, spec, false) ||
+    if (worker.info.service != service || !HasRoom(worker, spec) ||
         BarOf(state, worker, now) != WorkerBar::kNone)
       continue;
     const Resources free = worker.info.capacity - worker.reserved;
@@ -201,13 +215,15 @@
   const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
   const StepSpec& spec = SpecOf(ref);
   const Task& task = TaskOf(ref);
-  return PlaceQuery{.spec = spec,
-                    .policy = policy,
-                    .ref = ref,
-                    .last_attempt = IsLastAttempt(policy, spec, task),
-                    .patient = !spec.lasting ||
-                               now - task.ready_since < kPatienceOfLasting ||
-                               !HasRoomTwice(state, policy.service, spec, now)};
+  return PlaceQuery{
+      .spec = spec,
+      .policy = policy,
+      .ref = ref,
+      .last_attempt = IsLastAttempt(policy, spec, task),
+      .waits = spec.lasting && !spec.fills &&
+               !StaysWithinLastingShare(state, policy.service, spec) &&
+               (now - task.ready_since < kPatienceOfLasting ||
+                !HasRoomTwice(state, policy.service, spec, now))};
 }
 
 void StartTask(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
