sched: store learned pressures, a later owner starts from them

Change: what was learned of the images of unfinished jobs (about 4 kB) is stored along with progress, every 3 s at most, and restored.

--- a/src/sched/pressure.cc
+++ b/src/sched/pressure.cc
@@ -35,23 +35,6 @@
 constexpr double kLeastIdle = 0.1;
 constexpr double kMostIdle = 0.3;
 
-void Grow(ServingModel& model, size_t size) {
-  const size_t old = model.mean.size();
-  if (size <= old)
-    return;
-  std::vector<double> covariance(size * size, 0.0);
-  for (size_t i = 0; i < size; ++i) {
-    for (size_t j = 0; j < size; ++j) {
-      if (i < old && j < old)
-        covariance[i * size + j] = model.covariance[i * old + j];
-    }
-    if (i >= old)
-      covariance[i * size + i] = kFirstVariance;
-  }
-  model.mean.resize(size, kFirstMean);
-  model.covariance = std::move(covariance);
-}
-
 double Predict(const ServingModel& model,
                const std::vector<FillingShare>& shares) {
   double utilisation = 0;
@@ -95,6 +78,23 @@
 
 }  // namespace
 
+void GrowModel(ServingModel& model, size_t size) {
+  const size_t old = model.mean.size();
+  if (size <= old)
+    return;
+  std::vector<double> covariance(size * size, 0.0);
+  for (size_t i = 0; i < size; ++i) {
+    for (size_t j = 0; j < size; ++j) {
+      if (i < old && j < old)
+        covariance[i * size + j] = model.covariance[i * old + j];
+    }
+    if (i >= old)
+      covariance[i * size + i] = kFirstVariance;
+  }
+  model.mean.resize(size, kFirstMean);
+  model.covariance = std::move(covariance);
+}
+
 ImageIndex ServingImage(PressureModel& model, const ImageId& image) {
   const auto next = static_cast<ImageIndex>(model.serving_index.size());
   const auto [entry, added] = model.serving_index.emplace(image, next);
@@ -126,7 +126,7 @@
   if (shares.empty())
     return;
   ServingModel& entry = model.serving[serving];
-  Grow(entry, model.filling_index.size());
+  GrowModel(entry, model.filling_index.size());
   const double surprise = observed - kUsualOwnLoad - Predict(entry, shares);
   if (observed < kSaturated || surprise > 0)
     Update(entry, surprise, kLevelNoise, shares);
@@ -140,7 +140,7 @@
   if (changes.empty() || before >= kSaturated)
     return;
   ServingModel& entry = model.serving[serving];
-  Grow(entry, model.filling_index.size());
+  GrowModel(entry, model.filling_index.size());
   const double surprise = after - before - Predict(entry, changes);
   if (after < kSaturated || surprise > 0)
     Update(entry, surprise, kChangeNoise, changes);
--- a/src/sched/pressure.h
+++ b/src/sched/pressure.h
@@ -41,6 +41,10 @@
 ImageIndex ServingImage(PressureModel& model, const ImageId& image);
 ImageIndex FillingImage(PressureModel& model, const ImageId& image);
 
+/** Makes room for `size` filling images; new ones start with what is known of
+ * any. */
+void GrowModel(ServingModel& model, size_t size);
+
 /** Utilisation at which a task of the image reaches a tail, from 0 to 1. */
 double UtilisationAt(const ServingModel& model,
                      double tail_ms,
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -9,6 +9,7 @@
 #include "src/sched/listing.h"
 #include "src/sched/pacing.h"
 #include "src/sched/placing.h"
+#include "src/sched/pressure_codec.h"
 #include "src/sched/progress.h"
 #include "src/sched/residence.h"
 #include "src/sched/workers.h"
@@ -22,6 +23,9 @@
 constexpr Duration kRepeatStop = std::chrono::milliseconds(700);
 // After a refusal for want of room the next listing tells what ended.
 constexpr Duration kFullFor = std::chrono::milliseconds(250);
+// Learned pressures are stored this often, along with progress. They take about
+// 4 kB, and settle within some seconds.
+constexpr Duration kStorePressures = std::chrono::seconds(3);
 // Lines kept between two calls of TakeDecisions.
 constexpr size_t kMaxDecisions = 4096;
 
@@ -64,6 +68,16 @@
   state.dirty.clear();
 }
 
+// Adds learned pressures to an append that is due anyway.
+void EncodeLearned(State& state, TimePoint now, Plan& plan) {
+  const bool is_due = !state.pressure_stored_at ||
+                      now - *state.pressure_stored_at >= kStorePressures;
+  if (plan.records.empty() || !is_due)
+    return;
+  state.pressure_stored_at = now;
+  plan.records.push_back({std::string(kPressureKey), EncodePressures(state)});
+}
+
 void RestoreJob(State& state, Job& job, TimePoint now) {
   const JobSpec& spec = job.spec;
   if (job.iterations_done >= IterationCount(spec))
@@ -127,9 +141,12 @@
 }
 
 bool Scheduler::RestoreProgress(const ProgressRecord& record) {
-  const bool applied = ApplyProgress(m_impl->state, record);
+  State& state = m_impl->state;
+  const bool applied = record.key == kPressureKey
+                           ? ApplyPressures(state, record.value)
+                           : ApplyProgress(state, record);
   if (!applied)
-    ++m_impl->state.counters.bad_records;
+    ++state.counters.bad_records;
   return applied;
 }
 
@@ -342,6 +359,7 @@
   PlanStops(state, now, plan);
   PlanPaces(state, plan);
   EncodeDirty(state, plan);
+  EncodeLearned(state, now, plan);
   ForgetEndedJobs(state, now, plan);
   for (Worker& worker : state.workers)
     worker.ends_planned = worker.ends_applied;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -162,6 +162,7 @@
   bool restored = false;  // the stored progress is complete
   Policy policy;
   PressureModel pressure;
+  std::optional<TimePoint> pressure_stored_at;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> jobs;
   /** Cancellations that were read before their jobs. */
   std::set<JobId> cancelled_early;
--- a/tests/sched/load_test.cc
+++ b/tests/sched/load_test.cc
@@ -93,6 +93,23 @@
     // Guards against one pace a worker, which slowed the light work as well.
     CHECK(in_time >= submitted * 9 / 10);
   }
+  SECTION("a later owner knows which work disturbs which") {
+    // Guards against learning at the cost of the serving tasks after each
+    // change of owner.
+    const auto submit = [&cell](int i) {
+      cell.Submit(MakeJob("f" + std::to_string(i), "fill",
+                          {MakeFillingStep(6, 9, "heavy")}));
+      cell.Run(milliseconds(250));
+    };
+    for (int i = 0; i < 60; ++i)
+      submit(i);
+    const double before = cell.verdict().tail_over_target_s;
+    cell.TakeOver();
+    for (int i = 60; i < 80; ++i)
+      submit(i);
+    INFO("before " << before);
+    CHECK(cell.verdict().tail_over_target_s - before < 1.0);
+  }
 }
 
 TEST_CASE("filling work that disturbs every serving image", "[sched]") {
