scheduler: decisions on a step share a log line

A line for each task was lost in part by readers of the log at 500 ends a second on the grown deployments. Decisions of one kind on one step within 0.2 s share a line of at most 16 runs, and the process logs how many lines it had to drop.

--- a/src/scheduler/cell.cc
+++ b/src/scheduler/cell.cc
@@ -5,6 +5,7 @@
 
 #include "cowslipmast/sched/codec.h"
 #include "src/scheduler/clock.h"
+#include "src/scheduler/decision_log.h"
 #include "src/scheduler/event_log.h"
 #include "src/scheduler/job_intake.h"
 #include "src/scheduler/progress_writer.h"
@@ -67,7 +68,6 @@
   void ApplyJobRecord(const KeyedRecord& record);
   void ApplyWorkers(const TopicFollower::Records& newest,
                     const std::vector<KeyedRecord>& added);
-  void LogDecisions();
   bool HasAuthority() const;
   void Lose();
   void StopAll();
@@ -85,6 +85,7 @@
   std::unique_ptr<TopicFollower> jobs;
   std::unique_ptr<TopicFollower> listed;
   std::optional<FollowStart> restored_jobs;  // until they are followed
+  DecisionLog decisions;
   bool restored = false;
   bool stopped = false;
 };
@@ -96,6 +97,7 @@
 
 void Cell::Impl::StopAll() {
   stopped = true;
+  FlushDecisions(decisions, options.epoch, MonotonicNow());
   writer.Abandon();
   if (driver)
     driver->Stop();
@@ -257,20 +259,6 @@
   }
 }
 
-void Cell::Impl::LogDecisions() {
-  for (const Decision& decision : scheduler->TakeDecisions()) {
-    LogEvent(decision.what,
-             {{"job", decision.task.job.value()},
-              {"iteration", static_cast<int64_t>(decision.task.iteration)},
-              {"step", static_cast<int64_t>(decision.task.step)},
-              {"task", static_cast<int64_t>(decision.task.index)},
-              {"run", static_cast<int64_t>(decision.run.value())},
-              {"worker", decision.worker.value()},
-              {"epoch", static_cast<int64_t>(options.epoch.value())},
-              {"detail", decision.detail}});
-  }
-}
-
 // Stores what was decided, then acts on it. False once the cell is lost.
 asio::awaitable<bool> Cell::Impl::PlanOnce() {
   Plan plan = scheduler->MakePlan(MonotonicNow(), WallNow());
@@ -278,7 +266,8 @@
     driver->Send(stop);
   for (const PaceCommand& pace : plan.paces)
     driver->Send(pace);
-  LogDecisions();
+  LogDecisions(decisions, scheduler->TakeDecisions(), options.epoch,
+               MonotonicNow());
   if (!plan.forgotten.empty())
     co_await Forget(std::move(plan.forgotten));
   if (!plan.records.empty()) {
--- /dev/null
+++ b/src/scheduler/decision_log.cc
@@ -0,0 +1,76 @@
+#include "src/scheduler/decision_log.h"
+
+#include "src/scheduler/clock.h"
+#include "src/scheduler/event_log.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+// Keeps a line below 1 kB, which readers of the log take in one piece.
+constexpr size_t kMostInLine = 16;
+// Tasks of a step that start or end together are seen in several listings.
+constexpr Duration kGatherFor = std::chrono::milliseconds(200);
+
+std::string Describe(const Decision& decision) {
+  std::string text = std::to_string(decision.task.index) + "#" +
+                     std::to_string(decision.run.value()) + "@" +
+                     decision.worker.value();
+  if (!decision.detail.empty())
+    text += "[" + decision.detail + "]";
+  return text;
+}
+
+void Write(const DecisionKey& key,
+           const DecisionGroup& group,
+           Epoch epoch,
+           TimePoint now) {
+  LogEvent(key.what, {{"job", key.job.value()},
+                      {"iteration", static_cast<int64_t>(key.iteration)},
+                      {"step", static_cast<int64_t>(key.step)},
+                      {"epoch", static_cast<int64_t>(epoch.value())},
+                      {"age_ms", ToMillis(now - group.first)},
+                      {"runs", group.runs}});
+}
+
+void Add(DecisionGroup& group, const Decision& decision, TimePoint now) {
+  if (group.count == 0)
+    group.first = now;
+  else
+    group.runs += ' ';
+  group.runs += Describe(decision);
+  ++group.count;
+}
+
+}  // namespace
+
+void LogDecisions(DecisionLog& log,
+                  const std::vector<Decision>& decisions,
+                  Epoch epoch,
+                  TimePoint now) {
+  for (const Decision& decision : decisions) {
+    const DecisionKey key{decision.what, decision.task.job,
+                          decision.task.iteration, decision.task.step};
+    DecisionGroup& group = log.groups[key];
+    Add(group, decision, now);
+    if (group.count < kMostInLine)
+      continue;
+    Write(key, group, epoch, now);
+    log.groups.erase(key);
+  }
+  std::erase_if(log.groups, [epoch, now](const auto& entry) {
+    const auto& [key, group] = entry;
+    const bool due = now - group.first >= kGatherFor;
+    if (due)
+      Write(key, group, epoch, now);
+    return due;
+  });
+}
+
+void FlushDecisions(DecisionLog& log, Epoch epoch, TimePoint now) {
+  for (const auto& [key, group] : log.groups)
+    Write(key, group, epoch, now);
+  log.groups.clear();
+}
+
+}  // namespace cowslipmast::sched
--- a/src/scheduler/event_log.cc
+++ b/src/scheduler/event_log.cc
@@ -88,7 +88,14 @@
 }
 
 void FlushEventLog() {
+  static uint64_t reported = 0;
   Sink()->Drain();
+  const uint64_t dropped = Sink()->dropped();
+  if (dropped == reported)
+    return;
+  LogEvent("log_lines_dropped",
+           {{"count", static_cast<int64_t>(dropped - reported)}});
+  reported = dropped;
 }
 
 uint64_t DroppedLogLines() {
