--- a/src/sched/residence.cc
+++ b/src/sched/residence.cc
@@ -46,12 +46,17 @@
     host.filling -= spec.need.cpu;
   else if (spec.lasting)
     host.lasting -= spec.need.cpu;
+  // A probe that ends without a verdict, such as a cancelled one, is followed
+  // by another.
+  host.health.probing = false;
   --ref.iteration->job->placed;
   task.worker = kNowhere;
   task.visible_from.reset();
   task.stop_sent.reset();
   task.progressed.reset();
   task.load.reset();
+  task.measured_at.reset();
+  task.speed = Speed();
   task.percent = 0;
   task.pace = 100;
   task.wanted_pace = 100;
--- a/src/scheduler/handover.cc
+++ b/src/scheduler/handover.cc
@@ -23,7 +23,7 @@
 constexpr Duration kStillToBeStopped = milliseconds(200);
 // A claim is one append: 6 ms, and up to 1.2 s in a slow store. The grace time
 // of a planned stop is 4 s at least.
-constexpr Duration kOfferTimeout = milliseconds(1500);
+constexpr Duration kOfferTimeout = milliseconds(1800);
 
 Duration RankOf(const Candidate& candidate, Duration own_uptime) {
   return candidate.claim_delay +
--- a/src/scheduler/owner_watch.cc
+++ b/src/scheduler/owner_watch.cc
@@ -20,14 +20,11 @@
 constexpr Duration kAskTimeout = milliseconds(400);
 // Three unanswered questions in a row; the least that an owner may ask for.
 constexpr Duration kLeastPatience = milliseconds(1200);
-// For an owner that has not answered since its claim: it reads the stored state
-// and lists all workers first, which took up to 2.6 s for 490 workers on 0.12
-// core.
-constexpr Duration kFirstPatience = milliseconds(4000);
 // An owner proves its ownership every second; one without the store for longer
 // cannot start anything.
 constexpr Duration kProofTooOld = milliseconds(2200);
-constexpr Duration kAppendTimeout = milliseconds(800);
+// A claim takes 6 ms, and up to 1.2 s in a slow store.
+constexpr Duration kAppendTimeout = milliseconds(1400);
 // A candidate waits this many times the latency of its own store calls, so that
 // one near the store, whose appends are quicker, comes first.
 constexpr int kLatencyWeight = 12;
@@ -38,7 +35,7 @@
 constexpr int kReleaseTries = 3;
 constexpr Duration kReleaseAgainAfter = milliseconds(150);
 // Processes that the cell is offered to before a planned stop: an offer without
-// an answer takes 1.5 s of the grace time.
+// an answer takes 1.8 s of the grace time.
 constexpr size_t kMostOffers = 2;
 // Spreads candidates that are equally far, so that most claims meet no other.
 constexpr size_t kSpreadMs = 150;
@@ -125,9 +122,10 @@
   const TimePoint started = MonotonicNow();
   Candidates candidates;
   std::optional<Claim> known;
+  TimePoint known_since;
   uint64_t claims_end = 0;  // of the topic, when `known` was read
   std::optional<TimePoint> answered;
-  Duration patience = kFirstPatience;
+  Duration patience = kOwnerSettles;
   Duration store_latency = milliseconds(5);
   bool stopped = false;
 };
@@ -159,8 +157,9 @@
                      {"epoch", static_cast<int64_t>(claim.epoch.value())},
                      {"released", static_cast<int64_t>(claim.released)}});
   known = claim;
-  answered = MonotonicNow();
-  patience = kFirstPatience;
+  known_since = MonotonicNow();
+  answered = known_since;
+  patience = kOwnerSettles;
 }
 
 // Learns of a later claim from other processes: a process that is cut off from
@@ -199,7 +198,9 @@
   const auto health = DecodePeerHealth(response->body);
   if (!health || !health->owning || health->epoch < known->epoch)
     co_return OwnerAnswer::kCannotOwn;
-  if (health->proof_age && *health->proof_age > kProofTooOld)
+  // A new owner reads and lists before it stores anything.
+  const bool settles = MonotonicNow() - known_since < kOwnerSettles;
+  if (!settles && health->proof_age && *health->proof_age > kProofTooOld)
     co_return OwnerAnswer::kCannotOwn;
   answered = MonotonicNow();
   patience = std::max(kLeastPatience, health->patience);
@@ -227,7 +228,12 @@
   Claim claim = options.self;
   claim.epoch = known ? known->epoch.Next() : Epoch(1);
   const uint64_t at = claims_end;
-  const bool stored = co_await AppendClaim(claim, at);
+  bool stored = co_await AppendClaim(claim, at);
+  if (!stored && !stopped) {
+    // The claim may be stored although no answer came.
+    co_await ReadClaim();
+    stored = known == claim;
+  }
   if (stopped)
     co_return;
   if (!stored) {
--- a/src/scheduler/owner_watch.h
+++ b/src/scheduler/owner_watch.h
@@ -81,6 +81,10 @@
   Duration patience{0};
 };
 
+/** For this long after its claim an owner reads the stored state and lists all
+ * workers, and may not answer: up to 2.6 s for 490 workers on 0.12 core. */
+inline constexpr Duration kOwnerSettles = std::chrono::milliseconds(4000);
+
 std::string EncodePeerHealth(const PeerHealth& health);
 std::optional<PeerHealth> DecodePeerHealth(std::string_view body);
 
--- a/src/scheduler/process.cc
+++ b/src/scheduler/process.cc
@@ -74,6 +74,7 @@
   std::shared_ptr<OwnerWatch> watch;
   std::shared_ptr<JobService> service;
   std::shared_ptr<Cell> cell;
+  TimePoint owned_since;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
   std::unique_ptr<HttpServer> control;
@@ -90,6 +91,7 @@
     return operators->manifest();
   };
   hooks.on_lost = [this] { LoseCell(); };
+  owned_since = MonotonicNow();
   cell = Cell::Make(io, ports.store, ports.workers, ports.readers, options,
                     std::move(hooks));
   cell->Start();
@@ -136,6 +138,8 @@
     health.epoch = cell->epoch();
     health.proof_age = cell->ProofAge();
     health.patience = cell->WorkerCount() * kPatienceOfWorker;
+    if (MonotonicNow() - owned_since < kOwnerSettles)
+      health.patience = std::max(health.patience, kOwnerSettles);
   }
   return MakeJsonResponse(200, EncodePeerHealth(health));
 }
--- a/tests/sched/scheduler_test.cc
+++ b/tests/sched/scheduler_test.cc
@@ -193,6 +193,22 @@
     for (int i = 0; i < 20; ++i)
       CHECK(cell.StateOf("j" + std::to_string(i)) == JobState::kCompleted);
   }
+  SECTION("one that is avoided gets another probe if one is cancelled") {
+    // Guards against a worker that is never used again because the task that
+    // was to show whether it works again did not end by itself.
+    for (size_t i = 1; i < cell.worker_count(); ++i)
+      cell.RemoveFromList(i);
+    cell.worker(0).fails_all = true;
+    cell.Submit(MakeJob("a", "quotes", {MakeStep(2, 2, 1000, 0.4)}));
+    cell.Run(seconds(2));
+    cell.worker(0).fails_all = false;
+    cell.Submit(MakeJob("probe", "quotes", {MakeStep(1, 2, 1000, 60)}));
+    cell.Run(seconds(5));
+    cell.Cancel("probe");
+    cell.Submit(MakeJob("b", "quotes", {MakeStep(2, 2, 1000, 0.4)}));
+    cell.RunUntilEnd("b", seconds(15));
+    CHECK(cell.StateOf("b") == JobState::kCompleted);
+  }
   SECTION("one on which tasks stand still: they run elsewhere") {
     cell.worker(0).stands_still = true;
     cell.Submit(MakeJob("a", "quotes", {MakeStep(6, 8, 1000, 0.5)}));
