sched: overdue lasting tasks first in line, slow workers no longer told

Change: a lasting task that waits for 1.5 s is overdue. It comes before short work, goes to workers that are avoided as well, and is no longer passed over for a step that may not; it does not count as the probe of a worker.

--- a/src/sched/health.cc
+++ b/src/sched/health.cc
@@ -32,8 +32,6 @@
   const WorkerHealth& health = worker.health;
   if (last_attempt && health.failure_streak > 0)
     return false;
-  if (worker.slow_until && now < *worker.slow_until)
-    return false;
   if (!health.avoid_until)
     return true;
   return now >= *health.avoid_until && !health.probing;
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -10,7 +10,6 @@
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
 #include "src/sched/residence.h"
-#include "src/sched/speed.h"
 
 namespace cowslipmast::sched {
 
@@ -51,7 +50,6 @@
   }
   Task& task = TaskOf(*ref);
   task.listing = host.listings;
-  NoteSpeed(state, *ref, running, now);
   NoteProgress(task, running, now);
   if (task.phase != TaskPhase::kPlanned && task.phase != TaskPhase::kUncertain)
     return;
@@ -93,8 +91,6 @@
     reborn.lease_sent = WorkerClock(0);
     reborn.ends_applied = reborn.ends_planned = reborn.ends_stored = 0;
     reborn.health = WorkerHealth{};
-    reborn.speed = Speed();
-    reborn.slow_until.reset();
   }
   Worker& host = state.workers[index];
   if (host.contact != Contact::kInTouch)
@@ -121,7 +117,6 @@
       ApplyMissing(state, ref, now);
   }
   StopStalledTasks(state, worker, now);
-  LeaveSlowWorker(state, worker, now);
 }
 
 void ReturnLapsedTasks(State& state, TimePoint now) {
--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -9,7 +9,10 @@
 
 namespace {
 
-enum Rank : uint32_t { kOnTime = 0, kLate = 1, kLasting = 2 };
+// Half of the 3 s after which a lasting task must have a place.
+constexpr Duration kPatienceOfLasting = std::chrono::milliseconds(1500);
+
+enum Rank : uint32_t { kOverdue = 0, kOnTime = 1, kLate = 2, kLasting = 3 };
 
 // Longest chain of estimated run times from step `first` to the end; a step
 // depends only on earlier ones.
@@ -43,9 +46,14 @@
                       uint32_t step,
                       TimePoint now) {
   const JobSpec& spec = iteration.job->spec;
+  const StepSpec& spec_of_step = spec.steps[step];
+  const Step& waiting = iteration.steps[step];
   uint32_t rank = kOnTime;
-  if (spec.steps[step].lasting) {
-    rank = kLasting;
+  if (spec_of_step.lasting) {
+    const bool is_overdue =
+        !waiting.ready.empty() &&
+        IsOverdue(spec_of_step, waiting.tasks[waiting.ready.back()], now);
+    rank = is_overdue ? kOverdue : kLasting;
   } else if (now + LongestChain(spec, step) > ObjectiveOf(state, iteration)) {
     rank = kLate;
   }
@@ -57,4 +65,8 @@
                   .owner = &iteration};
 }
 
+bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now) {
+  return spec.lasting && now - task.ready_since >= kPatienceOfLasting;
+}
+
 }  // namespace cowslipmast::sched
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -20,6 +20,10 @@
 /** Time by which an iteration meets its queue's objective. */
 TimePoint ObjectiveOf(const State& state, const Iteration& iteration);
 
+/** True if a lasting task has waited for so long that it goes wherever there
+ * is room: it must not stay without a place for 3 s then. */
+bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_ORDER_H_
--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -22,9 +22,6 @@
 // work needs about 5% of the capacity of the first deployments, in large
 // pieces.
 constexpr double kLastingShare = 0.92;
-// A lasting task that waited this long may take that part, too, if there is
-// room for two of it: it must not stay without a place for 3 s then.
-constexpr Duration kPatienceOfLasting = std::chrono::milliseconds(1500);
 // A task that fills starts where this share of its need is left over.
 constexpr double kFillShare = 0.6;
 // Utilisation that a filling task must leave to the serving tasks beside it;
@@ -142,7 +139,9 @@
   if (spec.lasting && spec.latency_target.count() > 0)
     return penalty + GatheringScore(worker, ref);
   const double capacity = std::max(1.0, Cores(worker.info.capacity.cpu));
-  return penalty + 1.0 - Cores(worker.reserved.cpu) / capacity;
+  // The fullest worker that has room: what is left of the others stays in
+  // pieces that are large enough for lasting tasks.
+  return penalty + Cores(worker.reserved.cpu) / capacity;
 }
 
 bool IsLastAttempt(const QueuePolicy& policy,
@@ -157,6 +156,7 @@
   const QueuePolicy& policy;
   const TaskRef& ref;
   bool last_attempt = false;
+  bool is_overdue = false;       // lasting, and goes to doubtful workers too
   bool waits = false;            // leaves the remaining room to short work
   const RackId* rack = nullptr;  // only this rack, if set
 };
@@ -168,7 +168,7 @@
   return worker.info.service == query.policy.service &&
          HasRoom(worker, query.spec) &&
          BarOf(state, worker, now) == WorkerBar::kNone &&
-         IsTrusted(worker, query.last_attempt, now) &&
+         (query.is_overdue || IsTrusted(worker, query.last_attempt, now)) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
          HasLabel(worker, query.spec.label) &&
          (query.spec.max_per_worker == 0 ||
@@ -215,15 +215,19 @@
   const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
   const StepSpec& spec = SpecOf(ref);
   const Task& task = TaskOf(ref);
+  // An overdue task may take the part that is kept for short work, too, if
+  // there is room for two of it.
+  const bool is_overdue = IsOverdue(spec, task, now);
   return PlaceQuery{
       .spec = spec,
       .policy = policy,
       .ref = ref,
       .last_attempt = IsLastAttempt(policy, spec, task),
-      .waits = spec.lasting && !spec.fills &&
-               !StaysWithinLastingShare(state, policy.service, spec) &&
-               (now - task.ready_since < kPatienceOfLasting ||
-                !HasRoomTwice(state, policy.service, spec, now))};
+      .is_overdue = is_overdue,
+      .waits =
+          spec.lasting && !spec.fills &&
+          !StaysWithinLastingShare(state, policy.service, spec) &&
+          (!is_overdue || !HasRoomTwice(state, policy.service, spec, now))};
 }
 
 void StartTask(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
@@ -236,7 +240,8 @@
     job.state = JobState::kActive;
   OccupyWorker(state, ref, worker);
   Worker& host = state.workers[static_cast<size_t>(worker)];
-  if (host.health.avoid_until)
+  // A lasting task does not end, and would keep others off for ever.
+  if (host.health.avoid_until && !SpecOf(ref).lasting)
     host.health.probing = true;
   MarkDirty(state, *ref.iteration);
   plan.starts.push_back(StartCommand{.worker = host.info.id,
@@ -373,7 +378,7 @@
       next = state.ready.erase(next);
       continue;
     }
-    if (misses.Cover(state, key)) {
+    if (misses.Cover(state, key, now)) {
       ++next;
       continue;
     }
@@ -381,7 +386,7 @@
       next = state.ready.erase(next);
       continue;
     }
-    misses.Add(state, key);
+    misses.Add(state, key, now);
     ++count;
     ++next;
   }
--- a/src/sched/residence.cc
+++ b/src/sched/residence.cc
@@ -55,8 +55,6 @@
   task.stop_sent.reset();
   task.progressed.reset();
   task.load.reset();
-  task.measured_at.reset();
-  task.speed = Speed();
   task.percent = 0;
   task.pace = 100;
   task.wanted_pace = 100;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -260,9 +260,6 @@
   task.phase = TaskPhase::kRunning;
   task.visible_from = now;
   task.progressed = now;
-  // A run that resumes from a checkpoint does not start at 0 percent.
-  if (task.checkpoint.empty())
-    task.measured_at = now;
 }
 
 void Scheduler::OnStartSkipped(const StartCommand& command, TimePoint now) {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -32,13 +32,6 @@
 /** A pace that no command asks for, so that the next one is sent. */
 inline constexpr uint32_t kPaceUnknown = 101;
 
-/** Work that was due by the estimates, and what was done of it; 1 is a whole
- * task. */
-struct Speed {
-  double expected = 0;
-  double observed = 0;
-};
-
 struct Task {
   TaskPhase phase = TaskPhase::kBlocked;
   int32_t worker = kNowhere;  // index into `State::workers`
@@ -61,9 +54,6 @@
   double utilisation = 0;           // of a serving task, as last read
   uint64_t read_listing = 0;        // number of the listing with that reading
   uint64_t listing = 0;  // number of the last listing that showed the run
-  std::optional<TimePoint> measured_at;  // when its progress was last read
-  Speed speed;                           // of the run
-  bool left_slow_worker = false;  // it is moved once: estimates may be wrong
 };
 
 struct Step {
@@ -142,9 +132,6 @@
   uint64_t listings = 0;
   std::optional<TimePoint> full_until;  // it refused a start for want of room
   WorkerHealth health;
-  Speed speed;  // of the last seconds
-  TimePoint speed_at;
-  std::optional<TimePoint> slow_until;  // not to be used before
   /** Factor on the pace of all filling tasks, for tails over their targets
    * that pacing by the pressure model does not help. */
   double fill_factor = 1.0;
--- a/src/scheduler/job_intake.cc
+++ b/src/scheduler/job_intake.cc
@@ -94,8 +94,7 @@
 }
 
 std::shared_ptr<IntakeTicket> JobIntake::Store(KeyedRecord record) {
-  const auto ticket =
-      std::make_shared<IntakeTicket>(m_impl->io, std::move(record));
+  auto ticket = std::make_shared<IntakeTicket>(m_impl->io, std::move(record));
   m_impl->waiting.push_back(ticket);
   if (!m_impl->flushing) {
     m_impl->flushing = true;
--- a/src/scheduler/owner_watch.cc
+++ b/src/scheduler/owner_watch.cc
@@ -356,7 +356,7 @@
   const std::vector<Endpoint> ranked =
       RankCandidates(impl->candidates, now - impl->started, now);
   for (size_t i = 0; i < std::min(ranked.size(), kMostOffers); ++i) {
-    const Endpoint endpoint = ranked[i];
+    const Endpoint& endpoint = ranked[i];
     const auto claim = co_await OfferCell(impl->client, endpoint, epoch);
     if (!claim)
       continue;
--- a/tests/sched/scheduler_test.cc
+++ b/tests/sched/scheduler_test.cc
@@ -209,6 +209,23 @@
     cell.RunUntilEnd("b", seconds(15));
     CHECK(cell.StateOf("b") == JobState::kCompleted);
   }
+  SECTION("those that are avoided get the lasting tasks that wait") {
+    // Guards against a lasting task as the probe of a worker, which kept all
+    // others off (rangamanch-grown scale-1: LOST, free workers were unused).
+    cell.RemoveFromList(4);
+    cell.RemoveFromList(5);
+    for (size_t i = 0; i < 4; ++i)
+      cell.worker(i).fails_all = true;
+    cell.Submit(MakeJob("a", "quotes", {MakeStep(16, 2, 1000, 0.4)}));
+    cell.Run(seconds(2));
+    for (size_t i = 0; i < 4; ++i)
+      cell.worker(i).fails_all = false;
+    StepSpec step = MakeStep(8, 4, 1000, 0);
+    step.lasting = true;
+    cell.Submit(MakeJob("watch", "quotes", {step}));
+    cell.Run(seconds(3));
+    CHECK(cell.CountRunning("watch") == 8);
+  }
   SECTION("one on which tasks stand still: they run elsewhere") {
     cell.worker(0).stands_still = true;
     cell.Submit(MakeJob("a", "quotes", {MakeStep(6, 8, 1000, 0.5)}));
