--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "src/sched/workers.h"
+
 namespace cowslipmast::sched {
 
 namespace {
@@ -32,11 +34,6 @@
   return !spec.fills && spec.latency_target.count() > 0;
 }
 
-double ShareOf(const Worker& worker, double millicores) {
-  return millicores /
-         std::max(1.0, static_cast<double>(worker.info.capacity.cpu.count()));
-}
-
 // Shares that the filling images used when the worker listed them.
 std::vector<FillingShare> UsedShares(const Worker& worker) {
   std::vector<FillingShare> shares;
--- a/src/sched/placing.cc
+++ b/src/sched/placing.cc
@@ -33,7 +33,7 @@
 // and do not count.
 constexpr size_t kMaxMisses = 24;
 
-double Cores(MilliCores cpu) {
+double Millicores(MilliCores cpu) {
   return static_cast<double>(cpu.count());
 }
 
@@ -43,11 +43,12 @@
   double lasting = 0;
   for (const TaskRef& ref : worker.tasks) {
     if (SpecOf(ref).lasting && !SpecOf(ref).fills)
-      lasting += Cores(SpecOf(ref).need.cpu) * TaskOf(ref).own_load;
+      lasting += Millicores(SpecOf(ref).need.cpu) * TaskOf(ref).own_load;
   }
-  const double short_work = Cores(worker.reserved.cpu) - Cores(worker.lasting);
-  return Cores(worker.info.capacity.cpu) - short_work - lasting -
-         Cores(worker.filling);
+  const double short_work =
+      Millicores(worker.reserved.cpu) - Millicores(worker.lasting);
+  return Millicores(worker.info.capacity.cpu) - short_work - lasting -
+         Millicores(worker.filling);
 }
 
 bool HasLabel(const Worker& worker, const std::string& label) {
@@ -57,10 +58,7 @@
 }
 
 bool HasRoom(const Worker& worker, const StepSpec& spec) {
-  Resources need = spec.need;
-  if (spec.fills)
-    need.cpu = MilliCores(0);
-  return Fits(need, worker.info.capacity - worker.reserved);
+  return Fits(ReservedBy(spec), worker.info.capacity - worker.reserved);
 }
 
 // True if lasting tasks stay within their part of the service with this one.
@@ -68,12 +66,12 @@
                              const ServiceId& service,
                              const StepSpec& spec) {
   double capacity = 0;
-  double lasting = Cores(spec.need.cpu);
+  double lasting = Millicores(spec.need.cpu);
   for (const Worker& worker : state.workers) {
     if (worker.info.service != service || !worker.listed)
       continue;
-    capacity += Cores(worker.info.capacity.cpu);
-    lasting += Cores(worker.lasting);
+    capacity += Millicores(worker.info.capacity.cpu);
+    lasting += Millicores(worker.lasting);
   }
   return lasting <= capacity * kLastingShare;
 }
@@ -92,13 +90,13 @@
                                 const TaskRef& ref) {
   const StepSpec& spec = SpecOf(ref);
   const double left = LeftOver(worker);
-  if (left < Cores(spec.need.cpu) * kFillShare)
+  if (left < Millicores(spec.need.cpu) * kFillShare)
     return std::nullopt;
   const double room =
       RoomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
   if (room < kLeastRoom)
     return std::nullopt;
-  return room + 0.5 * left / std::max(1.0, Cores(worker.info.capacity.cpu));
+  return room + 0.5 * ShareOf(worker, left);
 }
 
 // Serving tasks of one image are gathered, and packed on few workers: a filling
@@ -118,8 +116,7 @@
   }
   const double gathered =
       same + other > 0 ? (same - other) / (same + other) : 0.0;
-  return gathered +
-         Cores(worker.lasting) / std::max(1.0, Cores(worker.info.capacity.cpu));
+  return gathered + ShareOf(worker, Millicores(worker.lasting));
 }
 
 // Larger is better; nothing if the task should not go there now.
@@ -138,10 +135,9 @@
   }
   if (spec.lasting && spec.latency_target.count() > 0)
     return penalty + GatheringScore(worker, ref);
-  const double capacity = std::max(1.0, Cores(worker.info.capacity.cpu));
   // The fullest worker that has room: what is left of the others stays in
   // pieces that are large enough for lasting tasks.
-  return penalty + Cores(worker.reserved.cpu) / capacity;
+  return penalty + ShareOf(worker, Millicores(worker.reserved.cpu));
 }
 
 bool IsLastAttempt(const QueuePolicy& policy,
--- a/src/sched/residence.cc
+++ b/src/sched/residence.cc
@@ -9,9 +9,6 @@
 
 namespace cowslipmast::sched {
 
-namespace {
-
-// A task that fills takes memory and accelerators, but no reserved processor.
 Resources ReservedBy(const StepSpec& spec) {
   Resources reserved = spec.need;
   if (spec.fills)
@@ -19,8 +16,6 @@
   return reserved;
 }
 
-}  // namespace
-
 void OccupyWorker(State& state, const TaskRef& ref, int32_t worker) {
   Worker& host = state.workers[static_cast<size_t>(worker)];
   const StepSpec& spec = SpecOf(ref);
--- a/src/sched/residence.h
+++ b/src/sched/residence.h
@@ -24,6 +24,10 @@
                     std::string_view why,
                     TimePoint now);
 
+/** What a task of the step reserves on its worker: one that fills takes memory
+ * and accelerators, but no reserved processor. */
+Resources ReservedBy(const StepSpec& spec);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_RESIDENCE_H_
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -1,5 +1,7 @@
 #include "src/sched/workers.h"
 
+#include <algorithm>
+
 #include "src/sched/placing.h"
 #include "src/sched/residence.h"
 
@@ -28,6 +30,11 @@
   return index;
 }
 
+double ShareOf(const Worker& worker, double millicores) {
+  return millicores /
+         std::max(1.0, static_cast<double>(worker.info.capacity.cpu.count()));
+}
+
 WorkerBar BarOf(const State& state, const Worker& worker, TimePoint now) {
   if (!worker.listed)
     return WorkerBar::kNotListed;
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -15,6 +15,9 @@
 /** A known worker, or null; valid until the next worker becomes known. */
 Worker* LookUpWorker(State& state, const WorkerId& id);
 
+/** Share of the worker's processors that `millicores` are. */
+double ShareOf(const Worker& worker, double millicores);
+
 /** Why a worker may get no new task. */
 enum class WorkerBar {
   kNone,
--- a/src/scheduler/decision_log.cc
+++ b/src/scheduler/decision_log.cc
@@ -42,6 +42,19 @@
   ++group.count;
 }
 
+void WriteOlderThan(DecisionLog& log,
+                    Duration age,
+                    Epoch epoch,
+                    TimePoint now) {
+  std::erase_if(log.groups, [&](const auto& entry) {
+    const auto& [key, group] = entry;
+    const bool due = now - group.first >= age;
+    if (due)
+      Write(key, group, epoch, now);
+    return due;
+  });
+}
+
 }  // namespace
 
 void LogDecisions(DecisionLog& log,
@@ -58,19 +71,11 @@
     Write(key, group, epoch, now);
     log.groups.erase(key);
   }
-  std::erase_if(log.groups, [epoch, now](const auto& entry) {
-    const auto& [key, group] = entry;
-    const bool due = now - group.first >= kGatherFor;
-    if (due)
-      Write(key, group, epoch, now);
-    return due;
-  });
+  WriteOlderThan(log, kGatherFor, epoch, now);
 }
 
 void FlushDecisions(DecisionLog& log, Epoch epoch, TimePoint now) {
-  for (const auto& [key, group] : log.groups)
-    Write(key, group, epoch, now);
-  log.groups.clear();
+  WriteOlderThan(log, Duration(0), epoch, now);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler/handover.cc
+++ b/src/scheduler/handover.cc
@@ -84,11 +84,11 @@
 
 asio::awaitable<std::optional<Claim>> OfferCell(HttpClient& client,
                                                 Endpoint control,
-                                                Epoch epoch) {
+                                                Claim own) {
   HttpRequest request;
   request.method = "POST";
   request.path = std::string(kOfferPath);
-  request.body = EncodeOffer(epoch);
+  request.body = EncodeClaim(own);
   NetError error;
   const auto response =
       co_await client.Call(control, std::move(request), kOfferTimeout, error);
@@ -97,22 +97,10 @@
     claim = DecodeClaim(response->body);
   LogEvent("cell_offered",
            {{"to", control.address},
-            {"epoch", static_cast<int64_t>(epoch.value())},
+            {"epoch", static_cast<int64_t>(own.epoch.value())},
             {"taken", static_cast<int64_t>(claim.has_value())},
             {"detail", response ? response->body : error.detail}});
   co_return claim;
 }
 
-std::string EncodeOffer(Epoch epoch) {
-  return json{{"epoch", epoch.value()}}.dump();
-}
-
-std::optional<Epoch> DecodeOffer(std::string_view bytes) {
-  const json j = json::parse(bytes, nullptr, false);
-  if (!j.is_object() || !j.contains("epoch") ||
-      !j["epoch"].is_number_unsigned())
-    return std::nullopt;
-  return Epoch(j["epoch"].get<uint64_t>());
-}
-
 }  // namespace cowslipmast::sched
--- a/src/scheduler/handover.h
+++ b/src/scheduler/handover.h
@@ -45,17 +45,14 @@
                                      Duration own_uptime,
                                      TimePoint now);
 
-/** Offers the cell of `epoch` to a process that is to claim it at once. Returns
- * its claim; nothing if it did not say that it has won one. */
+/** Offers the cell of the own claim to a process that is to claim it at once.
+ * Returns its claim; nothing if it did not say that it has won one. */
 asio::awaitable<std::optional<Claim>> OfferCell(HttpClient& client,
                                                 Endpoint control,
-                                                Epoch epoch);
+                                                Claim own);
 
-/** Body of the offer. */
-std::string EncodeOffer(Epoch epoch);
-std::optional<Epoch> DecodeOffer(std::string_view bytes);
-
-/** Path on the control address that takes an offer. */
+/** Path on the control address that takes an offer: the claim that is given up,
+ * answered with the new one. */
 inline constexpr std::string_view kOfferPath = "/v1/offer";
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler/owner_watch.cc
+++ b/src/scheduler/owner_watch.cc
@@ -1,7 +1,6 @@
 #include "src/scheduler/owner_watch.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "src/core/random.h"
@@ -60,33 +59,6 @@
 
 }  // namespace
 
-std::string EncodePeerHealth(const PeerHealth& health) {
-  nlohmann::json j = {{"epoch", health.epoch.value()},
-                      {"owning", health.owning},
-                      {"patience_ms", ToMillis(health.patience)}};
-  if (health.proof_age)
-    j["proof_age_ms"] = ToMillis(*health.proof_age);
-  return j.dump();
-}
-
-std::optional<PeerHealth> DecodePeerHealth(std::string_view body) {
-  const auto j = nlohmann::json::parse(body, nullptr, false);
-  if (j.is_discarded())
-    return std::nullopt;
-  try {
-    PeerHealth health{
-        .epoch = Epoch(j.at("epoch").get<uint64_t>()),
-        .owning = j.at("owning").get<bool>(),
-        .proof_age = std::nullopt,
-        .patience = milliseconds(j.value("patience_ms", int64_t{0}))};
-    if (j.contains("proof_age_ms"))
-      health.proof_age = milliseconds(j.at("proof_age_ms").get<int64_t>());
-    return health;
-  } catch (const nlohmann::json::exception&) {
-    return std::nullopt;
-  }
-}
-
 struct OwnerWatch::Impl : std::enable_shared_from_this<OwnerWatch::Impl> {
   Impl(asio::io_context& context,
        const StorePort& store_port,
@@ -351,13 +323,13 @@
   const auto impl = m_impl;
   if (!IsOwner() || !impl->known)
     co_return false;
-  const Epoch epoch = impl->known->epoch;
+  const Claim own = *impl->known;
   const TimePoint now = MonotonicNow();
   const std::vector<Endpoint> ranked =
       RankCandidates(impl->candidates, now - impl->started, now);
   for (size_t i = 0; i < std::min(ranked.size(), kMostOffers); ++i) {
     const Endpoint& endpoint = ranked[i];
-    const auto claim = co_await OfferCell(impl->client, endpoint, epoch);
+    const auto claim = co_await OfferCell(impl->client, endpoint, own);
     if (!claim)
       continue;
     impl->chart.Process("fenced");
--- a/src/scheduler/owner_watch.h
+++ b/src/scheduler/owner_watch.h
@@ -11,6 +11,7 @@
 #include "src/scheduler/cell_chart.h"
 #include "src/scheduler/claim.h"
 #include "src/scheduler/handover.h"
+#include "src/scheduler/peer_health.h"
 #include "src/scheduler/ports.h"
 
 namespace cowslipmast::sched {
@@ -71,25 +72,6 @@
   std::shared_ptr<Impl> m_impl;
 };
 
-/** Answer of a process to a question after its health. */
-struct PeerHealth {
-  Epoch epoch;  // of the cell that it owns
-  bool owning = false;
-  std::optional<Duration> proof_age;  // of its ownership, from the store
-  /** How long others should wait for an answer before they claim: an owner of
-   * many workers is busy for longer at times. */
-  Duration patience{0};
-};
-
-/** For this long after its claim an owner reads the stored state and lists all
- * workers, and may not answer: up to 2.6 s for 490 workers on 0.12 core. */
-inline constexpr Duration kOwnerSettles = std::chrono::milliseconds(4000);
-
-std::string EncodePeerHealth(const PeerHealth& health);
-std::optional<PeerHealth> DecodePeerHealth(std::string_view body);
-
-/** Path on the control address that answers with `PeerHealth`. */
-inline constexpr std::string_view kHealthPath = "/v1/owner";
 /** Path on the control address that answers with the claim that the process
  * knows. */
 inline constexpr std::string_view kClaimPath = "/v1/claim";
--- /dev/null
+++ b/src/scheduler/peer_health.cc
@@ -0,0 +1,38 @@
+#include "src/scheduler/peer_health.h"
+
+#include <nlohmann/json.hpp>
+
+#include "src/scheduler/clock.h"
+
+namespace cowslipmast::sched {
+
+using std::chrono::milliseconds;
+
+std::string EncodePeerHealth(const PeerHealth& health) {
+  nlohmann::json j = {{"epoch", health.epoch.value()},
+                      {"owning", health.owning},
+                      {"patience_ms", ToMillis(health.patience)}};
+  if (health.proof_age)
+    j["proof_age_ms"] = ToMillis(*health.proof_age);
+  return j.dump();
+}
+
+std::optional<PeerHealth> DecodePeerHealth(std::string_view body) {
+  const auto j = nlohmann::json::parse(body, nullptr, false);
+  if (j.is_discarded())
+    return std::nullopt;
+  try {
+    PeerHealth health{
+        .epoch = Epoch(j.at("epoch").get<uint64_t>()),
+        .owning = j.at("owning").get<bool>(),
+        .proof_age = std::nullopt,
+        .patience = milliseconds(j.value("patience_ms", int64_t{0}))};
+    if (j.contains("proof_age_ms"))
+      health.proof_age = milliseconds(j.at("proof_age_ms").get<int64_t>());
+    return health;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace cowslipmast::sched
--- a/src/scheduler/process.cc
+++ b/src/scheduler/process.cc
@@ -146,10 +146,10 @@
 
 asio::awaitable<HttpResponse> SchedulerProcess::Impl::AnswerOffer(
     std::string body) {
-  const auto epoch = DecodeOffer(body);
-  if (!epoch)
+  const auto offered = DecodeClaim(body);
+  if (!offered)
     co_return MakeJsonResponse(400, R"({"error":"bad_offer"})");
-  const auto claim = co_await watch->TakeOffer(*epoch);
+  const auto claim = co_await watch->TakeOffer(offered->epoch);
   co_return claim ? MakeJsonResponse(200, EncodeClaim(*claim))
                   : MakeJsonResponse(409, R"({"error":"not_claimed"})");
 }
--- a/tests/net/stream_follower_test.cc
+++ b/tests/net/stream_follower_test.cc
@@ -195,30 +195,34 @@
       [&] { return f.process.fold->state().next == LogOffset(22); }));
   CHECK(f.process.follower->counters().snapshots == 1);
 
-  SECTION("for a new process") {
-    f.log.store.Retain(1);
-    Process late(f.io, f.log.endpoint(), 2);
-    late.follower->Start();
-    REQUIRE(f.RunUntil([&] { return late.follower->caught_up(); }));
-    CHECK(late.fold->Digest() == f.process.fold->Digest());
-    CHECK(late.follower->counters().restarts == 1);
-  }
-  SECTION("for a process that was cut off for too long") {
-    const uint64_t next = f.process.fold->state().next.value();
-    const std::string state = f.process.fold->EncodeSnapshot();
+  const uint64_t next = f.process.fold->state().next.value();
+  const std::string state = f.process.fold->EncodeSnapshot();
+  const auto cut_off_while_others_append = [&f](int entries) {
     f.log.down = true;
     f.Append(99);
     f.Run(milliseconds(100));
-    for (int i = 0; i < 3; ++i)
+    for (int i = 0; i < entries; ++i)
       f.log.store.Append("s", "foreign");
     // Entries are dropped once. If the store went on to keep two, the own
-    // append could drop one that the snapshot below does not cover before the
+    // append could drop one that the snapshot does not cover before the
     // follower reads it, and the state would rightly stay incomplete.
     f.log.store.Retain(2);
     f.log.store.Retain(100);
     f.log.down = false;
     REQUIRE(f.RunUntil(
         [&] { return f.process.follower->counters().restarts == 1; }));
+  };
+
+  SECTION("for a new process") {
+    f.log.store.Retain(1);
+    Process late(f.io, f.log.endpoint(), 2);
+    late.follower->Start();
+    REQUIRE(f.RunUntil([&] { return late.follower->caught_up(); }));
+    CHECK(late.fold->Digest() == f.process.fold->Digest());
+    CHECK(late.follower->counters().restarts == 1);
+  }
+  SECTION("for a process that was cut off for too long") {
+    cut_off_while_others_append(3);
     f.Run(milliseconds(300));
     // Without a snapshot the state is not complete, and the own append, which
     // the store has by now, is not known to be folded.
@@ -233,18 +237,7 @@
     CHECK(f.process.follower->proof());
   }
   SECTION("unless an entry after the snapshot is gone as well") {
-    const uint64_t next = f.process.fold->state().next.value();
-    const std::string state = f.process.fold->EncodeSnapshot();
-    f.log.down = true;
-    f.Append(99);
-    f.Run(milliseconds(100));
-    for (int i = 0; i < 4; ++i)
-      f.log.store.Append("s", "foreign");
-    f.log.store.Retain(2);
-    f.log.store.Retain(100);
-    f.log.down = false;
-    REQUIRE(f.RunUntil(
-        [&] { return f.process.follower->counters().restarts == 1; }));
+    cut_off_while_others_append(4);
     f.log.store.Append("s", EncodeBatch({{9, 9},
                                          BatchSequence(1),
                                          {Snapshot{LogOffset(next), state}}}));
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -137,7 +137,7 @@
   m_loop.Freeze();
 }
 
-TestSystem::TestSystem(int workers) {
+TestSystem::TestSystem(int workers, int processes) {
   m_client = HttpClient::Make(m_caller.io(), HttpClientLimits{});
   asio::io_context& io = m_platform.io();
   for (int i = 0; i < kMostProcesses; ++i)
@@ -152,6 +152,8 @@
     }
     return true;
   });
+  for (int i = 0; i < processes; ++i)
+    AddProcess();
 }
 
 TestSystem::~TestSystem() {
@@ -227,6 +229,13 @@
   return response ? response->status : 0;
 }
 
+std::optional<int> TestSystem::EpochAt(TestProcess& process) {
+  const auto response = Call(process, "GET", "/dump");
+  if (!response)
+    return std::nullopt;
+  return json::parse(response->body).value("epoch", 0);
+}
+
 std::string TestSystem::StateOf(TestProcess& process, const std::string& id) {
   const auto response = Call(process, "GET", "/q/" + id);
   if (!response || response->status != 200)
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -69,7 +69,7 @@
 /** Store, workers and a caller, with a judge of the runs. */
 class TestSystem {
  public:
-  explicit TestSystem(int workers);
+  explicit TestSystem(int workers, int processes = 0);
   ~TestSystem();
 
   TestProcess& AddProcess();
@@ -87,6 +87,9 @@
                                    const std::string& body = "");
   /** Submits a job of one step; returns the status, 0 without an answer. */
   int Submit(TestProcess& process, const std::string& id, int tasks);
+  /** Epoch of the owner that the process knows; nothing if it does not answer.
+   */
+  std::optional<int> EpochAt(TestProcess& process);
   /** State as the process shows it; empty if it does not. */
   std::string StateOf(TestProcess& process, const std::string& id);
   /** Asks until the job is in the state or the limit has passed. */
--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -3,8 +3,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include "src/core/strings.h"
 #include "tests/platform/test_system.h"
 
@@ -116,9 +114,7 @@
 }
 
 TEST_CASE("three processes change the owner", "[platform]") {
-  TestSystem system(3);
-  for (int i = 0; i < 3; ++i)
-    system.AddProcess();
+  TestSystem system(3, 3);
   const auto owner = system.WaitForOwner(seconds(10));
   REQUIRE(owner);
   TestProcess& other = system.process((*owner + 1) % 3);
@@ -155,9 +151,9 @@
     system.SetStoreFault(StoreFault::kSlow);
     system.process(*owner).Terminate();
     std::this_thread::sleep_for(milliseconds(2000));
-    const auto response = system.Call(other, "GET", "/dump");
-    REQUIRE(response);
-    CHECK(nlohmann::json::parse(response->body).value("epoch", 0) == 2);
+    const auto epoch = system.EpochAt(other);
+    REQUIRE(epoch);
+    CHECK(*epoch == 2);
     system.SetStoreFault(StoreFault::kNone);
     CHECK(system.WaitForState(other, kFirst, "completed", seconds(10)));
     CHECK(system.Judge().broken.empty());
@@ -168,9 +164,9 @@
     REQUIRE(system.Submit(other, kFirst, 4) == 200);
     system.process(*owner).CutFromStore(true);
     std::this_thread::sleep_for(seconds(4));
-    const auto response = system.Call(other, "GET", "/dump");
-    REQUIRE(response);
-    CHECK(nlohmann::json::parse(response->body).value("epoch", 0) >= 2);
+    const auto epoch = system.EpochAt(other);
+    REQUIRE(epoch);
+    CHECK(*epoch >= 2);
     // A caller of the process without the store is served through the owner.
     CHECK(system.Submit(system.process(*owner), kSecond, 2) == 200);
     CHECK(system.WaitForState(other, kFirst, "completed", seconds(15)));
@@ -185,16 +181,14 @@
     std::this_thread::sleep_for(seconds(4));
     system.process(*owner).loop().Thaw();
     std::this_thread::sleep_for(seconds(3));
-    const auto response = system.Call(other, "GET", "/dump");
-    REQUIRE(response);
-    CHECK(nlohmann::json::parse(response->body).value("epoch", 0) == 2);
+    const auto epoch = system.EpochAt(other);
+    REQUIRE(epoch);
+    CHECK(*epoch == 2);
   }
 }
 
 TEST_CASE("a new owner is busy", "[platform]") {
-  TestSystem system(3);
-  for (int i = 0; i < 3; ++i)
-    system.AddProcess();
+  TestSystem system(3, 3);
   const auto owner = system.WaitForOwner(seconds(10));
   REQUIRE(owner);
   TestProcess& other = system.process((*owner + 1) % 3);
@@ -208,9 +202,9 @@
     std::this_thread::sleep_for(seconds(2));
     system.process(*owner).loop().Thaw();
     std::this_thread::sleep_for(milliseconds(700));
-    const auto response = system.Call(other, "GET", "/dump");
-    REQUIRE(response);
-    CHECK(nlohmann::json::parse(response->body).value("epoch", 0) == 1);
+    const auto epoch = system.EpochAt(other);
+    REQUIRE(epoch);
+    CHECK(*epoch == 1);
   }
 }
 
--- a/tests/sched/fake_cell.cc
+++ b/tests/sched/fake_cell.cc
@@ -179,7 +179,7 @@
     }
     if (worker.stands_still || SpecOf(task).lasting)
       continue;
-    run.work_left_s -= kStepS * run.pace / 100.0 / worker.slowness;
+    run.work_left_s -= kStepS * run.pace / 100.0;
     if (run.work_left_s <= 0)
       ends.emplace_back(task, run.fails ? EndKind::kFailed : EndKind::kDone);
   }
--- a/tests/sched/fake_cell.h
+++ b/tests/sched/fake_cell.h
@@ -30,7 +30,6 @@
   bool reachable = true;
   bool fails_all = false;
   bool stands_still = false;
-  double slowness = 1.0;  // its tasks take this many times as long
   double clock_rate = 1.0;
   int64_t born_ms = 1;
   double clock_ms = 1000;
