scheduler process: lost answers, slow workers, malformed input, suspended VMs

Cause: found while looking for the failures that operators of similar systems reported. A start whose answer was lost and whose repetition was refused for lack of capacity was started elsewhere, although the first command could still be carried out. A worker that took over 0.5 s to respond, or whose responses this process was late to read, was taken for silent, and its leases were not extended. The steady clock does not count the time for which a VM is suspended, so that an owner acted on an expired proof. An exception in a handler or background task ended the process, and a submission with a negative need freed capacity. Test ports were ephemeral and collided with those of the stand-ins. Change: a refusal counts only if it settles the earlier command; response margins follow the measured response time, and a process that is late itself needs three failures in a row; time is that since boot; integer fields are checked against ranges; handlers answer 500 and background tasks are logged; tests use ports below the ephemeral range.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_server.h"
 
+#include <exception>
 #include <memory>
 #include <set>
 #include <string>
@@ -66,6 +67,7 @@
                                  beast::flat_buffer& buffer);
   asio::awaitable<bool> WaitForRequest(ConnectionPtr connection,
                                        beast::flat_buffer& buffer);
+  asio::awaitable<HttpResponse> HandleRequest(HttpRequest request);
   asio::awaitable<void> RejectRequest(ConnectionPtr connection,
                                       beast::error_code error);
   asio::awaitable<bool> Write(ConnectionPtr connection,
@@ -158,7 +160,7 @@
   ++in_progress;
   connection->stream.expires_never();
   const bool keep_alive = parser.get().keep_alive();
-  HttpResponse response = co_await handler(TakeRequest(parser));
+  HttpResponse response = co_await HandleRequest(TakeRequest(parser));
   const bool written =
       co_await Write(connection, std::move(response), keep_alive);
   --in_progress;
@@ -166,6 +168,18 @@
   co_return written&& keep_alive && !close_after_response;
 }
 
+// An exception of the handler is an error of that request alone. The response
+// does not say whether the request has had an effect.
+asio::awaitable<HttpResponse> HttpServer::Impl::HandleRequest(
+    HttpRequest request) {
+  try {
+    co_return co_await handler(std::move(request));
+  } catch (const std::exception&) {
+    ++counters.failed_handlers;
+  }
+  co_return MakeJsonResponse(500, R"({"error":"internal_error"})");
+}
+
 asio::awaitable<void> HttpServer::Impl::RejectRequest(ConnectionPtr connection,
                                                       beast::error_code error) {
   const bool too_large = IsTooLarge(error);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,6 +31,7 @@
   uint64_t bad_requests = 0;
   uint64_t oversized_requests = 0;
   uint64_t refused_connections = 0;
+  uint64_t failed_handlers = 0;  // requests whose handler threw an exception
 };
 
 using HttpHandler = std::function<asio::awaitable<HttpResponse>(HttpRequest)>;
--- a/src/scheduler_process/cell.h
+++ b/src/scheduler_process/cell.h
@@ -24,6 +24,8 @@
 /** Callbacks into the process that owns the cell. */
 struct CellHooks {
   std::function<const Manifest&()> manifest;
+  /** Delay with which this process handles its events. */
+  std::function<Duration()> own_lag;
   /** Called once when a later owner has taken over the cell. */
   std::function<void()> on_lost;
 };
--- a/src/scheduler_process/clock.h
+++ b/src/scheduler_process/clock.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPMAST_SRC_SCHEDULER_PROCESS_CLOCK_H_
 #define COWSLIPMAST_SRC_SCHEDULER_PROCESS_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 
 #include "cowslipmast/units.h"
@@ -8,9 +10,14 @@
 
 namespace cowslipmast::sched {
 
+/** Time since boot, including the time for which the VM was suspended, which
+ * the steady clock omits: a lease or a proof of ownership goes on ageing. */
 inline TimePoint MonotonicNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 inline WallTime WallNow() {
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -5,6 +5,7 @@
 
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/spawn.h"
 #include "src/scheduler_process/wake_signal.h"
 
 namespace cowslipmast::sched {
@@ -100,7 +101,7 @@
   m_impl->waiting.push_back(pending);
   if (!m_impl->flushing) {
     m_impl->flushing = true;
-    asio::co_spawn(m_impl->io, m_impl->Flush(), asio::detached);
+    Spawn(m_impl->io, "job_intake", m_impl->Flush());
   }
   return pending;
 }
--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -287,7 +287,10 @@
   if (!answer || answer->status != 200)
     co_return std::nullopt;
   const auto j = nlohmann::json::parse(answer->body, nullptr, false);
-  co_return j.is_object() ? StateFromName(j.value("state", "")) : std::nullopt;
+  const auto state = j.is_object() ? j.find("state") : j.end();
+  co_return state != j.end() && state->is_string()
+      ? StateFromName(state->get_ref<const std::string&>())
+      : std::nullopt;
 }
 
 asio::awaitable<std::optional<size_t>> JobService::CountWaiting(
@@ -304,9 +307,10 @@
   if (!answer || answer->status != 200)
     co_return std::nullopt;
   const auto j = nlohmann::json::parse(answer->body, nullptr, false);
-  if (!j.is_object())
+  if (!j.is_object() || !j.contains("waiting") ||
+      !j["waiting"].is_number_unsigned())
     co_return std::nullopt;
-  const auto count = j.value("waiting", size_t{0});
+  const auto count = j["waiting"].get<size_t>();
   impl->waiting[queue] = CachedCount{count, now};
   co_return count;
 }
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -6,6 +6,7 @@
 #include "src/core/random.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
 
@@ -309,7 +310,7 @@
 }
 
 void OwnerElection::Start() {
-  asio::co_spawn(m_impl->io, m_impl->Run(), asio::detached);
+  Spawn(m_impl->io, "owner_election", m_impl->Run());
 }
 
 void OwnerElection::OnFenced() {
--- a/src/scheduler_process/platform_ports.h
+++ b/src/scheduler_process/platform_ports.h
@@ -83,6 +83,8 @@
   uint64_t acknowledged_ends = 0;
   std::optional<WorkerClock> lease_end;
   Duration wait{0};  // how long the worker waits for a run to end
+  /** How long to wait for the response beyond `wait`. */
+  Duration response_margin{0};
 };
 
 enum class WorkerCallError {
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -7,7 +7,9 @@
 #include "src/daemon/metrics.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/loop_lag.h"
 #include "src/scheduler_process/manifest_follower.h"
+#include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
 
@@ -47,7 +49,8 @@
         peers(http),
         settings(process_settings),
         ports(platform_ports),
-        metrics(Metrics::Make()) {}
+        metrics(Metrics::Make()),
+        lag(LoopLag::Make(context)) {}
 
   bool Listen(StartError& reason);
   std::unique_ptr<HttpServer> Serve(const Endpoint& endpoint,
@@ -72,6 +75,7 @@
   ProcessSettings settings;
   PlatformPorts ports;
   std::unique_ptr<Metrics> metrics;
+  std::shared_ptr<LoopLag> lag;
   std::unique_ptr<ManifestFollower> manifest_follower;
   std::shared_ptr<OwnerElection> election;
   std::shared_ptr<JobService> service;
@@ -92,6 +96,7 @@
   hooks.manifest = [this]() -> const Manifest& {
     return manifest_follower->manifest();
   };
+  hooks.own_lag = [this] { return lag->Recent(); };
   hooks.on_lost = [this] { DropLostCell(); };
   owned_since = MonotonicNow();
   cell = Cell::Make(io, ports.store, ports.workers, ports.decoders, options,
@@ -228,6 +233,9 @@
   counter("cowslipmast_failed_listings",
           [](const Cell& c) { return c.calls().failed_listings; });
   metrics->Gauge("cowslipmast_owning", {}, [this] { return cell ? 1.0 : 0.0; });
+  metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
+    return static_cast<double>(lag->Recent().count()) / 1e6;
+  });
   metrics->Gauge("cowslipmast_dropped_log_lines", {},
                  [] { return static_cast<double>(DroppedLogLines()); });
 }
@@ -343,7 +351,7 @@
   if (!impl->Listen(reason))
     return nullptr;
   impl->RegisterGauges();
-  asio::co_spawn(io, impl->FlushLog(), asio::detached);
+  Spawn(io, "log_flush", impl->FlushLog());
   LogEvent("started", {{"control_port", impl->settings.control_endpoint.port}});
   return std::unique_ptr<SchedulerProcess>(
       new SchedulerProcess(std::move(impl)));
@@ -355,8 +363,7 @@
   m_impl->stopping = true;
   LogEvent("stopping",
            {{"owning", static_cast<int64_t>(m_impl->cell != nullptr)}});
-  asio::co_spawn(m_impl->io, m_impl->Drain(std::move(on_stopped)),
-                 asio::detached);
+  Spawn(m_impl->io, "drain", m_impl->Drain(on_stopped), on_stopped);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/topic_follower.cc
+++ b/src/scheduler_process/topic_follower.cc
@@ -4,6 +4,7 @@
 
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
 
@@ -162,7 +163,7 @@
       std::make_shared<Impl>(store, topic, timing, std::move(on_records));
   if (start)
     impl->StartFrom(start->snapshot, start->requested_at);
-  asio::co_spawn(io, impl->Run(), asio::detached);
+  Spawn(io, "topic_follower", impl->Run());
   return std::unique_ptr<TopicFollower>(new TopicFollower(std::move(impl)));
 }
 
--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -1,5 +1,6 @@
 #include "src/scheduler_process/worker_driver.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -8,6 +9,8 @@
 
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/loop_lag.h"
+#include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
 
@@ -26,20 +29,44 @@
 // Commands in progress to one worker, besides the listing; each takes a
 // connection, and new connections have a cost.
 constexpr size_t kMaxCommandsInProgress = 2;
+// One more for stops, which must not wait for start commands that time out.
+constexpr size_t kMaxCommandsInProgressWithStop = 3;
 // A start without a response is sent again, with the same run number.
 constexpr int kMaxStartAttempts = 2;
+// A call takes 25 ms between regions, and several times as long with a slow
+// worker or VM. The margin is twice the last response time and is doubled by
+// each failure, so that a worker that is only slow to respond is heard.
+constexpr Duration kMinResponseMargin = std::chrono::milliseconds(500);
+constexpr Duration kMaxResponseMargin = std::chrono::milliseconds(2000);
+constexpr int kMaxMarginDoublings = 2;
 
 using Command = std::variant<StartRunCommand, StopRunCommand, PaceCommand>;
 
 struct WorkerChannel {
   WorkerInfo info;
   bool listed = true;
+  int failed_listings = 0;    // since the last response
+  Duration response_time{0};  // of the last listing, beyond the wait
   bool failing = false;
   std::deque<Command> commands;
   size_t active_senders = 0;
 };
 using WorkerChannelPtr = std::shared_ptr<WorkerChannel>;
 
+Duration ResponseMargin(const WorkerChannel& channel) {
+  const Duration margin =
+      std::max(kMinResponseMargin, 2 * channel.response_time) *
+      (1 << std::min(channel.failed_listings, kMaxMarginDoublings));
+  return std::min(margin, kMaxResponseMargin);
+}
+
+// True if the refusal of a repeated start command also tells what became of
+// the first one: the worker has seen the run, or will never run it.
+bool SettlesEarlierAttempt(StartRefusal refusal) {
+  return refusal == StartRefusal::kOldRun || refusal == StartRefusal::kFenced ||
+         refusal == StartRefusal::kOtherInstance;
+}
+
 }  // namespace
 
 struct WorkerDriver::Impl : std::enable_shared_from_this<WorkerDriver::Impl> {
@@ -80,10 +107,16 @@
 void WorkerDriver::Impl::HandleListingError(WorkerChannel& channel,
                                             WorkerCallError error) {
   ++counters.failed_listings;
+  ++channel.failed_listings;
   if (error == WorkerCallError::kFenced) {
     hooks.on_fenced();
     return;
   }
+  if (error == WorkerCallError::kNoResponse &&
+      !IsSilent(channel.failed_listings, hooks.own_lag())) {
+    port.drop_connections(channel.info);
+    return;
+  }
   if (!channel.failing)
     LogEvent("worker_lost",
              {{"worker", channel.info.id.value()},
@@ -107,6 +140,7 @@
   request.acknowledged_ends = scheduler.AcknowledgedEnds(channel->info.id);
   if (hooks.has_authority())
     request.lease_end = scheduler.LeaseEnd(channel->info.id, requested_at);
+  request.response_margin = ResponseMargin(*channel);
   // Without a lease end the worker's clock is not known yet: list it again at
   // once.
   if (request.lease_end) {
@@ -129,6 +163,10 @@
   if (channel->failing)
     LogEvent("worker_regained", {{"worker", info.id.value()}});
   channel->failing = false;
+  channel->failed_listings = 0;
+  // A response before the end of the wait does not tell how slow the worker is.
+  channel->response_time = std::max(
+      channel->response_time / 2, MonotonicNow() - requested_at - request.wait);
   scheduler.OnListing(info.id, *listing, requested_at, MonotonicNow());
   if (hooks.log_listings) {
     LogEvent("listing", {{"worker", info.id.value()},
@@ -163,11 +201,16 @@
     return;
   }
   WorkerChannel& channel = *found->second;
-  channel.commands.push_back(std::move(command));
-  if (channel.active_senders >= kMaxCommandsInProgress)
+  const bool is_stop = std::holds_alternative<StopRunCommand>(command);
+  if (is_stop)
+    channel.commands.push_front(std::move(command));
+  else
+    channel.commands.push_back(std::move(command));
+  if (channel.active_senders >=
+      (is_stop ? kMaxCommandsInProgressWithStop : kMaxCommandsInProgress))
     return;
   ++channel.active_senders;
-  asio::co_spawn(io, SendCommands(found->second), asio::detached);
+  Spawn(io, "worker_commands", SendCommands(found->second));
 }
 
 asio::awaitable<void> WorkerDriver::Impl::SendCommands(
@@ -187,11 +230,14 @@
   --channel->active_senders;
 }
 
-// Sends the start command, and repeats it if no response comes.
+// Sends the start command, and repeats it if no response comes. If the repeated
+// command is refused, the first one may still be carried out: there is no
+// response then.
 asio::awaitable<StartOutcome> WorkerDriver::Impl::SendStart(
     WorkerChannelPtr channel,
     StartRunCommand command) {
   StartOutcome outcome;
+  bool unanswered = false;
   for (int i = 0; i < kMaxStartAttempts && !outcome.got_response && !stopped;
        ++i) {
     const auto lease = scheduler.LeaseEnd(command.worker, MonotonicNow());
@@ -199,9 +245,13 @@
       break;
     const WorkerInfo info = channel->info;
     outcome = co_await port.start(info, command, epoch.value(), *lease);
-    if (!outcome.got_response)
+    if (!outcome.got_response) {
+      unanswered = true;
       ++counters.failed_commands;
+    }
   }
+  if (unanswered && outcome.refusal && !SettlesEarlierAttempt(*outcome.refusal))
+    co_return StartOutcome{};
   co_return outcome;
 }
 
@@ -276,7 +326,7 @@
     }
     channel = std::make_shared<WorkerChannel>();
     channel->info = info;
-    asio::co_spawn(m_impl->io, m_impl->ListRepeatedly(channel), asio::detached);
+    Spawn(m_impl->io, "worker_listing", m_impl->ListRepeatedly(channel));
   }
   for (const auto& [id, channel] : m_impl->channels)
     channel->listed = listed.count(id) > 0;
--- a/src/scheduler_process/worker_driver.h
+++ b/src/scheduler_process/worker_driver.h
@@ -17,6 +17,8 @@
   std::function<bool()> has_authority;
   /** Called after a change that the scheduler should plan for. */
   std::function<void()> on_event;
+  /** Delay with which this process handles its events. */
+  std::function<Duration()> own_lag;
   /** Called when a worker has seen a later owner. */
   std::function<void()> on_fenced;
   /** Logs each listing in full, for investigations: the output is large. */
--- a/standins/platform/worker_stand_in.cc
+++ b/standins/platform/worker_stand_in.cc
@@ -109,6 +109,7 @@
     observations.violations.push_back("started after it was completed: " +
                                       task);
   observations.running[task].insert(id);
+  observations.workers[task].insert(id);
   running[task] =
       ActiveTaskRun{run, sched::MonotonicNow() + task_duration, task_duration};
   return MakeJsonResponse(200, json{{"clock-ms", Clock()}}.dump());
--- a/standins/platform/worker_stand_in.h
+++ b/standins/platform/worker_stand_in.h
@@ -19,6 +19,8 @@
   std::map<std::string, int> starts;  // number of starts, by task
   std::map<std::string, std::set<std::string>>
       running;  // workers that run it, by task
+  std::map<std::string, std::set<std::string>>
+      workers;  // workers that ever ran it, by task
   std::set<std::string> done;
 };
 
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -33,6 +33,45 @@
   }
 }
 
+TEST_CASE("decoding a submission with impossible numbers", "[platform]") {
+  // Guards against numbers that overflow or count against the reserved
+  // capacity: a negative need would let a worker be overfilled.
+  const auto decode = [](const std::string& field) {
+    return DecodeSubmission(R"({"spec":"s","steps":[{"count":2,)" + field +
+                            "}]}");
+  };
+  CHECK(decode(R"("cpu":500)"));
+  CHECK(decode(R"("cpu":500.0)"));
+  CHECK_FALSE(decode(R"("cpu":-1)"));
+  CHECK_FALSE(decode(R"("mem-mb":-5)"));
+  CHECK_FALSE(decode(R"("gpu":1e300)"));
+  CHECK_FALSE(decode(R"("est-ms":9223372036854775807)"));
+  CHECK_FALSE(decode(R"("est-ms":18446744073709551615)"));
+  CHECK_FALSE(decode(R"("cpu":"500")"));
+  CHECK_FALSE(decode(R"("cpu":[500])"));
+  CHECK_FALSE(decode(R"("anti-affinity":-1)"));
+  CHECK_FALSE(decode(R"("depends-on":[0])"));
+}
+
+TEST_CASE("decoding a listing with fields of other types", "[platform]") {
+  // Guards against an exception or an undefined conversion on a response that
+  // is not what the protocol says.
+  const auto decode = [](const std::string& rows) {
+    return DecodeListing(R"({"clock-ms":5,"running":)" + rows +
+                         R"(,"ended":[]})");
+  };
+  const auto listing =
+      decode(R"([["5c0e7a21d94b36f8.0.1.17",2,"",1e300,-1e300]])");
+  REQUIRE(listing);
+  CHECK(listing->running.at(0).percent == 100);
+  CHECK(listing->running.at(0).load == 0);
+  CHECK_FALSE(decode(R"([[17,2,"",41,3]])"));
+  CHECK_FALSE(decode(R"([["5c0e7a21d94b36f8.0.1.17"]])"));
+  CHECK_FALSE(decode("17"));
+  CHECK_FALSE(
+      DecodeListing(R"({"clock-ms":5,"born":"now","running":[],"ended":[]})"));
+}
+
 TEST_CASE("task names on the wire", "[platform]") {
   const sched::TaskName name{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
   CHECK(TaskNameText(name) == "5c0e7a21d94b36f8.2.1.17");
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -1,5 +1,7 @@
 #include "tests/platform/test_system.h"
 
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -8,6 +10,7 @@
 #include "platform/store_records.h"
 #include "platform/worker_client.h"
 #include "src/daemon/chart_files.h"
+#include "src/net/beast_message.h"
 #include "src/scheduler_process/clock.h"
 
 namespace cowslipmast::platform {
@@ -19,10 +22,32 @@
 
 constexpr int kMaxProcesses = 3;
 
+// Below the ephemeral ports, from which stand-ins and outgoing connections get
+// theirs: a port that was free here could otherwise be taken before use.
+constexpr uint16_t kFirstPort = 21000;
+constexpr uint16_t kPortsPerProgram = 500;
+constexpr uint16_t kPortRanges = 20;
+
+bool IsFree(asio::io_context& io, uint16_t port) {
+  boost::system::error_code error;
+  asio::ip::tcp::acceptor acceptor(io);
+  acceptor.open(asio::ip::tcp::v4(), error);
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+  return !error;
+}
+
+// Each port is returned once in a test program.
 Endpoint FreeEndpoint(asio::io_context& io) {
-  asio::ip::tcp::acceptor acceptor(io,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", acceptor.local_endpoint().port()};
+  static std::atomic<uint16_t> next{0};
+  const auto first =
+      static_cast<uint16_t>(kFirstPort + static_cast<uint16_t>(getpid()) %
+                                             kPortRanges * kPortsPerProgram);
+  while (true) {
+    const auto port = static_cast<uint16_t>(first + next++ % kPortsPerProgram);
+    if (IsFree(io, port))
+      return {"127.0.0.1", port};
+  }
 }
 
 sched::CellChart ReadCellChart() {
@@ -104,14 +129,15 @@
 TestProcess::TestProcess(const std::string& name,
                          const Endpoint& store,
                          const std::vector<Endpoint>& seeds,
-                         const Endpoint& control) {
+                         const Endpoint& control,
+                         milliseconds lease) {
   asio::io_context& io = m_loop.io();
   m_settings.process = ProcessId(name);
   m_settings.caller_endpoint = FreeEndpoint(io);
   m_settings.readiness_endpoint = FreeEndpoint(io);
   m_settings.control_endpoint = control;
   m_settings.seed_endpoints = seeds;
-  m_settings.lease = milliseconds(2000);
+  m_settings.lease = lease;
   m_settings.stop_grace = std::chrono::seconds(6);
   m_settings.max_body_bytes = 262144;
   m_settings.seed = std::hash<std::string>{}(name);
@@ -140,7 +166,8 @@
   m_loop.Freeze();
 }
 
-TestSystem::TestSystem(int workers, int processes) {
+TestSystem::TestSystem(int workers, int processes, milliseconds lease)
+    : m_lease(lease) {
   m_client = HttpClient::Make(m_caller.io(), HttpClientLimits{});
   asio::io_context& io = m_platform.io();
   for (int i = 0; i < kMaxProcesses; ++i)
@@ -167,8 +194,9 @@
 
 TestProcess& TestSystem::AddProcess() {
   const std::string name = "edge-" + std::to_string(m_processes.size());
-  m_processes.push_back(std::make_unique<TestProcess>(
-      name, m_store->endpoint(), m_seeds, m_seeds[m_processes.size()]));
+  m_processes.push_back(
+      std::make_unique<TestProcess>(name, m_store->endpoint(), m_seeds,
+                                    m_seeds[m_processes.size()], m_lease));
   return *m_processes.back();
 }
 
@@ -179,6 +207,51 @@
   });
 }
 
+void TestSystem::PutRecord(const std::string& topic,
+                           const std::string& key,
+                           const std::string& value) {
+  m_platform.RunAndWait([&] {
+    m_store->Put(topic, key, value);
+    return true;
+  });
+}
+
+void TestSystem::RestartProcess(size_t index) {
+  m_processes[index].reset();
+  m_processes[index] = std::make_unique<TestProcess>(
+      "edge-" + std::to_string(index), m_store->endpoint(), m_seeds,
+      m_seeds[index], m_lease);
+}
+
+std::string TestSystem::SendBytes(const Endpoint& endpoint,
+                                  const std::string& bytes) {
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  std::string received;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        boost::system::error_code error;
+        stream.expires_after(std::chrono::seconds(1));
+        co_await stream.async_connect(
+            {asio::ip::make_address(endpoint.address), endpoint.port},
+            asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(
+            stream, asio::buffer(bytes),
+            asio::redirect_error(asio::use_awaitable, error));
+        while (!error) {
+          char part[512];
+          const size_t count = co_await stream.async_read_some(
+              asio::buffer(part),
+              asio::redirect_error(asio::use_awaitable, error));
+          received.append(part, count);
+        }
+      },
+      asio::detached);
+  io.run();
+  return received;
+}
+
 void TestSystem::DropHistory() {
   m_platform.RunAndWait([&] {
     m_store->DropHistory();
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -47,7 +47,8 @@
   TestProcess(const std::string& name,
               const Endpoint& store,
               const std::vector<Endpoint>& seeds,
-              const Endpoint& control);
+              const Endpoint& control,
+              std::chrono::milliseconds lease);
   ~TestProcess();
 
   LoopThread& loop() { return m_loop; }
@@ -59,6 +60,7 @@
   }
   const Endpoint& callers() const { return m_settings.caller_endpoint; }
   const Endpoint& control() const { return m_settings.control_endpoint; }
+  const Endpoint& readiness() const { return m_settings.readiness_endpoint; }
 
  private:
   std::atomic<bool> m_store_unreachable{false};
@@ -72,13 +74,24 @@
  * runs. */
 class TestSystem {
  public:
-  explicit TestSystem(int workers, int processes = 0);
+  explicit TestSystem(
+      int workers,
+      int processes = 0,
+      std::chrono::milliseconds lease = std::chrono::milliseconds(2000));
   ~TestSystem();
 
   TestProcess& AddProcess();
   TestProcess& process(size_t index) { return *m_processes[index]; }
   void SetStoreFault(StoreFault fault);
   void DropHistory();
+  /** Writes a record to the store, as operators, workers or others do. */
+  void PutRecord(const std::string& topic,
+                 const std::string& key,
+                 const std::string& value);
+  /** Ends a process at once, as a kill does, and starts it again. */
+  void RestartProcess(size_t index);
+  /** Sends bytes to an address and returns what comes back within a second. */
+  std::string SendBytes(const Endpoint& endpoint, const std::string& bytes);
   void WithWorker(size_t index, std::function<void(WorkerStandIn&)> change);
   RunObservations Observations();
 
@@ -114,6 +127,7 @@
   std::vector<std::unique_ptr<WorkerStandIn>> m_workers;
   std::vector<std::unique_ptr<TestProcess>> m_processes;
   std::vector<Endpoint> m_seeds;
+  std::chrono::milliseconds m_lease;
 };
 
 }  // namespace cowslipmast::platform
--- /dev/null
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -0,0 +1,172 @@
+// Drives workers through a fake port whose responses the test chooses. Guards
+// against a run that is started a second time because an answer was lost, and
+// against a worker that is taken for silent although it is this process or the
+// worker that is slow.
+
+#include <catch2/catch.hpp>
+
+#include "src/scheduler_process/clock.h"
+#include "src/scheduler_process/loop_lag.h"
+#include "src/scheduler_process/worker_driver.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+WorkerInfo MakeWorker(const std::string& id) {
+  WorkerInfo info;
+  info.id = WorkerId(id);
+  info.service = ServiceId("pool");
+  info.capacity.cpu = MilliCores(4000);
+  info.capacity.memory = Mebibytes(4000);
+  return info;
+}
+
+JobDefinition MakeOneTaskJob() {
+  JobDefinition job;
+  job.id = JobId("a");
+  job.queue = QueueId("q");
+  StepSpec step;
+  step.count = 1;
+  step.need.cpu = MilliCores(1000);
+  job.steps.push_back(step);
+  return job;
+}
+
+// A scheduler and a driver on an event loop that runs in the test's thread.
+struct DrivenCell {
+  DrivenCell() {
+    const TimePoint now = MonotonicNow();
+    scheduler = Scheduler::Make(SchedulerOptions(), now);
+    Policy policy;
+    policy.queues[QueueId("q")] = QueuePolicy{.service = ServiceId("pool")};
+    scheduler->SetPolicy(policy, now);
+    scheduler->FinishRestore(now);
+    port.list = [this](const WorkerInfo&, ListRequest request,
+                       WorkerCallError& error) { return List(request, error); };
+    port.start = [this](WorkerInfo, StartRunCommand, uint64_t,
+                        WorkerClock) -> asio::awaitable<StartOutcome> {
+      const size_t call = start_calls++;
+      co_return call < start_outcomes.size() ? start_outcomes[call]
+                                             : StartOutcome{true, {}};
+    };
+    port.stop = [this](WorkerInfo, StopRunCommand,
+                       uint64_t) -> asio::awaitable<bool> {
+      ++stop_calls;
+      co_return false;
+    };
+    port.pace = [](WorkerInfo, PaceCommand, uint64_t) -> asio::awaitable<bool> {
+      co_return true;
+    };
+    port.drop_connections = [](const WorkerInfo&) {};
+    WorkerDriverHooks hooks;
+    hooks.has_authority = [] { return true; };
+    hooks.on_event = [] {};
+    hooks.own_lag = [this] { return own_lag; };
+    hooks.on_fenced = [] {};
+    driver = WorkerDriver::Make(io, port, *scheduler, Epoch(1), hooks);
+  }
+  ~DrivenCell() {
+    driver->Stop();
+    RunFor(milliseconds(50));
+  }
+
+  asio::awaitable<std::optional<WorkerListing>> List(ListRequest request,
+                                                     WorkerCallError& error) {
+    // Without an end to report, a worker responds after the wait.
+    co_await Sleep(request.wait +
+                   std::clamp<Duration>(response_time, milliseconds(5),
+                                        request.response_margin));
+    error = WorkerCallError::kNoResponse;
+    last_request = request;
+    if (response_time > request.response_margin)
+      co_return std::nullopt;
+    WorkerListing listing;
+    listing.clock = WorkerClock(ToMillis(MonotonicNow().time_since_epoch()));
+    listing.start_time_ms = 1;
+    co_return listing;
+  }
+
+  void AddWorkers(const std::vector<WorkerInfo>& workers) {
+    for (const WorkerInfo& info : workers)
+      scheduler->UpsertWorker(info, MonotonicNow());
+    driver->SetWorkers(workers);
+    RunFor(milliseconds(60));
+  }
+  Plan MakePlan() {
+    Plan plan = scheduler->MakePlan(MonotonicNow(), WallNow());
+    scheduler->OnStored(MonotonicNow());
+    return plan;
+  }
+  void RunFor(Duration duration) {
+    io.restart();
+    io.run_for(duration);
+  }
+
+  asio::io_context io;
+  std::unique_ptr<Scheduler> scheduler;
+  WorkerPort port;
+  std::shared_ptr<WorkerDriver> driver;
+  std::vector<StartOutcome> start_outcomes;
+  size_t start_calls = 0;
+  size_t stop_calls = 0;
+  Duration own_lag{0};
+  Duration response_time{0};
+  ListRequest last_request;
+};
+
+TEST_CASE("a start command without a response", "[scheduler-process]") {
+  DrivenCell cell;
+  cell.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+  cell.scheduler->AddJob(MakeOneTaskJob(), MonotonicNow(), WallNow());
+  const Plan plan = cell.MakePlan();
+  REQUIRE(plan.starts.size() == 1);
+  const auto send = [&](StartRefusal refusal) {
+    cell.start_outcomes = {StartOutcome{}, StartOutcome{true, refusal}};
+    cell.driver->Send(plan.starts[0]);
+    cell.RunFor(milliseconds(30));
+    REQUIRE(cell.start_calls == 2);
+    return cell.MakePlan().starts.size();
+  };
+
+  SECTION("is not started elsewhere because its repetition is refused") {
+    // The first command may be carried out seconds later.
+    CHECK(send(StartRefusal::kNoCapacity) == 0);
+    cell.RunFor(seconds(3));
+    CHECK(cell.MakePlan().starts.empty());
+    CHECK_FALSE(cell.scheduler->TakeStops(MonotonicNow()).empty());
+  }
+  SECTION("is not started elsewhere because the worker is unhealthy now") {
+    CHECK(send(StartRefusal::kUnhealthy) == 0);
+  }
+  SECTION("is started elsewhere if the worker is another instance") {
+    CHECK(send(StartRefusal::kOtherInstance) == 1);
+  }
+}
+
+TEST_CASE("a worker without a response", "[scheduler-process]") {
+  DrivenCell cell;
+  cell.AddWorkers({MakeWorker("w1")});
+
+  SECTION("is taken for silent at once if this process is on time") {
+    CHECK(IsSilent(1, milliseconds(20)));
+  }
+  SECTION("is asked again while this process itself is late") {
+    CHECK_FALSE(IsSilent(1, milliseconds(400)));
+    CHECK_FALSE(IsSilent(2, milliseconds(400)));
+    CHECK(IsSilent(3, milliseconds(400)));
+  }
+  SECTION("is heard if it only takes 0.9 s to respond") {
+    // Guards against a fixed timeout: the runs of a slow worker were given up
+    // when their lease expired.
+    cell.response_time = milliseconds(900);
+    cell.RunFor(seconds(7));
+    CHECK(cell.last_request.response_margin >= milliseconds(900));
+    CHECK(cell.scheduler->LeaseEnd(WorkerId("w1"), MonotonicNow()));
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
