--- /dev/null
+++ b/include/cowslipmast/sched/cell.h
@@ -0,0 +1,78 @@
+#ifndef COWSLIPMAST_SCHED_CELL_H_
+#define COWSLIPMAST_SCHED_CELL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cowslipmast/sched/job.h"
+#include "cowslipmast/sched/worker_info.h"
+
+namespace cowslipmast::sched {
+
+/** A set of workers with one owner, and the jobs that run on them; from 0. */
+using CellId = Number<struct CellTag>;
+
+/** How jobs and workers are divided into cells; fixed when the system first
+ * starts. */
+struct CellLayout {
+  uint32_t version = 0;  // of all stored records
+  uint32_t cells = 0;
+
+  bool operator==(const CellLayout&) const = default;
+};
+
+/** Version of the layout that this code reads and writes. */
+inline constexpr uint32_t kLayoutVersion = 2;
+
+/** Number of cells for that many workers; at least 1. */
+uint32_t ChooseCellCount(size_t workers, size_t workers_per_cell);
+
+/** Cell that accepts the job and answers for it, wherever it runs. */
+CellId CellOfJob(const CellLayout& layout, const JobId& id);
+
+/** Cell of all workers of the rack. Racks that are numbered one after the other
+ * go to different cells, so that cells have almost equally many. */
+CellId CellOfRack(const CellLayout& layout, const RackId& rack);
+
+/** Cell of the worker: that of its rack. */
+CellId CellOfWorker(const CellLayout& layout, const WorkerInfo& info);
+
+/** Use of one service's workers in a cell. Counts only workers that may get new
+ * tasks. */
+struct ServiceLoad {
+  ServiceId service;
+  uint32_t workers = 0;
+  MilliCores capacity;
+  MilliCores reserved;              // by tasks that have a worker
+  MilliCores long_running;          // part of `reserved`
+  MilliCores waiting;               // short tasks without a worker
+  MilliCores waiting_long_running;  // long-running tasks without a worker
+  MilliCores waiting_best_effort;   // best-effort tasks without a worker
+  MilliCores idle;  // expected to be used by none; may serve best-effort tasks
+  std::vector<std::string> labels;  // of the workers, without their racks
+
+  bool operator==(const ServiceLoad&) const = default;
+};
+
+/** Number of a queue's unended jobs of which no task has started. */
+struct QueueWaiting {
+  QueueId queue;
+  uint64_t jobs = 0;
+
+  bool operator==(const QueueWaiting&) const = default;
+};
+
+/** What an owner tells the owners of other cells. */
+struct CellLoad {
+  CellId cell;
+  std::vector<ServiceLoad> services;
+  std::vector<QueueWaiting> waiting;
+
+  bool operator==(const CellLoad&) const = default;
+};
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SCHED_CELL_H_
--- /dev/null
+++ b/include/cowslipmast/sched/cell_message.h
@@ -0,0 +1,75 @@
+#ifndef COWSLIPMAST_SCHED_CELL_MESSAGE_H_
+#define COWSLIPMAST_SCHED_CELL_MESSAGE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cowslipmast/sched/cell.h"
+#include "cowslipmast/sched/job.h"
+
+namespace cowslipmast::sched {
+
+/** A task that moves to another cell, and what the next owner must know. */
+struct MovedTask {
+  uint32_t step = 0;
+  uint32_t index = 0;
+  RunNumber run;  // later starts must have higher ones
+  uint32_t failures = 0;
+  std::string checkpoint;
+
+  bool operator==(const MovedTask&) const = default;
+};
+
+/** A job, or some of its tasks, that another cell is to run. */
+struct JobTransfer {
+  JobDefinition job;
+  CellId from;
+  /** Number of cells that the job has moved through, this one included. */
+  uint32_t hop = 0;
+  /** Long-running tasks that move; empty for a whole job of which no task has
+   * started. */
+  std::vector<MovedTask> tasks;
+
+  bool operator==(const JobTransfer&) const = default;
+};
+
+/** Record for the job stream of another cell. */
+struct CellMessage {
+  CellId to;
+  std::string key;
+  std::string value;
+  /** Job of which the message tells the end. It is deleted here only after the
+   * message is stored. */
+  std::optional<JobId> ended_job;
+};
+
+/** Kinds of records in a cell's job stream, by the prefix of their key. */
+enum class JobRecordKind { kSubmission, kCancellation, kTransfer, kEnd };
+
+struct JobRecordKey {
+  JobRecordKind kind = JobRecordKind::kSubmission;
+  JobId job;
+};
+
+std::string SubmissionKey(const JobId& job);
+std::string CancellationKey(const JobId& job);
+/** `part` distinguishes several transfers of tasks of one job; empty for a
+ * whole job. */
+std::string TransferKey(const JobId& job, std::string_view part);
+std::string EndKey(const JobId& job);
+/** Returns nothing for a key of another kind. */
+std::optional<JobRecordKey> ParseJobRecordKey(std::string_view key);
+
+std::string EncodeTransfer(const JobTransfer& transfer);
+/** Returns nothing if the bytes are not a transfer. */
+std::optional<JobTransfer> DecodeTransfer(std::string_view bytes);
+
+/** State in which a moved job has ended; nothing if the bytes name none. */
+std::string EncodeEnd(JobState state);
+std::optional<JobState> DecodeEnd(std::string_view bytes);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SCHED_CELL_MESSAGE_H_
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "cowslipmast/sched/cell.h"
+#include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/job.h"
 #include "cowslipmast/sched/policy.h"
 #include "cowslipmast/sched/worker_info.h"
@@ -16,6 +18,9 @@
 
 /** Settings of the deployment. */
 struct SchedulerOptions {
+  CellId cell;
+  CellLayout layout{kLayoutVersion, 1};
+  Epoch epoch;  // of this owner
   /** Length of the leases that the scheduler grants. */
   Duration lease = std::chrono::seconds(6);
   /** Time from the claim until all leases that the previous owner may have
@@ -61,6 +66,8 @@
   /** Ended jobs whose submissions must be deleted before `records` are stored.
    */
   std::vector<JobId> deleted_jobs;
+  /** For other cells; must be sent only after `records` are stored. */
+  std::vector<CellMessage> messages;
   /** Must be stored in one append before `starts` are sent. */
   std::vector<ProgressRecord> records;
   std::vector<StartRunCommand> starts;
@@ -90,6 +97,14 @@
   uint64_t unexpected_runs =
       0;  // listed runs that the scheduler does not expect
   uint64_t bad_records = 0;
+  uint64_t moved_jobs = 0;   // moved to other cells before they started
+  uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
+};
+
+/** What a cell knows of a job. */
+struct JobStatus {
+  JobState state = JobState::kQueued;  // as last stored
+  std::optional<CellId> moved_to;      // the cell that knows its current state
 };
 
 /** Decides what runs where in one cell. Performs no I/O and reads no clock. */
@@ -112,6 +127,18 @@
    * progress of the job is replayed. */
   void AddJob(const JobDefinition& spec, TimePoint now, WallTime wall);
   void CancelJob(const JobId& id, TimePoint now);
+  /** Takes over a job, or tasks of one, from another cell. Must be called
+   * before the progress of the job is replayed. */
+  void AddTransfer(const JobTransfer& transfer, TimePoint now, WallTime wall);
+  /** The cell that runs a moved job reports its end. */
+  void EndMovedJob(const JobId& id, JobState end, TimePoint now);
+  /** The message that tells another cell of the job's end has been stored. */
+  void OnEndMessageStored(const JobId& id);
+
+  /** Loads of the other cells. */
+  void SetCellLoads(std::vector<CellLoad> loads, TimePoint now);
+  /** Load of this cell. */
+  CellLoad Load(TimePoint now) const;
 
   void UpsertWorker(const WorkerInfo& info, TimePoint now);
   /** The platform no longer lists the worker. */
@@ -152,6 +179,8 @@
   /** Stops that are due. Unlike a plan they wait for nothing to be stored: may
    * be called at any time, also between `MakePlan` and `OnStored`. */
   std::vector<StopRunCommand> TakeStops(TimePoint now);
+  /** Cancellations to pass on to other cells; may be called at any time. */
+  std::vector<CellMessage> TakeCancellations();
   /** Makes the next plan. Must not be called again before `OnStored`. */
   Plan MakePlan(TimePoint now, WallTime wall);
   /** The records of the last plan have been stored. */
@@ -161,6 +190,8 @@
   /** Time at which a plan must be made even if nothing changes until then. */
   TimePoint NextDue(TimePoint now, WallTime wall) const;
 
+  /** Nothing for an unknown job. */
+  std::optional<JobStatus> StatusOf(const JobId& id) const;
   /** The job's state as last stored; nothing for an unknown job. */
   std::optional<JobState> StateOf(const JobId& id) const;
   /** Number of unended jobs of the queue of which no task has started. */
--- /dev/null
+++ b/src/sched/cell_message.cc
@@ -0,0 +1,123 @@
+#include "cowslipmast/sched/cell_message.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cowslipmast/sched/job_codec.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using nlohmann::json;
+
+// Prefixes of stored keys; they must not change.
+constexpr std::string_view kSubmissionPrefix = "j/";
+constexpr std::string_view kCancellationPrefix = "x/";
+constexpr std::string_view kTransferPrefix = "t/";
+constexpr std::string_view kEndPrefix = "e/";
+constexpr char kPartSeparator = '.';
+
+std::string Key(std::string_view prefix, const JobId& job) {
+  return std::string(prefix) + job.value();
+}
+
+json EncodeTask(const MovedTask& task) {
+  return json::array({task.step, task.index, task.run.value(), task.failures,
+                      task.checkpoint});
+}
+
+MovedTask DecodeTask(const json& j) {
+  return {.step = j.at(0).get<uint32_t>(),
+          .index = j.at(1).get<uint32_t>(),
+          .run = RunNumber(j.at(2).get<uint64_t>()),
+          .failures = j.at(3).get<uint32_t>(),
+          .checkpoint = j.at(4).get<std::string>()};
+}
+
+}  // namespace
+
+std::string SubmissionKey(const JobId& job) {
+  return Key(kSubmissionPrefix, job);
+}
+
+std::string CancellationKey(const JobId& job) {
+  return Key(kCancellationPrefix, job);
+}
+
+std::string TransferKey(const JobId& job, std::string_view part) {
+  std::string key = Key(kTransferPrefix, job);
+  if (!part.empty())
+    key += kPartSeparator + std::string(part);
+  return key;
+}
+
+std::string EndKey(const JobId& job) {
+  return Key(kEndPrefix, job);
+}
+
+std::optional<JobRecordKey> ParseJobRecordKey(std::string_view key) {
+  const auto parse = [key](std::string_view prefix, JobRecordKind kind) {
+    const std::string_view rest = key.substr(prefix.size());
+    return JobRecordKey{
+        kind, JobId(std::string(rest.substr(0, rest.find(kPartSeparator))))};
+  };
+  if (key.starts_with(kSubmissionPrefix))
+    return parse(kSubmissionPrefix, JobRecordKind::kSubmission);
+  if (key.starts_with(kCancellationPrefix))
+    return parse(kCancellationPrefix, JobRecordKind::kCancellation);
+  if (key.starts_with(kTransferPrefix))
+    return parse(kTransferPrefix, JobRecordKind::kTransfer);
+  if (key.starts_with(kEndPrefix))
+    return parse(kEndPrefix, JobRecordKind::kEnd);
+  return std::nullopt;
+}
+
+std::string EncodeTransfer(const JobTransfer& transfer) {
+  json tasks = json::array();
+  for (const MovedTask& task : transfer.tasks)
+    tasks.push_back(EncodeTask(task));
+  const std::string job = EncodeJob(transfer.job);
+  const std::vector<uint8_t> bytes =
+      json::to_cbor({{"f", transfer.from.value()},
+                     {"h", transfer.hop},
+                     {"t", std::move(tasks)},
+                     {"j", json::binary({job.begin(), job.end()})}});
+  return {bytes.begin(), bytes.end()};
+}
+
+std::optional<JobTransfer> DecodeTransfer(std::string_view bytes) {
+  const json j = json::from_cbor(bytes, true, false);
+  if (!j.is_object())
+    return std::nullopt;
+  try {
+    const auto& encoded = j.at("j").get_binary();
+    auto job = DecodeJob(std::string(encoded.begin(), encoded.end()));
+    if (!job)
+      return std::nullopt;
+    JobTransfer transfer{.job = std::move(*job),
+                         .from = CellId(j.at("f").get<uint64_t>()),
+                         .hop = j.at("h").get<uint32_t>(),
+                         .tasks = {}};
+    for (const json& task : j.at("t"))
+      transfer.tasks.push_back(DecodeTask(task));
+    return transfer;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeEnd(JobState state) {
+  return std::string(JobStateName(state));
+}
+
+std::optional<JobState> DecodeEnd(std::string_view bytes) {
+  for (const JobState state :
+       {JobState::kCompleted, JobState::kFailed, JobState::kCancelled}) {
+    if (JobStateName(state) == bytes)
+      return state;
+  }
+  return std::nullopt;
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/sched/choose_cell.cc
@@ -0,0 +1,158 @@
+#include "src/sched/choose_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Below this use of its processors a cell keeps its long-running work.
+constexpr double kMinUseToMove = 0.5;
+// Use above the mean of all cells that a cell keeps: a move costs two appends,
+// and the loads of other cells are up to half a second old.
+constexpr double kKeptAboveMean = 0.03;
+// A move takes about 0.1 s, so shorter waits are left to the cell.
+constexpr Duration kMinShortWait = milliseconds(150);
+constexpr Duration kMinBestEffortWait = milliseconds(300);
+// Share of a cell's processors up to which waiting work counts as none.
+constexpr double kNegligibleShare = 0.01;
+
+double Cores(MilliCores cpu) {
+  return static_cast<double>(cpu.count());
+}
+
+double LongRunningCores(const ServiceLoad& load) {
+  return Cores(load.long_running) + Cores(load.waiting_long_running);
+}
+
+bool HasLabel(const ServiceLoad& load, const std::string& label) {
+  return label.empty() || std::find(load.labels.begin(), load.labels.end(),
+                                    label) != load.labels.end();
+}
+
+struct Candidate {
+  CellId cell;
+  double weight = 0;
+};
+
+// Chooses one in proportion to the weights.
+std::optional<CellId> Draw(const std::vector<Candidate>& candidates,
+                           uint64_t random) {
+  double total = 0;
+  for (const Candidate& candidate : candidates)
+    total += candidate.weight;
+  if (total <= 0)
+    return std::nullopt;
+  constexpr uint64_t resolution = 1U << 20;
+  double rest = total * static_cast<double>(random % resolution) /
+                static_cast<double>(resolution);
+  for (const Candidate& candidate : candidates) {
+    rest -= candidate.weight;
+    if (rest < 0)
+      return candidate.cell;
+  }
+  return candidates.back().cell;
+}
+
+// Capacity of a cell that the work could use.
+double SpareFor(const WaitingWork& work,
+                const ServiceLoad& load,
+                double mean_use) {
+  const double capacity = Cores(load.capacity);
+  switch (work.kind) {
+    case WorkKind::kLongRunning:
+      return mean_use * capacity - LongRunningCores(load);
+    case WorkKind::kShort: {
+      const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
+      return free < Cores(work.need) ? 0 : free;
+    }
+    case WorkKind::kBestEffort: {
+      const bool others_wait =
+          Cores(load.waiting_best_effort) > kNegligibleShare * capacity;
+      return others_wait || Cores(load.idle) < Cores(work.need)
+                 ? 0
+                 : Cores(load.idle);
+    }
+  }
+  return 0;
+}
+
+double MeanUse(const ServiceId& service,
+               const ServiceLoad& own,
+               const std::vector<CellLoad>& others) {
+  double used = LongRunningCores(own);
+  double capacity = Cores(own.capacity);
+  for (const CellLoad& other : others) {
+    if (const ServiceLoad* load = FindServiceLoad(other, service)) {
+      used += LongRunningCores(*load);
+      capacity += Cores(load->capacity);
+    }
+  }
+  return capacity > 0 ? used / capacity : 0;
+}
+
+bool ShouldLeave(const WaitingWork& work,
+                 const ServiceLoad& own,
+                 double mean_use) {
+  const double capacity = Cores(own.capacity);
+  switch (work.kind) {
+    case WorkKind::kLongRunning: {
+      const double use = LongRunningCores(own) / capacity;
+      return use > kMinUseToMove && use > mean_use + kKeptAboveMean;
+    }
+    case WorkKind::kShort:
+      return work.waited >= kMinShortWait;
+    case WorkKind::kBestEffort:
+      return work.waited >= kMinBestEffortWait &&
+             Cores(own.waiting_best_effort) > kNegligibleShare * capacity;
+  }
+  return false;
+}
+
+}  // namespace
+
+const ServiceLoad* FindServiceLoad(const CellLoad& load,
+                                   const ServiceId& service) {
+  const auto found = std::find_if(
+      load.services.begin(), load.services.end(),
+      [&service](const ServiceLoad& s) { return s.service == service; });
+  return found == load.services.end() ? nullptr : &*found;
+}
+
+ServiceLoad* FindServiceLoad(CellLoad& load, const ServiceId& service) {
+  return const_cast<ServiceLoad*>(
+      FindServiceLoad(std::as_const(load), service));
+}
+
+std::optional<CellId> ChooseCell(const WaitingWork& work,
+                                 const CellLoad& own,
+                                 const std::vector<CellLoad>& others) {
+  const ServiceLoad* load = FindServiceLoad(own, work.service);
+  const bool can_stay =
+      load != nullptr && load->workers > 0 && HasLabel(*load, work.label);
+  double mean_use = 1;
+  if (can_stay) {
+    mean_use = MeanUse(work.service, *load, others);
+    if (!ShouldLeave(work, *load, mean_use))
+      return std::nullopt;
+  }
+  std::vector<Candidate> candidates;
+  for (const CellLoad& other : others) {
+    const ServiceLoad* entry = FindServiceLoad(other, work.service);
+    if (other.cell == own.cell || entry == nullptr || entry->workers == 0 ||
+        !HasLabel(*entry, work.label))
+      continue;
+    // Work without any worker here goes to any cell that has some.
+    const double spare = SpareFor(work, *entry, mean_use);
+    const double weight =
+        can_stay ? spare : std::max(spare, Cores(entry->capacity) / 100);
+    if (weight > 0)
+      candidates.push_back({other.cell, weight});
+  }
+  return Draw(candidates, work.random);
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/sched/choose_cell.h
@@ -0,0 +1,46 @@
+#ifndef COWSLIPMAST_SRC_SCHED_CHOOSE_CELL_H_
+#define COWSLIPMAST_SRC_SCHED_CHOOSE_CELL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cowslipmast/sched/cell.h"
+
+namespace cowslipmast::sched {
+
+enum class WorkKind { kShort, kLongRunning, kBestEffort };
+
+/** Work that waits in a cell. */
+struct WaitingWork {
+  ServiceId service;
+  WorkKind kind = WorkKind::kShort;
+  MilliCores need;  // of all its tasks that wait; part of the cell's own load
+  std::string label;
+  Duration waited{0};
+  /** Chooses among cells of equal merit, so that owners with the same view do
+   * not all choose the same one. */
+  uint64_t random = 0;
+};
+
+/** Cell that the work should move to; nothing if it stays.
+ *
+ * Meant for cells that share a load unevenly: hashing gives one cell twice as
+ * many long-running jobs as another, and failed workers leave a cell full while
+ * others have capacity. Long-running work leaves a cell only down to the mean
+ * use of all cells, so that cells with the same view do not overload the
+ * emptiest one; short and best-effort work leaves only after it has waited, for
+ * a cell where nothing waits. */
+std::optional<CellId> ChooseCell(const WaitingWork& work,
+                                 const CellLoad& own,
+                                 const std::vector<CellLoad>& others);
+
+/** The load of a service in a cell; null if the cell has none. */
+ServiceLoad* FindServiceLoad(CellLoad& load, const ServiceId& service);
+const ServiceLoad* FindServiceLoad(const CellLoad& load,
+                                   const ServiceId& service);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHED_CHOOSE_CELL_H_
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -12,6 +12,8 @@
 
 // Version of the encoding. A later one may add keys but must not change these.
 constexpr int kVersion = 1;
+// Of one iteration; a record with more is not ours.
+constexpr uint64_t kMaxTasks = 1'000'000;
 
 json EncodeStep(const StepSpec& step) {
   json j = {{"n", step.count},
@@ -106,6 +108,11 @@
     spec.payload = j.at("p").get<std::string>();
     for (const json& step : j.at("s"))
       spec.steps.push_back(DecodeStep(step));
+    uint64_t tasks = 0;
+    for (const StepSpec& step : spec.steps)
+      tasks += step.count;
+    if (tasks > kMaxTasks)
+      return std::nullopt;
     spec.accepted = WallTime(Duration(j.at("a").get<int64_t>()));
     spec.iterations = j.value("i", 0U);
     spec.first_due = WallTime(Duration(j.value("f", int64_t{0})));
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -6,15 +6,12 @@
 #include "src/sched/assignment.h"
 #include "src/sched/order.h"
 #include "src/sched/progress.h"
+#include "src/sched/transfers.h"
 
 namespace cowslipmast::sched {
 
 namespace {
 
-// Callers may ask for the state of an ended job for 120 s, and a late duplicate
-// of a submission may arrive some seconds after the response.
-constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
-
 bool AreDependenciesDone(const Iteration& iteration, const StepSpec& spec) {
   return std::all_of(spec.depends_on.begin(), spec.depends_on.end(),
                      [&](uint32_t earlier) {
@@ -32,10 +29,49 @@
   job.state = JobState::kCompleted;
   job.ended_at = now;
   state.ended_jobs.emplace(now + kEndedJobRetention, job.spec.id);
+  PlanEndMessage(state, job);
 }
 
 }  // namespace
 
+Job& AddJobWithoutIterations(State& state,
+                             const JobDefinition& spec,
+                             TimePoint now,
+                             WallTime wall) {
+  std::unique_ptr<Job>& slot = state.jobs[spec.id];
+  slot = std::make_unique<Job>();
+  slot->spec = spec;
+  slot->sequence = state.next_sequence++;
+  slot->arrived = now - std::max(Duration(0), wall - spec.accepted);
+  state.needs_plan = true;
+  return *slot;
+}
+
+void StartFirstIteration(State& state, Job& job, TimePoint now) {
+  Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
+  job.next_iteration = 1;
+  for (StepState& step : iteration.steps) {
+    for (Task& task : step.tasks)
+      task.run = std::max(task.run, job.base_run);
+  }
+  if (state.restored)
+    UnblockSteps(state, iteration, now);
+}
+
+void CancelKnownJob(State& state, Job& job, TimePoint now) {
+  if (job.ended_at)
+    return;
+  job.is_cancelled = true;
+  if (!state.restored) {
+    if (job.state != JobState::kCompleted && !job.moved_to)
+      job.state = JobState::kCancelled;
+    return;
+  }
+  ForwardCancellation(state, job);
+  if (!job.moved_to)
+    EndJob(state, job, JobState::kCancelled, now);
+}
+
 uint32_t IterationCount(const JobDefinition& spec) {
   return std::max<uint32_t>(1, spec.iterations);
 }
@@ -154,6 +190,7 @@
   job.state = end;
   job.ended_at = now;
   state.ended_jobs.emplace(now + kEndedJobRetention, job.spec.id);
+  PlanEndMessage(state, job);
   // The stored record must show the end even if no task ever had a worker.
   GetOrCreateIteration(state, job, 0, now);
   for (auto& [number, iteration] : job.iterations) {
@@ -181,7 +218,8 @@
     if (found == state.jobs.end())
       continue;
     Job& job = *found->second;
-    if (job.placed_tasks > 0) {
+    if (job.placed_tasks > 0 ||
+        (job.received_from && !job.end_message_stored)) {
       state.ended_jobs.emplace(now + kEndedJobRetention, id);
       continue;
     }
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -33,6 +33,23 @@
  * queue. */
 const QueuePolicy& PolicyOf(const State& state, const Job& job);
 
+/** Adds a job that is not known yet; its iterations are created later. */
+Job& AddJobWithoutIterations(State& state,
+                             const JobDefinition& spec,
+                             TimePoint now,
+                             WallTime wall);
+
+/** Starts the only iteration of a job without due times. */
+void StartFirstIteration(State& state, Job& job, TimePoint now);
+
+/** Ends a job, or passes the cancellation on if another cell runs it. */
+void CancelKnownJob(State& state, Job& job, TimePoint now);
+
+/** Ended jobs are kept for this long. Callers may ask for the state of an ended
+ * job for 120 s, and a late duplicate of a submission may arrive some seconds
+ * after the response. */
+inline constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
+
 /** Number of iterations that the job has in all. */
 uint32_t IterationCount(const JobDefinition& spec);
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -19,19 +19,25 @@
 constexpr int kWaitingCode = 0;
 constexpr int kPlacedCode = 1;
 constexpr int kDoneCode = 2;
+constexpr int kElsewhereCode = 3;
 
 json EncodeTaskProgress(const State& state, const Task& task) {
   if (task.phase == SchedulingPhase::kDone)
     return json(kDoneCode);
   json fields = json::array();
   const bool placed = task.worker != kNoWorker;
-  fields.push_back(placed ? kPlacedCode : kWaitingCode);
+  const bool elsewhere = task.phase == SchedulingPhase::kElsewhere;
+  fields.push_back(placed      ? kPlacedCode
+                   : elsewhere ? kElsewhereCode
+                               : kWaitingCode);
   fields.push_back(task.run.value());
   fields.push_back(task.failures);
   fields.push_back(task.checkpoint);
   if (placed) {
     fields.push_back(
         state.workers[static_cast<size_t>(task.worker)].info.id.value());
+  } else if (elsewhere) {
+    fields.push_back(task.other_cell);
   }
   return fields;
 }
@@ -43,12 +49,21 @@
     --StepOf(ref).unfinished_tasks;
     return;
   }
-  task.run = RunNumber(stored.at(1).get<uint64_t>());
+  const RunNumber run(stored.at(1).get<uint64_t>());
+  // A later transfer has brought the task back here.
+  if (run < task.run)
+    return;
+  task.run = run;
   task.failures = stored.at(2).get<uint32_t>();
   task.checkpoint = stored.at(3).get<std::string>();
-  if (task.run.value() > 0)
+  if (task.run > ref.iteration->job->base_run)
     ref.iteration->job->has_started = true;
-  if (stored.at(0).get<int>() != kPlacedCode)
+  const int code = stored.at(0).get<int>();
+  if (code == kElsewhereCode) {
+    task.phase = SchedulingPhase::kElsewhere;
+    task.other_cell = stored.at(4).get<uint32_t>();
+  }
+  if (code != kPlacedCode)
     return;
   const int32_t worker =
       GetOrCreateWorkerIndex(state, WorkerId(stored.at(4).get<std::string>()));
@@ -107,8 +122,11 @@
       tasks.push_back(EncodeTaskProgress(state, task));
     steps.push_back(std::move(tasks));
   }
-  const json stored = {{"s", static_cast<int>(iteration.job->state)},
-                       {"t", std::move(steps)}};
+  json stored = {{"s", static_cast<int>(iteration.job->state)},
+                 {"t", std::move(steps)}};
+  const Job& job = *iteration.job;
+  if (job.moved_to)
+    stored["m"] = {job.moved_to->value(), job.hop};
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
   return {ProgressKey(iteration.job->spec.id, iteration.number),
           std::string(bytes.begin(), bytes.end())};
@@ -130,6 +148,9 @@
     if (end == JobState::kFailed || end == JobState::kCancelled ||
         end == JobState::kCompleted)
       job.state = end;
+    // A job with a higher hop number has come back since.
+    if (stored.contains("m") && stored["m"].at(1).get<uint32_t>() >= job.hop)
+      job.moved_to = CellId(stored["m"].at(0).get<uint64_t>());
     return ApplyStoredIteration(state, job, key->second, stored);
   } catch (const json::exception&) {
     return false;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/sched/assignment.h"
+#include "src/sched/cell_load.h"
 #include "src/sched/dump.h"
 #include "src/sched/interference_codec.h"
 #include "src/sched/jobs.h"
@@ -12,6 +13,7 @@
 #include "src/sched/pacing.h"
 #include "src/sched/progress.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/transfers.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -67,6 +69,12 @@
   const JobDefinition& spec = job.spec;
   if (job.iterations_done >= IterationCount(spec))
     job.state = JobState::kCompleted;
+  if (job.moved_to && job.state != JobState::kFailed &&
+      job.state != JobState::kCancelled && job.state != JobState::kCompleted) {
+    job.published_state = job.state;
+    RepeatMessages(state, job);
+    return;
+  }
   if (job.state != JobState::kFailed && job.state != JobState::kCancelled &&
       job.state != JobState::kCompleted) {
     if (job.has_started)
@@ -74,12 +82,15 @@
     job.published_state = job.state;
     for (auto& [number, iteration] : job.iterations)
       UnblockSteps(state, *iteration, now);
+    RepeatMessages(state, job);
     return;
   }
   const JobState end = job.state;
   job.state = JobState::kActive;
   EndJob(state, job, end, now);
   job.published_state = end;
+  if (job.is_cancelled)
+    ForwardCancellation(state, job);
 }
 
 }  // namespace
@@ -159,23 +170,13 @@
                        TimePoint now,
                        WallTime wall) {
   State& state = m_impl->state;
-  std::unique_ptr<Job>& slot = state.jobs[spec.id];
-  if (slot)
+  if (state.jobs.contains(spec.id))
     return;
-  slot = std::make_unique<Job>();
-  Job& job = *slot;
-  job.spec = spec;
-  job.sequence = state.next_sequence++;
-  job.arrived = now - std::max(Duration(0), wall - spec.accepted);
-  if (spec.iterations > 0) {
+  Job& job = AddJobWithoutIterations(state, spec, now, wall);
+  if (spec.iterations > 0)
     state.upcoming_iterations.emplace(spec.first_due, &job);
-  } else {
-    Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
-    job.next_iteration = 1;
-    if (state.restored)
-      UnblockSteps(state, iteration, now);
-  }
-  state.needs_plan = true;
+  else
+    StartFirstIteration(state, job, now);
   if (state.early_cancellations.erase(spec.id) > 0)
     CancelJob(spec.id, now);
 }
@@ -187,10 +188,36 @@
     state.early_cancellations.insert(id);
     return;
   }
-  if (state.restored)
-    EndJob(state, *found->second, JobState::kCancelled, now);
-  else if (found->second->state != JobState::kCompleted)
-    found->second->state = JobState::kCancelled;
+  CancelKnownJob(state, *found->second, now);
+}
+
+void Scheduler::AddTransfer(const JobTransfer& transfer,
+                            TimePoint now,
+                            WallTime wall) {
+  ApplyTransfer(m_impl->state, transfer, now, wall);
+}
+
+void Scheduler::EndMovedJob(const JobId& id, JobState end, TimePoint now) {
+  ApplyRemoteEnd(m_impl->state, id, end, now);
+}
+
+void Scheduler::OnEndMessageStored(const JobId& id) {
+  const auto found = m_impl->state.jobs.find(id);
+  if (found != m_impl->state.jobs.end())
+    found->second->end_message_stored = true;
+}
+
+void Scheduler::SetCellLoads(std::vector<CellLoad> loads, TimePoint now) {
+  m_impl->state.cell_loads = std::move(loads);
+  m_impl->state.cell_loads_at = now;
+}
+
+CellLoad Scheduler::Load(TimePoint now) const {
+  return MeasureLoad(m_impl->state, now);
+}
+
+std::vector<CellMessage> Scheduler::TakeCancellations() {
+  return std::exchange(m_impl->state.cancellations, {});
 }
 
 void Scheduler::UpsertWorker(const WorkerInfo& info, TimePoint) {
@@ -365,11 +392,14 @@
   CreateDueIterations(state, now, wall);
   RequeueTasksOfExpiredLeases(state, now);
   StopTasksOfDrainingWorkers(state, now);
+  PlanJobTransfers(state, now, plan);
   PlaceReadyTasks(state, now, plan);
+  PlanTaskTransfers(state, now, plan);
   PlanPaces(state, plan);
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
   DeleteEndedJobs(state, now, plan);
+  plan.messages = std::exchange(state.messages, {});
   for (WorkerState& worker : state.workers)
     worker.outcomes_planned = worker.outcomes_applied;
   return plan;
@@ -405,20 +435,28 @@
   return due;
 }
 
-std::optional<JobState> Scheduler::StateOf(const JobId& id) const {
+std::optional<JobStatus> Scheduler::StatusOf(const JobId& id) const {
   const auto found = m_impl->state.jobs.find(id);
   if (found == m_impl->state.jobs.end())
     return std::nullopt;
-  return found->second->published_state;
+  const Job& job = *found->second;
+  return JobStatus{job.published_state,
+                   job.ended_at ? std::nullopt : job.moved_to};
+}
+
+std::optional<JobState> Scheduler::StateOf(const JobId& id) const {
+  const auto status = StatusOf(id);
+  return status ? std::optional(status->state) : std::nullopt;
 }
 
 size_t Scheduler::CountWaiting(const QueueId& queue) const {
-  return static_cast<size_t>(std::count_if(
-      m_impl->state.jobs.begin(), m_impl->state.jobs.end(),
-      [&queue](const auto& entry) {
-        const Job& job = *entry.second;
-        return job.spec.queue == queue && !job.has_started && !job.ended_at;
-      }));
+  return static_cast<size_t>(
+      std::count_if(m_impl->state.jobs.begin(), m_impl->state.jobs.end(),
+                    [&queue](const auto& entry) {
+                      const Job& job = *entry.second;
+                      return job.spec.queue == queue && !job.has_started &&
+                             !job.ended_at && !job.moved_to;
+                    }));
 }
 
 bool Scheduler::NeedsFrequentListing(const WorkerId& id) const {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "cowslipmast/sched/cell.h"
+#include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/scheduler.h"
 #include "src/sched/interference_model.h"
 
@@ -24,11 +26,15 @@
   kRunning,
   kStopping,  // must be stopped, or kept from starting
   kDone,
+  kElsewhere,  // a long-running task that another cell runs
 };
 
 /** Worker index of a task that has no worker. */
 inline constexpr int32_t kNoWorker = -1;
 
+/** Value of `Task::other_cell` for a task that this cell runs. */
+inline constexpr uint32_t kThisCell = UINT32_MAX;
+
 /** Differs from every pace that a command sets, so that the next pace command
  * is always sent. */
 inline constexpr uint32_t kUnknownPacePercent = 101;
@@ -38,7 +44,8 @@
   int32_t worker = kNoWorker;  // index into `State::workers`
   RunNumber run;               // of the latest start; 0 before the first
   uint32_t failures = 0;
-  TimePoint ready_since;  // while the task waits for a worker
+  uint32_t other_cell = kThisCell;  // that runs the task
+  TimePoint ready_since;            // while the task waits for a worker
   std::string checkpoint;
   /** A listing requested after this time shows the run if it is present; not
    * set while the start command is on its way. */
@@ -93,6 +100,13 @@
   TimePoint arrived;
   uint32_t placed_tasks = 0;  // tasks that have a worker
   bool has_started = false;
+  bool is_cancelled = false;
+  bool is_part = false;  // another cell moved only some of its tasks here
+  std::optional<CellId> received_from;  // the cell that moved it here
+  std::optional<CellId> moved_to;       // the cell that runs all of it
+  uint32_t hop = 0;                     // cells that it has moved through
+  RunNumber base_run;  // runs of other cells have this number at most
+  bool end_message_stored = false;  // at the cell that moved it here
   std::optional<TimePoint> ended_at;
 };
 
@@ -172,6 +186,15 @@
   SchedulerOptions options;
   TimePoint claimed_at;
   bool restored = false;  // all stored progress has been replayed
+  /** Loads of the other cells, with the changes that this owner has planned,
+   * and when they were measured. */
+  std::vector<CellLoad> cell_loads;
+  TimePoint cell_loads_at;
+  /** To be sent once the next plan is stored. */
+  std::vector<CellMessage> messages;
+  /** Cancellations of jobs that other cells run; may be sent at once. */
+  std::vector<CellMessage> cancellations;
+  uint64_t next_message_number = 1;
   Policy policy;
   InterferenceModel interference;
   std::optional<TimePoint> interference_stored_at;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -38,22 +38,6 @@
   return static_cast<double>(cpu.count());
 }
 
-// Processor time that neither reserving nor best-effort tasks are expected to
-// use. Long-running tasks use the part of their reservation that their current
-// utilisation gives.
-double IdleMillicores(const WorkerState& worker) {
-  double long_running_millicores = 0;
-  for (const TaskRef& ref : worker.tasks) {
-    if (SpecOf(ref).long_running && !SpecOf(ref).best_effort)
-      long_running_millicores +=
-          Millicores(SpecOf(ref).need.cpu) * TaskOf(ref).own_utilisation;
-  }
-  const double short_work =
-      Millicores(worker.reserved.cpu) - Millicores(worker.long_running_cpu);
-  return Millicores(worker.info.capacity.cpu) - short_work -
-         long_running_millicores - Millicores(worker.best_effort_cpu);
-}
-
 bool HasLabel(const WorkerState& worker, const std::string& label) {
   return label.empty() ||
          std::find(worker.info.labels.begin(), worker.info.labels.end(),
--- /dev/null
+++ b/src/sched/transfers.cc
@@ -0,0 +1,422 @@
+#include "src/sched/transfers.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "src/sched/assignment.h"
+#include "src/sched/cell_load.h"
+#include "src/sched/choose_cell.h"
+#include "src/sched/jobs.h"
+#include "src/sched/order.h"
+#include "src/sched/task_placement.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Older loads say little about where there is capacity now.
+constexpr Duration kMaxLoadAge = std::chrono::seconds(3);
+// A job that has moved this often stays where it is.
+constexpr uint32_t kMaxHops = 4;
+// Steps considered in one plan; bounds its duration while many wait.
+constexpr size_t kMaxStepsConsidered = 200;
+// A long-running task must have a worker after 3 s; a move takes 0.1 s, and the
+// next cell may have to wait for a worker, too.
+constexpr Duration kMinWaitToMoveTask = milliseconds(1000);
+
+bool HasFreshLoads(const State& state, TimePoint now) {
+  return !state.cell_loads.empty() && now - state.cell_loads_at < kMaxLoadAge;
+}
+
+MilliCores WaitingNeed(const ReadyKey& key) {
+  return MilliCores(
+      key.iteration->job->spec.steps[key.step].need.cpu.count() *
+      static_cast<int64_t>(key.iteration->steps[key.step].ready_tasks.size()));
+}
+
+WorkKind KindOf(const StepSpec& spec) {
+  if (spec.best_effort)
+    return WorkKind::kBestEffort;
+  return spec.long_running ? WorkKind::kLongRunning : WorkKind::kShort;
+}
+
+// Counts work that moves in the loads, so that the next decision sees it.
+void ShiftLoad(State& state,
+               CellLoad& own,
+               const WaitingWork& work,
+               CellId target) {
+  const auto shift = [&work](ServiceLoad* load, MilliCores need) {
+    if (load == nullptr)
+      return;
+    switch (work.kind) {
+      case WorkKind::kLongRunning:
+        load->waiting_long_running += need;
+        return;
+      case WorkKind::kShort:
+        load->waiting += need;
+        return;
+      case WorkKind::kBestEffort:
+        load->waiting_best_effort += need;
+        load->idle -= need;
+        return;
+    }
+  };
+  shift(FindServiceLoad(own, work.service), MilliCores(-work.need.count()));
+  for (CellLoad& other : state.cell_loads) {
+    if (other.cell == target)
+      shift(FindServiceLoad(other, work.service), work.need);
+  }
+}
+
+Duration WaitedFor(const ReadyKey& key, TimePoint now) {
+  const StepState& step = key.iteration->steps[key.step];
+  return now - step.tasks[step.ready_tasks.back()].ready_since;
+}
+
+WaitingWork DescribeWork(const State& state,
+                         const ReadyKey& key,
+                         TimePoint now) {
+  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+  return {
+      .service = PolicyOf(state, *key.iteration->job).service,
+      .kind = KindOf(spec),
+      .need = WaitingNeed(key),
+      .label = spec.label,
+      .waited = WaitedFor(key, now),
+      .random = std::hash<std::string>{}(key.iteration->job->spec.id.value()) +
+                key.iteration->job->hop};
+}
+
+// The cell with the rack of the step's data, if that is another one.
+std::optional<CellId> CellOfData(const State& state, const ReadyKey& key) {
+  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+  if (spec.data_rack.empty() || key.iteration->job->hop > 0)
+    return std::nullopt;
+  const CellId cell = CellOfRack(state.options.layout, spec.data_rack);
+  return cell == state.options.cell ? std::nullopt : std::optional(cell);
+}
+
+bool MayMove(const Job& job) {
+  return !job.has_started && job.placed_tasks == 0 && !job.ended_at &&
+         !job.moved_to && job.spec.iterations == 0 && job.hop < kMaxHops &&
+         !job.is_part;
+}
+
+// A task to name in the decision log for a whole job.
+std::optional<TaskRef> FirstTaskOf(const Job& job) {
+  for (const auto& [number, iteration] : job.iterations) {
+    for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
+      if (!iteration->steps[i].tasks.empty())
+        return TaskRef{iteration.get(), i, 0};
+    }
+  }
+  return std::nullopt;
+}
+
+void SendTransfer(State& state, const Job& job) {
+  const JobTransfer transfer{.job = job.spec,
+                             .from = state.options.cell,
+                             .hop = job.hop + 1,
+                             .tasks = {}};
+  state.messages.push_back({*job.moved_to,
+                            TransferKey(job.spec.id, ""),
+                            EncodeTransfer(transfer),
+                            {}});
+}
+
+void MoveJob(State& state, Job& job, CellId target) {
+  job.moved_to = target;
+  for (auto& [number, iteration] : job.iterations) {
+    for (StepState& step : iteration->steps) {
+      step.ready_tasks.clear();
+      step.unblocked = false;
+      for (Task& task : step.tasks)
+        task.phase = SchedulingPhase::kBlocked;
+    }
+    MarkDirty(state, *iteration);
+  }
+  SendTransfer(state, job);
+  ++state.counters.moved_jobs;
+  if (const auto ref = FirstTaskOf(job))
+    LogDecision(state, "job_moved", *ref,
+                "to_cell=" + std::to_string(target.value()));
+}
+
+MovedTask DescribeTask(const TaskRef& ref) {
+  const Task& task = TaskOf(ref);
+  return {.step = ref.step,
+          .index = ref.index,
+          .run = task.run,
+          .failures = task.failures,
+          .checkpoint = task.checkpoint};
+}
+
+void SendTasks(State& state,
+               const Job& job,
+               CellId target,
+               std::vector<MovedTask> tasks) {
+  // Each message has a key of its own: the store keeps the newest record of a
+  // key, and an owner may move other tasks of the job later.
+  const std::string part = std::to_string(state.options.epoch.value()) + "-" +
+                           std::to_string(state.options.cell.value()) + "-" +
+                           std::to_string(state.next_message_number++);
+  const JobTransfer transfer{.job = job.spec,
+                             .from = state.options.cell,
+                             .hop = job.hop + 1,
+                             .tasks = std::move(tasks)};
+  state.messages.push_back(
+      {target, TransferKey(job.spec.id, part), EncodeTransfer(transfer), {}});
+}
+
+// Moves all tasks of the step that wait.
+void MoveTasks(State& state, const ReadyKey& key, CellId target) {
+  Iteration& iteration = *key.iteration;
+  StepState& step = iteration.steps[key.step];
+  std::vector<MovedTask> moved;
+  for (const uint32_t index : step.ready_tasks) {
+    const TaskRef ref{&iteration, key.step, index};
+    Task& task = TaskOf(ref);
+    if (task.phase != SchedulingPhase::kReady)
+      continue;
+    LogDecision(state, "run_moved", ref,
+                "to_cell=" + std::to_string(target.value()));
+    // A higher number than any that this cell has used: a transfer that
+    // arrives late is told from a newer one.
+    task.run = task.run.Next();
+    task.phase = SchedulingPhase::kElsewhere;
+    task.other_cell = static_cast<uint32_t>(target.value());
+    moved.push_back(DescribeTask(ref));
+  }
+  step.ready_tasks.clear();
+  MarkDirty(state, iteration);
+  state.counters.moved_tasks += moved.size();
+  SendTasks(state, *iteration.job, target, std::move(moved));
+}
+
+void AddPart(State& state,
+             Job& job,
+             const JobTransfer& transfer,
+             TimePoint now) {
+  Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
+  job.next_iteration = 1;
+  for (const MovedTask& moved : transfer.tasks) {
+    if (moved.step >= iteration.steps.size() ||
+        moved.index >= iteration.steps[moved.step].tasks.size())
+      continue;
+    const TaskRef ref{&iteration, moved.step, moved.index};
+    Task& task = TaskOf(ref);
+    if (task.phase != SchedulingPhase::kElsewhere || task.run >= moved.run)
+      continue;
+    task.run = moved.run;
+    task.failures = moved.failures;
+    task.checkpoint = moved.checkpoint;
+    task.other_cell = kThisCell;
+    task.phase = SchedulingPhase::kBlocked;
+    MarkDirty(state, iteration);
+    // A replay makes its tasks ready at its end.
+    if (!state.restored || job.ended_at)
+      continue;
+    iteration.steps[moved.step].unblocked = true;
+    MakeReady(state, ref, now);
+  }
+}
+
+// A job of which this cell only runs the tasks that are moved here.
+Job& AddPartialJob(State& state,
+                   const JobTransfer& transfer,
+                   TimePoint now,
+                   WallTime wall) {
+  Job& job = AddJobWithoutIterations(state, transfer.job, now, wall);
+  job.is_part = true;
+  job.has_started = true;
+  job.state = JobState::kActive;
+  Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
+  for (StepState& step : iteration.steps) {
+    step.unblocked = state.restored;
+    for (Task& task : step.tasks)
+      task.phase = SchedulingPhase::kElsewhere;
+  }
+  return job;
+}
+
+std::set<CellId> CellsOfParts(const Job& job) {
+  std::set<CellId> cells;
+  if (job.moved_to)
+    cells.insert(*job.moved_to);
+  for (const auto& [number, iteration] : job.iterations) {
+    for (const StepState& step : iteration->steps) {
+      for (const Task& task : step.tasks) {
+        if (task.phase == SchedulingPhase::kElsewhere &&
+            task.other_cell != kThisCell)
+          cells.insert(CellId(task.other_cell));
+      }
+    }
+  }
+  return cells;
+}
+
+void RepeatTaskTransfers(State& state, const Job& job) {
+  std::map<CellId, std::vector<MovedTask>> moved;
+  for (const auto& [number, iteration] : job.iterations) {
+    for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
+      for (uint32_t k = 0; k < iteration->steps[i].tasks.size(); ++k) {
+        const TaskRef ref{iteration.get(), i, k};
+        const Task& task = TaskOf(ref);
+        if (task.phase == SchedulingPhase::kElsewhere &&
+            task.other_cell != kThisCell)
+          moved[CellId(task.other_cell)].push_back(DescribeTask(ref));
+      }
+    }
+  }
+  for (auto& [cell, tasks] : moved)
+    SendTasks(state, job, cell, std::move(tasks));
+}
+
+}  // namespace
+
+void PlanJobTransfers(State& state, TimePoint now, Plan&) {
+  if (!HasFreshLoads(state, now))
+    return;
+  std::optional<CellLoad> own;
+  size_t considered = 0;
+  std::vector<std::pair<Job*, CellId>> moves;
+  for (const ReadyKey& key : state.ready_steps) {
+    Job& job = *key.iteration->job;
+    if (key.iteration->steps[key.step].ready_tasks.empty() || !MayMove(job) ||
+        (!moves.empty() && moves.back().first == &job))
+      continue;
+    if (++considered > kMaxStepsConsidered)
+      break;
+    if (!own)
+      own = MeasureLoad(state, now);
+    const WaitingWork work = DescribeWork(state, key, now);
+    auto target = CellOfData(state, key);
+    if (!target)
+      target = ChooseCell(work, *own, state.cell_loads);
+    if (!target)
+      continue;
+    ShiftLoad(state, *own, work, *target);
+    moves.emplace_back(&job, *target);
+  }
+  for (const auto& [job, target] : moves) {
+    if (!job->moved_to)
+      MoveJob(state, *job, target);
+  }
+  if (!moves.empty()) {
+    std::erase_if(state.ready_steps, [](const ReadyKey& key) {
+      return key.iteration->job->moved_to.has_value();
+    });
+  }
+}
+
+void PlanTaskTransfers(State& state, TimePoint now, Plan&) {
+  if (!HasFreshLoads(state, now))
+    return;
+  std::vector<std::pair<ReadyKey, CellId>> moves;
+  std::optional<CellLoad> own;
+  for (const ReadyKey& key : state.ready_steps) {
+    const Job& job = *key.iteration->job;
+    const StepSpec& spec = job.spec.steps[key.step];
+    if (!spec.long_running || spec.gang || job.spec.iterations > 0 ||
+        key.iteration->steps[key.step].ready_tasks.empty() ||
+        WaitedFor(key, now) < kMinWaitToMoveTask)
+      continue;
+    if (!own)
+      own = MeasureLoad(state, now);
+    const WaitingWork work = DescribeWork(state, key, now);
+    if (const auto target = ChooseCell(work, *own, state.cell_loads)) {
+      ShiftLoad(state, *own, work, *target);
+      moves.emplace_back(key, *target);
+    }
+  }
+  for (const auto& [key, target] : moves) {
+    state.ready_steps.erase(key);
+    MoveTasks(state, key, target);
+  }
+}
+
+void ApplyTransfer(State& state,
+                   const JobTransfer& transfer,
+                   TimePoint now,
+                   WallTime wall) {
+  const auto found = state.jobs.find(transfer.job.id);
+  if (!transfer.tasks.empty()) {
+    Job& job = found == state.jobs.end()
+                   ? AddPartialJob(state, transfer, now, wall)
+                   : *found->second;
+    if (job.is_part && !job.received_from)
+      job.received_from = transfer.from;
+    AddPart(state, job, transfer, now);
+  } else if (found == state.jobs.end()) {
+    Job& job = AddJobWithoutIterations(state, transfer.job, now, wall);
+    job.received_from = transfer.from;
+    job.hop = transfer.hop;
+    job.base_run = RunNumber(transfer.hop);
+    StartFirstIteration(state, job, now);
+  } else if (found->second->hop < transfer.hop) {
+    Job& job = *found->second;
+    // The job has come back.
+    if (job.received_from == std::nullopt)
+      job.received_from = transfer.from;
+    job.hop = transfer.hop;
+    job.base_run = RunNumber(transfer.hop);
+    if (job.moved_to && !job.ended_at) {
+      job.moved_to.reset();
+      StartFirstIteration(state, job, now);
+    }
+  }
+  state.needs_plan = true;
+  if (state.early_cancellations.erase(transfer.job.id) > 0)
+    CancelKnownJob(state, *state.jobs.find(transfer.job.id)->second, now);
+}
+
+void ApplyRemoteEnd(State& state,
+                    const JobId& id,
+                    JobState end,
+                    TimePoint now) {
+  const auto found = state.jobs.find(id);
+  if (found == state.jobs.end() || !found->second->moved_to ||
+      found->second->ended_at)
+    return;
+  Job& job = *found->second;
+  job.state = end;
+  job.ended_at = now;
+  state.ended_jobs.emplace(now + kEndedJobRetention, id);
+  for (auto& [number, iteration] : job.iterations)
+    MarkDirty(state, *iteration);
+  PlanEndMessage(state, job);
+}
+
+void PlanEndMessage(State& state, const Job& job) {
+  if (job.received_from)
+    state.messages.push_back({*job.received_from, EndKey(job.spec.id),
+                              EncodeEnd(job.state), job.spec.id});
+}
+
+void RepeatMessages(State& state, const Job& job) {
+  if (job.ended_at) {
+    PlanEndMessage(state, job);
+    // A cancelled job may still run in other cells.
+    if (job.state != JobState::kCancelled)
+      return;
+  }
+  if (job.moved_to && !job.ended_at)
+    SendTransfer(state, job);
+  if (!job.ended_at)
+    RepeatTaskTransfers(state, job);
+  if (job.is_cancelled)
+    ForwardCancellation(state, job);
+}
+
+void ForwardCancellation(State& state, const Job& job) {
+  for (const CellId cell : CellsOfParts(job))
+    state.cancellations.push_back(
+        {cell, CancellationKey(job.spec.id), "1", {}});
+}
+
+}  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/sched/transfers.h
@@ -0,0 +1,39 @@
+#ifndef COWSLIPMAST_SRC_SCHED_TRANSFERS_H_
+#define COWSLIPMAST_SRC_SCHED_TRANSFERS_H_
+
+#include "cowslipmast/sched/cell_message.h"
+#include "src/sched/state.h"
+
+namespace cowslipmast::sched {
+
+/** Moves waiting jobs, of which no task has started, to cells that suit them
+ * better. Must be called before tasks are placed. */
+void PlanJobTransfers(State& state, TimePoint now, Plan& plan);
+
+/** Moves long-running tasks that have waited too long to cells with capacity.
+ * Must be called after tasks were placed. */
+void PlanTaskTransfers(State& state, TimePoint now, Plan& plan);
+
+/** Takes over a job, or tasks of one, that another cell has moved here.
+ * Repeated and late transfers have no effect. */
+void ApplyTransfer(State& state,
+                   const JobTransfer& transfer,
+                   TimePoint now,
+                   WallTime wall);
+
+/** A job that was moved away has ended in its cell. */
+void ApplyRemoteEnd(State& state, const JobId& id, JobState end, TimePoint now);
+
+/** Plans to tell the cell that moved the job here how it has ended. */
+void PlanEndMessage(State& state, const Job& job);
+
+/** Plans to send the transfers, cancellations and ends of a restored job again,
+ * as the previous owner may not have sent them. */
+void RepeatMessages(State& state, const Job& job);
+
+/** Plans to pass a cancellation on to the cells that run parts of the job. */
+void ForwardCancellation(State& state, const Job& job);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHED_TRANSFERS_H_
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -7,6 +7,14 @@
 
 namespace cowslipmast::sched {
 
+namespace {
+
+double Millicores(MilliCores cpu) {
+  return static_cast<double>(cpu.count());
+}
+
+}  // namespace
+
 int32_t FindWorkerIndex(const State& state, const WorkerId& id) {
   const auto found = state.worker_index.find(id);
   return found == state.worker_index.end() ? kNoWorker : found->second;
@@ -30,6 +38,19 @@
   return index;
 }
 
+double IdleMillicores(const WorkerState& worker) {
+  double long_running_millicores = 0;
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).long_running && !SpecOf(ref).best_effort)
+      long_running_millicores +=
+          Millicores(SpecOf(ref).need.cpu) * TaskOf(ref).own_utilisation;
+  }
+  const double short_work =
+      Millicores(worker.reserved.cpu) - Millicores(worker.long_running_cpu);
+  return Millicores(worker.info.capacity.cpu) - short_work -
+         long_running_millicores - Millicores(worker.best_effort_cpu);
+}
+
 double CpuShare(const WorkerState& worker, double millicores) {
   return millicores /
          std::max(1.0, static_cast<double>(worker.info.capacity.cpu.count()));
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -18,6 +18,11 @@
 /** `millicores` as a share of the worker's processors. */
 double CpuShare(const WorkerState& worker, double millicores);
 
+/** Processor time in millicores that neither reserving nor best-effort tasks
+ * are expected to use. Long-running tasks use the part of their reservation
+ * that their current utilisation gives. */
+double IdleMillicores(const WorkerState& worker);
+
 /** Whether a worker may get new tasks, or why not. */
 enum class WorkerEligibility {
   kEligible,
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -1,13 +1,16 @@
 #include "src/scheduler_process/cell.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <utility>
 
+#include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/job_codec.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/decision_log.h"
 #include "src/scheduler_process/event_log.h"
-#include "src/scheduler_process/job_intake.h"
+#include "src/scheduler_process/message_sender.h"
 #include "src/scheduler_process/progress_writer.h"
 #include "src/scheduler_process/spawn.h"
 #include "src/scheduler_process/topic_follower.h"
@@ -45,6 +48,8 @@
     .max_wait = milliseconds(1000),
     .pause_after_records = milliseconds(250)};
 constexpr Duration kDeleteTimeout = milliseconds(1000);
+// The load is asked for by each other owner twice a second.
+constexpr Duration kMaxMeasuredLoadAge = milliseconds(200);
 
 }  // namespace
 
@@ -61,19 +66,22 @@
         decoders(record_decoders),
         options(cell_options),
         hooks(std::move(cell_hooks)),
-        writer(store_port, cell_options.epoch),
+        writer(store_port, cell_options.cell, cell_options.epoch),
         wake(context) {}
 
   asio::awaitable<void> Run();
   asio::awaitable<bool> Restore();
   asio::awaitable<std::optional<TopicSnapshot>> ReadNewest(StoreTopic topic);
+  void ReplayRecords(const TopicSnapshot& jobs, const TopicSnapshot& progress);
   asio::awaitable<void> RefreshOwnershipProof();
   asio::awaitable<bool> PlanOnce();
   asio::awaitable<void> SendStopsRepeatedly();
   void SendStops();
-  asio::awaitable<void> DeleteEndedJobs(std::vector<JobId> job_follower);
+  asio::awaitable<void> DeleteEndedJobs(std::vector<JobId> ended);
   void StartFollowing();
   void ApplyJobRecord(const KeyedRecord& record);
+  void ApplyTransferRecord(const JobId& id, const KeyedRecord& record);
+  bool IsOwnWorker(const WorkerInfo& info) const;
   void ApplyWorkers(const TopicFollower::Records& newest,
                     const std::vector<KeyedRecord>& added);
   bool HasAuthority() const;
@@ -90,10 +98,15 @@
   WakeSignal wake;
   std::unique_ptr<Scheduler> scheduler;
   std::shared_ptr<WorkerDriver> driver;
+  std::shared_ptr<MessageSender> messages;
   std::unique_ptr<TopicFollower> job_follower;
   std::unique_ptr<TopicFollower> worker_follower;
   // Set from the restoration until `job_follower` continues from it.
   std::optional<FollowStart> restored_jobs;
+  // Keys of the transfers of each job, which are deleted along with it.
+  std::map<JobId, std::set<std::string>> transfer_keys;
+  std::optional<CellLoad> load;
+  TimePoint load_measured_at;
   DecisionLog decisions;
   bool restored = false;
   bool stopped = false;
@@ -106,8 +119,10 @@
 
 void Cell::Impl::StopAll() {
   stopped = true;
-  FlushDecisions(decisions, options.epoch, MonotonicNow());
+  FlushDecisions(decisions, {options.cell, options.epoch}, MonotonicNow());
   writer.StopRetrying();
+  if (messages)
+    messages->Stop();
   if (driver)
     driver->Stop();
   wake.Notify();
@@ -117,37 +132,67 @@
   if (stopped)
     return;
   LogEvent("cell_lost",
-           {{"epoch", static_cast<int64_t>(options.epoch.value())}});
+           {{"cell", static_cast<int64_t>(options.cell.value())},
+            {"epoch", static_cast<int64_t>(options.epoch.value())}});
   StopAll();
   hooks.on_lost();
 }
 
+void Cell::Impl::ApplyTransferRecord(const JobId& id,
+                                     const KeyedRecord& record) {
+  transfer_keys[id].insert(record.key);
+  const auto transfer = DecodeTransfer(record.value);
+  if (!transfer || transfer->job.id != id) {
+    LogEvent("job_unreadable", {{"key", record.key}});
+    return;
+  }
+  scheduler->AddTransfer(*transfer, MonotonicNow(), WallNow());
+}
+
 void Cell::Impl::ApplyJobRecord(const KeyedRecord& record) {
   const TimePoint now = MonotonicNow();
-  const std::string_view key = record.key;
   if (record.value.empty())
     return;
-  if (key.starts_with(kCancelKeyPrefix)) {
-    scheduler->CancelJob(JobId(record.key.substr(kCancelKeyPrefix.size())),
-                         now);
+  const auto key = ParseJobRecordKey(record.key);
+  if (!key) {
+    LogEvent("job_unreadable", {{"key", record.key}});
     return;
   }
-  const auto spec =
-      key.starts_with(kJobKeyPrefix) ? DecodeJob(record.value) : std::nullopt;
-  if (!spec) {
+  switch (key->kind) {
+    case JobRecordKind::kCancellation:
+      scheduler->CancelJob(key->job, now);
+      return;
+    case JobRecordKind::kTransfer:
+      ApplyTransferRecord(key->job, record);
+      return;
+    case JobRecordKind::kEnd:
+      if (const auto end = DecodeEnd(record.value))
+        scheduler->EndMovedJob(key->job, *end, now);
+      return;
+    case JobRecordKind::kSubmission:
+      break;
+  }
+  const auto spec = DecodeJob(record.value);
+  // A job that belongs to another cell would be accepted twice.
+  if (!spec || spec->id != key->job ||
+      CellOfJob(options.layout, spec->id) != options.cell) {
     LogEvent("job_unreadable", {{"key", record.key}});
     return;
   }
   scheduler->AddJob(*spec, now, WallNow());
 }
 
+bool Cell::Impl::IsOwnWorker(const WorkerInfo& info) const {
+  return CellOfWorker(options.layout, info) == options.cell;
+}
+
 void Cell::Impl::ApplyWorkers(const TopicFollower::Records& newest,
                               const std::vector<KeyedRecord>& added) {
   const TimePoint now = MonotonicNow();
   for (const KeyedRecord& record : added) {
     const auto info =
         record.value.empty() ? std::nullopt : decoders.worker(record);
-    if (info)
+    if (info && IsOwnWorker(*info))
       scheduler->UpsertWorker(*info, now);
     else
       scheduler->RemoveWorker(WorkerId(record.key), now);
@@ -169,7 +214,7 @@
   while (!stopped) {
     StoreError error;
     std::optional<TopicSnapshot> snapshot =
-        co_await store.read_newest(topic, error);
+        co_await store.read_newest(StoreStream(topic, options.cell), error);
     if (snapshot)
       co_return snapshot;
     co_await Sleep(kRetryDelay);
@@ -177,6 +222,29 @@
   co_return std::nullopt;
 }
 
+// Submissions and transfers must be known before the progress of their jobs.
+// Cancellations and ends are applied after it, since it may show that the job
+// had ended before.
+void Cell::Impl::ReplayRecords(const TopicSnapshot& jobs,
+                               const TopicSnapshot& progress) {
+  const auto apply = [&](JobRecordKind kind) {
+    for (const KeyedRecord& record : jobs.records) {
+      const auto key = ParseJobRecordKey(record.key);
+      if (key && key->kind == kind)
+        ApplyJobRecord(record);
+    }
+  };
+  apply(JobRecordKind::kSubmission);
+  apply(JobRecordKind::kTransfer);
+  for (const KeyedRecord& record : progress.records) {
+    if (!record.value.empty() &&
+        !scheduler->RestoreProgress({record.key, record.value}))
+      LogEvent("progress_unreadable", {{"key", record.key}});
+  }
+  apply(JobRecordKind::kCancellation);
+  apply(JobRecordKind::kEnd);
+}
+
 // Fences previous owners, then reads the stored state.
 asio::awaitable<bool> Cell::Impl::Restore() {
   const bool fenced = co_await writer.Fence();
@@ -184,6 +252,9 @@
     co_return false;
   const TimePoint claimed = MonotonicNow();
   SchedulerOptions scheduler_options = options.scheduler;
+  scheduler_options.cell = options.cell;
+  scheduler_options.layout = options.layout;
+  scheduler_options.epoch = options.epoch;
   scheduler_options.previous_owner_lease =
       kAuthorityPeriod + options.lease + options.lease / 20;
   scheduler_options.lease = options.lease;
@@ -196,24 +267,12 @@
   const auto progress = co_await ReadNewest(StoreTopic::kProgress);
   if (!progress)
     co_return false;
-  // Cancellations are applied after the progress records, which may show that
-  // the job had ended before.
-  for (const KeyedRecord& record : job_records->records) {
-    if (record.key.starts_with(kJobKeyPrefix))
-      ApplyJobRecord(record);
-  }
-  for (const KeyedRecord& record : progress->records) {
-    if (!record.value.empty())
-      scheduler->RestoreProgress({record.key, record.value});
-  }
-  for (const KeyedRecord& record : job_records->records) {
-    if (record.key.starts_with(kCancelKeyPrefix))
-      ApplyJobRecord(record);
-  }
+  ReplayRecords(*job_records, *progress);
   scheduler->FinishRestore(MonotonicNow());
   LogEvent(
       "cell_restored",
-      {{"epoch", static_cast<int64_t>(options.epoch.value())},
+      {{"cell", static_cast<int64_t>(options.cell.value())},
+       {"epoch", static_cast<int64_t>(options.epoch.value())},
        {"job_records", static_cast<int64_t>(job_records->records.size())},
        {"progress_records", static_cast<int64_t>(progress->records.size())},
        {"took_ms", ToMillis(MonotonicNow() - claimed)}});
@@ -242,9 +301,14 @@
     self->wake.Notify();
   };
   // The jobs that were restored are not read again.
-  job_follower =
-      TopicFollower::Make(io, store, StoreTopic::kJobs, kJobFollowTiming,
-                          on_jobs, std::exchange(restored_jobs, std::nullopt));
+  job_follower = TopicFollower::Make(
+      io, store, StoreStream(StoreTopic::kJobs, options.cell), kJobFollowTiming,
+      on_jobs, std::exchange(restored_jobs, std::nullopt));
+  messages = MessageSender::Make(io, store, [weak](const CellMessage& sent) {
+    const auto self = weak.lock();
+    if (self && !self->stopped && sent.ended_job)
+      self->scheduler->OnEndMessageStored(*sent.ended_job);
+  });
   worker_follower =
       TopicFollower::Make(io, store, StoreTopic::kWorkers, kWorkerFollowTiming,
                           [weak](const TopicFollower::Records& newest,
@@ -260,11 +324,18 @@
 // ran.
 asio::awaitable<void> Cell::Impl::DeleteEndedJobs(std::vector<JobId> ended) {
   AppendRequest request;
-  request.topic = StoreTopic::kJobs;
+  request.stream = StoreStream(StoreTopic::kJobs, options.cell);
   request.timeout = kDeleteTimeout;
   for (const JobId& id : ended) {
-    request.records.push_back({std::string(kJobKeyPrefix) + id.value(), ""});
-    request.records.push_back({std::string(kCancelKeyPrefix) + id.value(), ""});
+    std::set<std::string> keys = {SubmissionKey(id), CancellationKey(id),
+                                  EndKey(id)};
+    if (const auto found = transfer_keys.find(id);
+        found != transfer_keys.end()) {
+      keys.merge(found->second);
+      transfer_keys.erase(found);
+    }
+    for (const std::string& key : keys)
+      request.records.push_back({key, ""});
   }
   while (!stopped) {
     StoreError error;
@@ -280,6 +351,7 @@
     return;
   for (const StopRunCommand& stop : scheduler->TakeStops(MonotonicNow()))
     driver->Send(stop);
+  messages->Send(scheduler->TakeCancellations());
 }
 
 // Sends stops also while an append of the plan is in progress: a slow store
@@ -299,8 +371,8 @@
   SendStops();
   for (const PaceCommand& pace : plan.paces)
     driver->Send(pace);
-  LogDecisions(decisions, scheduler->TakeDecisions(), options.epoch,
-               MonotonicNow());
+  LogDecisions(decisions, scheduler->TakeDecisions(),
+               {options.cell, options.epoch}, MonotonicNow());
   if (!plan.deleted_jobs.empty())
     co_await DeleteEndedJobs(std::move(plan.deleted_jobs));
   if (!plan.records.empty()) {
@@ -313,6 +385,7 @@
     }
   }
   scheduler->OnStored(MonotonicNow());
+  messages->Send(std::move(plan.messages));
   for (const StartRunCommand& start : plan.starts)
     driver->Send(start);
   co_return true;
@@ -406,12 +479,29 @@
   return MonotonicNow() - *proven;
 }
 
-std::optional<JobState> Cell::StateOf(const JobId& id) const {
-  return m_impl->scheduler ? m_impl->scheduler->StateOf(id) : std::nullopt;
+std::optional<JobStatus> Cell::StatusOf(const JobId& id) const {
+  return m_impl->scheduler ? m_impl->scheduler->StatusOf(id) : std::nullopt;
 }
 
-size_t Cell::CountWaiting(const QueueId& queue) const {
-  return m_impl->scheduler ? m_impl->scheduler->CountWaiting(queue) : 0;
+std::optional<CellLoad> Cell::Load() const {
+  if (!IsCurrent())
+    return std::nullopt;
+  const TimePoint now = MonotonicNow();
+  if (!m_impl->load || now - m_impl->load_measured_at > kMaxMeasuredLoadAge) {
+    m_impl->load = m_impl->scheduler->Load(now);
+    m_impl->load_measured_at = now;
+  }
+  return m_impl->load;
+}
+
+void Cell::SetCellLoads(const std::vector<CellLoad>& loads) {
+  if (!m_impl->scheduler || m_impl->stopped)
+    return;
+  std::vector<CellLoad> others = loads;
+  std::erase_if(others, [this](const CellLoad& load) {
+    return load.cell == m_impl->options.cell;
+  });
+  m_impl->scheduler->SetCellLoads(std::move(others), MonotonicNow());
 }
 
 size_t Cell::WorkerCount() const {
--- a/src/scheduler_process/cell.h
+++ b/src/scheduler_process/cell.h
@@ -15,6 +15,8 @@
 namespace cowslipmast::sched {
 
 struct CellOptions {
+  CellId cell;
+  CellLayout layout;
   Epoch epoch;
   Duration lease{0};  // of the tasks that run on workers
   bool log_listings = false;
@@ -57,9 +59,12 @@
    * nothing before the first. */
   std::optional<Duration> ProofAge() const;
 
-  std::optional<JobState> StateOf(const JobId& id) const;
-  size_t CountWaiting(const QueueId& queue) const;
+  std::optional<JobStatus> StatusOf(const JobId& id) const;
   size_t WorkerCount() const;
+  /** Load of the cell, up to 0.2 s old; nothing while `IsCurrent` is false. */
+  std::optional<CellLoad> Load() const;
+  /** Loads of all cells; that of this cell is ignored. */
+  void SetCellLoads(const std::vector<CellLoad>& loads);
   std::string Dump() const;
   const SchedulerCounters& counters() const;
   const WorkerCallCounters& calls() const;
--- /dev/null
+++ b/src/scheduler_process/cell_load_codec.cc
@@ -0,0 +1,75 @@
+#include "src/scheduler_process/cell_load_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using nlohmann::json;
+
+json EncodeService(const ServiceLoad& load) {
+  return {{"service", load.service.value()},
+          {"workers", load.workers},
+          {"capacity", load.capacity.count()},
+          {"reserved", load.reserved.count()},
+          {"long_running", load.long_running.count()},
+          {"waiting", load.waiting.count()},
+          {"waiting_long_running", load.waiting_long_running.count()},
+          {"waiting_best_effort", load.waiting_best_effort.count()},
+          {"idle", load.idle.count()},
+          {"labels", load.labels}};
+}
+
+ServiceLoad DecodeService(const json& j) {
+  const auto cpu = [&j](const char* name) {
+    return MilliCores(j.at(name).get<int64_t>());
+  };
+  return {.service = ServiceId(j.at("service").get<std::string>()),
+          .workers = j.at("workers").get<uint32_t>(),
+          .capacity = cpu("capacity"),
+          .reserved = cpu("reserved"),
+          .long_running = cpu("long_running"),
+          .waiting = cpu("waiting"),
+          .waiting_long_running = cpu("waiting_long_running"),
+          .waiting_best_effort = cpu("waiting_best_effort"),
+          .idle = cpu("idle"),
+          .labels = j.at("labels").get<std::vector<std::string>>()};
+}
+
+}  // namespace
+
+std::string EncodeCellLoad(const CellLoad& load) {
+  json services = json::array();
+  for (const ServiceLoad& service : load.services)
+    services.push_back(EncodeService(service));
+  json waiting = json::array();
+  for (const QueueWaiting& entry : load.waiting)
+    waiting.push_back({entry.queue.value(), entry.jobs});
+  return json{{"cell", load.cell.value()},
+              {"services", std::move(services)},
+              {"waiting", std::move(waiting)}}
+      .dump();
+}
+
+std::optional<CellLoad> DecodeCellLoad(std::string_view bytes) {
+  const json j = json::parse(bytes, nullptr, false);
+  if (!j.is_object())
+    return std::nullopt;
+  try {
+    CellLoad load{.cell = CellId(j.at("cell").get<uint64_t>()),
+                  .services = {},
+                  .waiting = {}};
+    for (const json& service : j.at("services"))
+      load.services.push_back(DecodeService(service));
+    for (const json& entry : j.at("waiting"))
+      load.waiting.push_back({QueueId(entry.at(0).get<std::string>()),
+                              entry.at(1).get<uint64_t>()});
+    return load;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace cowslipmast::sched
--- a/src/scheduler_process/decision_log.cc
+++ b/src/scheduler_process/decision_log.cc
@@ -24,12 +24,13 @@
 
 void WriteGroup(const DecisionKey& key,
                 const DecisionGroup& group,
-                Epoch epoch,
+                CellEpoch owner,
                 TimePoint now) {
   LogEvent(key.event, {{"job", key.job.value()},
                        {"iteration", static_cast<int64_t>(key.iteration)},
                        {"step", static_cast<int64_t>(key.step)},
-                       {"epoch", static_cast<int64_t>(epoch.value())},
+                       {"cell", static_cast<int64_t>(owner.cell.value())},
+                       {"epoch", static_cast<int64_t>(owner.epoch.value())},
                        {"age_ms", ToMillis(now - group.first_time)},
                        {"runs", group.runs}});
 }
@@ -45,13 +46,13 @@
 
 void WriteOlderThan(DecisionLog& log,
                     Duration age,
-                    Epoch epoch,
+                    CellEpoch owner,
                     TimePoint now) {
   std::erase_if(log.groups, [&](const auto& entry) {
     const auto& [key, group] = entry;
     const bool due = now - group.first_time >= age;
     if (due)
-      WriteGroup(key, group, epoch, now);
+      WriteGroup(key, group, owner, now);
     return due;
   });
 }
@@ -60,7 +61,7 @@
 
 void LogDecisions(DecisionLog& log,
                   const std::vector<Decision>& decisions,
-                  Epoch epoch,
+                  CellEpoch owner,
                   TimePoint now) {
   for (const Decision& decision : decisions) {
     const DecisionKey key{decision.event, decision.task.job,
@@ -69,14 +70,14 @@
     AddToGroup(group, decision, now);
     if (group.count < kMaxRunsPerLine)
       continue;
-    WriteGroup(key, group, epoch, now);
+    WriteGroup(key, group, owner, now);
     log.groups.erase(key);
   }
-  WriteOlderThan(log, kGroupingInterval, epoch, now);
+  WriteOlderThan(log, kGroupingInterval, owner, now);
 }
 
-void FlushDecisions(DecisionLog& log, Epoch epoch, TimePoint now) {
-  WriteOlderThan(log, Duration(0), epoch, now);
+void FlushDecisions(DecisionLog& log, CellEpoch owner, TimePoint now) {
+  WriteOlderThan(log, Duration(0), owner, now);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/decision_log.h
+++ b/src/scheduler_process/decision_log.h
@@ -13,6 +13,12 @@
 
 namespace cowslipmast::sched {
 
+/** A cell and its owner's epoch, which each line names. */
+struct CellEpoch {
+  CellId cell;
+  Epoch epoch;
+};
+
 /** Identifies the decisions of one kind about one step of a job. */
 struct DecisionKey {
   std::string_view event;
@@ -39,11 +45,11 @@
 /** Adds decisions and logs the groups that are full or old enough. */
 void LogDecisions(DecisionLog& log,
                   const std::vector<Decision>& decisions,
-                  Epoch epoch,
+                  CellEpoch owner,
                   TimePoint now);
 
 /** Logs all groups. */
-void FlushDecisions(DecisionLog& log, Epoch epoch, TimePoint now);
+void FlushDecisions(DecisionLog& log, CellEpoch owner, TimePoint now);
 
 }  // namespace cowslipmast::sched
 
--- a/src/scheduler_process/handover.cc
+++ b/src/scheduler_process/handover.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
 
@@ -24,6 +25,9 @@
 // A claim is one append: 6 ms, and up to 1.2 s in a slow store. The grace time
 // of a planned stop is at least 4 s.
 constexpr Duration kOfferTimeout = milliseconds(1800);
+// Difference of claim delays that is worth a handover: that of a VM with 0.5
+// core and one with 0.1 core.
+constexpr Duration kMinHandoverGain = milliseconds(250);
 
 Duration CandidateRank(const Candidate& candidate, Duration own_uptime) {
   return candidate.claim_delay +
@@ -84,12 +88,29 @@
   return endpoints;
 }
 
+std::optional<Endpoint> FindBetterOwner(const Candidates& candidates,
+                                        Duration own_delay,
+                                        TimePoint now) {
+  const Candidates::LastReport* best = nullptr;
+  for (const auto& [endpoint, report] : candidates.last_reports) {
+    if (report.candidate.may_claim && now - report.at <= kMaxReportAge &&
+        (best == nullptr ||
+         report.candidate.claim_delay < best->candidate.claim_delay))
+      best = &report;
+  }
+  if (best == nullptr ||
+      best->candidate.claim_delay + kMinHandoverGain > own_delay)
+    return std::nullopt;
+  return best->candidate.control;
+}
+
 asio::awaitable<std::optional<CellClaim>> OfferCell(HttpClient& client,
                                                     Endpoint control,
+                                                    CellId cell,
                                                     CellClaim own) {
   HttpRequest request;
   request.method = "POST";
-  request.path = std::string(kOfferPath);
+  request.path = MakeCellPath(cell, kOfferResource);
   request.body = EncodeCellClaim(own);
   NetError error;
   const auto response =
@@ -98,7 +119,8 @@
   if (response && response->status == 200)
     claim = DecodeCellClaim(response->body);
   LogEvent("cell_offered",
-           {{"to", control.address},
+           {{"cell", static_cast<int64_t>(cell.value())},
+            {"to", control.address},
             {"epoch", static_cast<int64_t>(own.epoch.value())},
             {"taken", static_cast<int64_t>(claim.has_value())},
             {"detail", response ? response->body : error.detail}});
--- a/src/scheduler_process/handover.h
+++ b/src/scheduler_process/handover.h
@@ -47,16 +47,21 @@
                                      Duration own_uptime,
                                      TimePoint now);
 
+/** Control address of a process that suits so much better as the owner that the
+ * pause of a handover pays; nothing if there is none. `own_delay` is the claim
+ * delay of the present owner without this cell. Meant for cells that small VMs
+ * claimed while the large ones were restarted. */
+std::optional<Endpoint> FindBetterOwner(const Candidates& candidates,
+                                        Duration own_delay,
+                                        TimePoint now);
+
 /** Offers the cell to a process, which claims it at once. Returns its claim;
  * nothing if it did not confirm that it won one. */
 asio::awaitable<std::optional<CellClaim>> OfferCell(HttpClient& client,
                                                     Endpoint control,
+                                                    CellId cell,
                                                     CellClaim own);
 
-/** Control path for offers: the request body is the claim that is given up, the
- * response body the new claim. */
-inline constexpr std::string_view kOfferPath = "/v1/offer";
-
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHEDULER_PROCESS_HANDOVER_H_
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -1,5 +1,7 @@
 #include "src/scheduler_process/job_intake.h"
 
+#include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -33,29 +35,35 @@
   Impl(asio::io_context& context, const StorePort& store_port)
       : io(context), store(store_port) {}
 
-  asio::awaitable<void> Flush();
-  asio::awaitable<IntakeResult> Append(std::vector<KeyedRecord> records);
+  struct Queue {
+    std::vector<PendingRecordPtr> waiting;
+    bool flushing = false;
+    std::optional<TimePoint> sent_at;  // start of the append in progress
+  };
+
+  asio::awaitable<void> Flush(CellId cell);
+  asio::awaitable<IntakeResult> Append(CellId cell,
+                                       std::vector<KeyedRecord> records);
 
   asio::io_context& io;
   StorePort store;
-  std::vector<PendingRecordPtr> waiting;
-  bool flushing = false;
-  std::optional<TimePoint> sent_at;  // start of the append in progress
+  std::map<CellId, Queue> queues;
   std::optional<TimePoint> failed_at;
   std::optional<TimePoint> slow_at;
 };
 
 asio::awaitable<IntakeResult> JobIntake::Impl::Append(
+    CellId cell,
     std::vector<KeyedRecord> records) {
   AppendRequest request;
-  request.topic = StoreTopic::kJobs;
+  request.stream = StoreStream(StoreTopic::kJobs, cell);
   request.records = std::move(records);
   request.timeout = kAppendTimeout;
   StoreError error;
   const TimePoint sent_time = MonotonicNow();
-  sent_at = sent_time;
+  queues[cell].sent_at = sent_time;
   const bool stored = co_await store.append(std::move(request), error);
-  sent_at.reset();
+  queues[cell].sent_at.reset();
   const TimePoint now = MonotonicNow();
   slow_at = now - sent_time > kSlowAppendThreshold ? std::optional(now)
                                                    : std::nullopt;
@@ -64,27 +72,31 @@
     co_return IntakeResult::kStored;
   }
   LogEvent("intake_append_failed",
-           {{"detail", error.detail}, {"took_ms", ToMillis(now - sent_time)}});
+           {{"cell", static_cast<int64_t>(cell.value())},
+            {"detail", error.detail},
+            {"took_ms", ToMillis(now - sent_time)}});
   failed_at = now;
   co_return error.kind == StoreErrorKind::kUnavailable ? IntakeResult::kRefused
                                                        : IntakeResult::kUnknown;
 }
 
-asio::awaitable<void> JobIntake::Impl::Flush() {
+asio::awaitable<void> JobIntake::Impl::Flush(CellId cell) {
   const auto self = shared_from_this();
-  while (!waiting.empty()) {
-    const std::vector<PendingRecordPtr> batch = std::exchange(waiting, {});
+  Queue& queue = queues[cell];
+  while (!queue.waiting.empty()) {
+    const std::vector<PendingRecordPtr> batch =
+        std::exchange(queue.waiting, {});
     std::vector<KeyedRecord> records;
     records.reserve(batch.size());
     for (const PendingRecordPtr& pending : batch)
       records.push_back(pending->record);
-    const IntakeResult result = co_await Append(std::move(records));
+    const IntakeResult result = co_await Append(cell, std::move(records));
     for (const PendingRecordPtr& pending : batch) {
       pending->result = result;
       pending->done.Notify();
     }
   }
-  flushing = false;
+  queue.flushing = false;
 }
 
 JobIntake::JobIntake(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
@@ -96,13 +108,13 @@
       new JobIntake(std::make_shared<Impl>(io, store)));
 }
 
-std::shared_ptr<PendingRecord> JobIntake::Append(KeyedRecord record) {
+std::shared_ptr<PendingRecord> JobIntake::Append(CellId cell,
+                                                 KeyedRecord record) {
   auto pending = std::make_shared<PendingRecord>(m_impl->io, std::move(record));
-  m_impl->waiting.push_back(pending);
-  if (!m_impl->flushing) {
-    m_impl->flushing = true;
-    Spawn(m_impl->io, "job_intake", m_impl->Flush());
-  }
+  Impl::Queue& queue = m_impl->queues[cell];
+  queue.waiting.push_back(pending);
+  if (!std::exchange(queue.flushing, true))
+    Spawn(m_impl->io, "job_intake", m_impl->Flush(cell));
   return pending;
 }
 
@@ -115,8 +127,11 @@
   const TimePoint now = MonotonicNow();
   const bool was_slow =
       m_impl->slow_at && now - *m_impl->slow_at < kSlowAppendPause;
-  const bool is_slow =
-      m_impl->sent_at && now - *m_impl->sent_at > kSlowAppendThreshold;
+  const bool is_slow = std::any_of(
+      m_impl->queues.begin(), m_impl->queues.end(), [now](const auto& entry) {
+        const auto& sent_at = entry.second.sent_at;
+        return sent_at && now - *sent_at > kSlowAppendThreshold;
+      });
   return !was_slow && !is_slow;
 }
 
--- a/src/scheduler_process/job_intake.h
+++ b/src/scheduler_process/job_intake.h
@@ -18,10 +18,6 @@
   kUnknown,  // may have been stored, or may still be
 };
 
-/** Key prefixes of submissions and cancellations in the jobs topic. */
-inline constexpr std::string_view kJobKeyPrefix = "j/";
-inline constexpr std::string_view kCancelKeyPrefix = "x/";
-
 /** A record that waits for its append to the store. */
 struct PendingRecord {
   PendingRecord(asio::io_context& io, KeyedRecord stored)
@@ -45,16 +41,16 @@
                                          const StorePort& store);
   ~JobIntake();
 
-  /** Adds a record to the next append. */
-  std::shared_ptr<PendingRecord> Append(KeyedRecord record);
+  /** Adds a record to the next append to the cell's job stream. */
+  std::shared_ptr<PendingRecord> Append(CellId cell, KeyedRecord record);
 
   /** False shortly after a failed append, when the next one would most likely
    * time out. */
   bool IsStoreResponding() const;
 
   /** False during or shortly after a slow append. The store takes the appends
-   * of all processes one after the other, so fewer and larger appends are then
-   * faster. */
+   * to a cell's stream one after the other, so fewer and larger appends are
+   * then faster. */
   bool IsStoreFast() const;
 
  private:
--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -5,9 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/job_codec.h"
+#include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/owner_watch.h"
 
 namespace cowslipmast::sched {
 
@@ -15,10 +18,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kJobsPath = "/v1/jobs/";
-constexpr std::string_view kWaitingPath = "/v1/waiting/";
-constexpr std::string_view kRecordsPath = "/v1/records/";
-
 // Of one request to the owner: allows for 25 ms between regions and a VM short
 // of processor time.
 constexpr Duration kOwnerRequestTimeout = milliseconds(600);
@@ -34,6 +33,8 @@
 // An owner whose last answer is younger than this is expected to answer again.
 constexpr Duration kMaxOwnerResponseAgeForForwarding = milliseconds(1000);
 constexpr Duration kMaxWaitingCountAge = milliseconds(1000);
+// A job moves to another cell when it waits there, four times at most.
+constexpr int kMaxRedirects = 5;
 // Callers resend a submission for some seconds, and the store may apply an
 // append whose response was lost up to 6 s later.
 constexpr Duration kUnknownRetention = std::chrono::seconds(60);
@@ -44,10 +45,10 @@
 };
 
 // Request that asks another process to append the record.
-HttpRequest MakeForwardRequest(const KeyedRecord& record) {
+HttpRequest MakeForwardRequest(CellId cell, const KeyedRecord& record) {
   HttpRequest request;
   request.method = "POST";
-  request.path = std::string(kRecordsPath) + record.key;
+  request.path = MakeCellPath(cell, std::string(kRecordsResource) + record.key);
   request.headers.push_back({"Content-Type", "application/octet-stream"});
   request.body = record.value;
   return request;
@@ -63,6 +64,27 @@
   return std::nullopt;
 }
 
+// What an owner says of a job.
+struct StateAnswer {
+  JobState state = JobState::kQueued;
+  std::optional<CellId> moved_to;
+};
+
+std::optional<StateAnswer> DecodeStateAnswer(std::string_view body) {
+  const auto j = nlohmann::json::parse(body, nullptr, false);
+  const auto name = j.is_object() ? j.find("state") : j.end();
+  if (name == j.end() || !name->is_string())
+    return std::nullopt;
+  const auto state = StateFromName(name->get_ref<const std::string&>());
+  if (!state)
+    return std::nullopt;
+  StateAnswer answer{*state, std::nullopt};
+  const auto cell = j.find("moved_to");
+  if (cell != j.end() && cell->is_number_unsigned())
+    answer.moved_to = CellId(cell->get<uint64_t>());
+  return answer;
+}
+
 IntakeResult CombineFailures(IntakeResult a, IntakeResult b) {
   return a == IntakeResult::kUnknown || b == IntakeResult::kUnknown
              ? IntakeResult::kUnknown
@@ -75,50 +97,64 @@
   Impl(HttpClient& http,
        std::shared_ptr<JobIntake> job_intake,
        std::shared_ptr<OwnerElection> owner_election,
-       std::function<std::shared_ptr<Cell>()> own_cell)
+       std::shared_ptr<LoadExchange> load_exchange,
+       std::function<std::shared_ptr<Cell>(CellId)> own_cell)
       : client(http),
         intake(std::move(job_intake)),
         election(std::move(owner_election)),
+        loads(std::move(load_exchange)),
         cell(std::move(own_cell)) {}
 
-  std::optional<Endpoint> OtherOwner() const;
-  asio::awaitable<IntakeResult> Store(KeyedRecord record, Duration timeout);
+  std::optional<Endpoint> OtherOwner(CellId id) const;
+  asio::awaitable<IntakeResult> Store(CellId id,
+                                      KeyedRecord record,
+                                      Duration timeout);
   asio::awaitable<IntakeResult> Forward(Endpoint owner,
+                                        CellId id,
                                         KeyedRecord record,
                                         Duration timeout);
-  asio::awaitable<std::optional<HttpResponse>> RequestFromOwner(
-      std::string path,
-      TimePoint deadline);
+  asio::awaitable<std::optional<HttpResponse>>
+  RequestFromOwner(CellId id, std::string path, TimePoint deadline);
   std::optional<HttpResponse> AnswerFromOwnCell(std::string_view path) const;
-  HttpResponse StateResponse(std::string_view id) const;
+  HttpResponse StateResponse(CellId id, std::string_view job) const;
   HttpResponse WaitingCountResponse(std::string_view queue) const;
-  asio::awaitable<HttpResponse> HandleForwardedRecord(std::string key,
+  asio::awaitable<HttpResponse> HandleForwardedRecord(CellId id,
+                                                      std::string key,
                                                       std::string value);
 
   HttpClient& client;
   std::shared_ptr<JobIntake> intake;
   std::shared_ptr<OwnerElection> election;
-  std::function<std::shared_ptr<Cell>()> cell;
+  std::shared_ptr<LoadExchange> loads;
+  std::function<std::shared_ptr<Cell>(CellId)> cell;
+  // Cell whose owner is asked for waiting counts; another one after a failure.
+  uint64_t next_counting_cell = 0;
   std::map<QueueId, CachedCount> waiting;
   /** When a submission last ended without a known result, by job; the job may
    * be stored. */
   std::map<JobId, TimePoint> unknown_outcomes;
 };
 
-// Control address of the owner, if that is another process and it answers.
-std::optional<Endpoint> JobService::Impl::OtherOwner() const {
-  const auto owner = election->owner();
-  const auto age = election->OwnerResponseAge();
-  if (!owner || election->IsOwner() || !age ||
-      *age > kMaxOwnerResponseAgeForForwarding)
+// Control address of the cell's owner, if that is another process that is
+// expected to answer.
+std::optional<Endpoint> JobService::Impl::OtherOwner(CellId id) const {
+  const auto owner = election->owner(id);
+  const auto age = election->OwnerResponseAge(id);
+  const auto layout = election->layout();
+  // Each cell's owner is checked in turn.
+  const int64_t cells = layout ? layout->cells : 1;
+  if (!owner || owner->released || election->IsOwner(id) || !age ||
+      *age > kMaxOwnerResponseAgeForForwarding +
+                 kHealthCheckInterval * (cells - 1))
     return std::nullopt;
   return owner->control;
 }
 
 asio::awaitable<IntakeResult> JobService::Impl::Forward(Endpoint owner,
+                                                        CellId id,
                                                         KeyedRecord record,
                                                         Duration timeout) {
-  HttpRequest request = MakeForwardRequest(record);
+  HttpRequest request = MakeForwardRequest(id, record);
   NetError error;
   const auto response =
       co_await client.Call(owner, std::move(request), timeout, error);
@@ -135,14 +171,15 @@
 // Appends the record from this process, or through the owner if this process
 // cannot reach the store or the store is slow. A record stored twice has the
 // same effect as once.
-asio::awaitable<IntakeResult> JobService::Impl::Store(KeyedRecord record,
+asio::awaitable<IntakeResult> JobService::Impl::Store(CellId id,
+                                                      KeyedRecord record,
                                                       Duration timeout) {
   const TimePoint deadline = MonotonicNow() + timeout;
   const auto remaining = [deadline] { return deadline - MonotonicNow(); };
-  const auto owner = OtherOwner();
+  const auto owner = OtherOwner(id);
   std::shared_ptr<PendingRecord> pending;
   if (intake->IsStoreResponding() && (!owner || intake->IsStoreFast())) {
-    pending = intake->Append(record);
+    pending = intake->Append(id, record);
     const auto result = co_await AwaitResult(
         pending,
         owner ? std::min(remaining(), kLocalAppendTimeout) : remaining());
@@ -152,12 +189,12 @@
   IntakeResult forwarded = IntakeResult::kRefused;
   if (owner && remaining() > kMinAttemptTime) {
     const Endpoint& endpoint = *owner;
-    forwarded = co_await Forward(endpoint, record, remaining());
+    forwarded = co_await Forward(endpoint, id, record, remaining());
     if (forwarded == IntakeResult::kStored)
       co_return forwarded;
   }
   if (!pending && intake->IsStoreResponding() && remaining() > kMinAttemptTime)
-    pending = intake->Append(std::move(record));
+    pending = intake->Append(id, std::move(record));
   if (!pending)
     co_return forwarded;
   const auto result = co_await AwaitResult(pending, remaining());
@@ -166,15 +203,17 @@
   co_return CombineFailures(result.value_or(IntakeResult::kUnknown), forwarded);
 }
 
-// Sends a request to the owner (which may be this process) until it answers, as
-// a change of owner takes a few seconds. Returns nothing after the deadline.
+// Sends a request to the cell's owner (which may be this process) until it
+// answers, as a change of owner takes a few seconds. Returns nothing after the
+// deadline.
 asio::awaitable<std::optional<HttpResponse>> JobService::Impl::RequestFromOwner(
+    CellId id,
     std::string path,
     TimePoint deadline) {
   while (MonotonicNow() < deadline) {
-    const auto owner = election->owner();
+    const auto owner = election->owner(id);
     std::optional<HttpResponse> response;
-    if (election->IsOwner()) {
+    if (election->IsOwner(id)) {
       response = AnswerFromOwnCell(path);
     } else if (owner) {
       HttpRequest request;
@@ -193,24 +232,29 @@
   co_return std::nullopt;
 }
 
-// Responds from the cell that this process owns; nothing for an unknown path.
+// Responds from the cells that this process owns; nothing for an unknown path.
 std::optional<HttpResponse> JobService::Impl::AnswerFromOwnCell(
     std::string_view path) const {
-  if (path.starts_with(kJobsPath))
-    return StateResponse(path.substr(kJobsPath.size()));
   if (path.starts_with(kWaitingPath))
     return WaitingCountResponse(path.substr(kWaitingPath.size()));
+  const auto cell_path = ParseCellPath(path);
+  if (cell_path && cell_path->resource.starts_with(kJobsResource))
+    return StateResponse(cell_path->cell,
+                         cell_path->resource.substr(kJobsResource.size()));
   return std::nullopt;
 }
 
-HttpResponse JobService::Impl::StateResponse(std::string_view id) const {
-  const auto owned = cell();
+HttpResponse JobService::Impl::StateResponse(CellId id,
+                                             std::string_view job) const {
+  const auto owned = cell(id);
   if (!owned)
     return MakeJsonResponse(503, R"({"error":"not_owner"})");
-  const auto state = owned->StateOf(JobId(std::string(id)));
-  if (state) {
-    return MakeJsonResponse(
-        200, nlohmann::json{{"state", JobStateName(*state)}}.dump());
+  const auto status = owned->StatusOf(JobId(std::string(job)));
+  if (status) {
+    nlohmann::json j = {{"state", JobStateName(status->state)}};
+    if (status->moved_to)
+      j["moved_to"] = status->moved_to->value();
+    return MakeJsonResponse(200, j.dump());
   }
   if (!owned->IsCurrent())
     return MakeJsonResponse(503, R"({"error":"not_current"})");
@@ -219,18 +263,21 @@
 
 HttpResponse JobService::Impl::WaitingCountResponse(
     std::string_view queue) const {
-  const auto owned = cell();
-  if (!owned || !owned->IsCurrent())
+  const auto count = loads->CountWaiting(QueueId(std::string(queue)));
+  if (!count)
     return MakeJsonResponse(503, R"({"error":"not_current"})");
-  const size_t count = owned->CountWaiting(QueueId(std::string(queue)));
-  return MakeJsonResponse(200, nlohmann::json{{"waiting", count}}.dump());
+  return MakeJsonResponse(200, nlohmann::json{{"waiting", *count}}.dump());
 }
 
 asio::awaitable<HttpResponse> JobService::Impl::HandleForwardedRecord(
+    CellId id,
     std::string key,
     std::string value) {
   KeyedRecord record{std::move(key), std::move(value)};
-  const auto pending = intake->Append(std::move(record));
+  const auto layout = election->layout();
+  if (!ParseJobRecordKey(record.key) || !layout || id.value() >= layout->cells)
+    co_return MakeJsonResponse(400, R"({"error":"bad_record"})");
+  const auto pending = intake->Append(id, std::move(record));
   const auto result = co_await AwaitResult(pending, kForwardedAppendTimeout);
   if (result == IntakeResult::kStored)
     co_return MakeJsonResponse(200, "{}");
@@ -247,18 +294,28 @@
     const StorePort& store,
     HttpClient& client,
     std::shared_ptr<OwnerElection> election,
-    std::function<std::shared_ptr<Cell>()> cell) {
-  return std::shared_ptr<JobService>(new JobService(
-      std::make_shared<Impl>(client, JobIntake::Make(io, store),
-                             std::move(election), std::move(cell))));
+    std::shared_ptr<LoadExchange> loads,
+    std::function<std::shared_ptr<Cell>(CellId)> cell) {
+  return std::shared_ptr<JobService>(new JobService(std::make_shared<Impl>(
+      client, JobIntake::Make(io, store), std::move(election), std::move(loads),
+      std::move(cell))));
+}
+
+std::optional<CellId> HomeCell(const OwnerElection& election, const JobId& id) {
+  const auto layout = election.layout();
+  return layout ? std::optional(CellOfJob(*layout, id)) : std::nullopt;
 }
 
 asio::awaitable<IntakeResult> JobService::Submit(JobDefinition spec,
                                                  Duration timeout) {
   const auto impl = m_impl;
   const JobId id = spec.id;
-  KeyedRecord record{std::string(kJobKeyPrefix) + id.value(), EncodeJob(spec)};
-  const IntakeResult result = co_await impl->Store(std::move(record), timeout);
+  const auto home = HomeCell(*impl->election, id);
+  if (!home)
+    co_return IntakeResult::kRefused;
+  KeyedRecord record{SubmissionKey(id), EncodeJob(spec)};
+  const IntakeResult result =
+      co_await impl->Store(*home, std::move(record), timeout);
   const TimePoint now = MonotonicNow();
   std::erase_if(impl->unknown_outcomes, [now](const auto& entry) {
     return now - entry.second > kUnknownRetention;
@@ -273,24 +330,43 @@
 }
 
 asio::awaitable<IntakeResult> JobService::Cancel(JobId id, Duration timeout) {
-  KeyedRecord record{std::string(kCancelKeyPrefix) + id.value(), "1"};
-  co_return co_await m_impl->Store(std::move(record), timeout);
+  const auto impl = m_impl;
+  const auto home = HomeCell(*impl->election, id);
+  if (!home)
+    co_return IntakeResult::kRefused;
+  KeyedRecord record{CancellationKey(id), "1"};
+  co_return co_await impl->Store(*home, std::move(record), timeout);
 }
 
+// Asks the cell that accepted the job, then those that it has moved to. While
+// the next cell does not answer or does not know the job yet, the state that
+// the last one knows holds.
 asio::awaitable<std::optional<JobState>>
 JobService::StateOf(JobId id, Duration timeout, QueryError& reason) {
   const auto impl = m_impl;
-  const auto answer = co_await impl->RequestFromOwner(
-      std::string(kJobsPath) + id.value(), MonotonicNow() + timeout);
-  reason = answer && answer->status == 404 ? QueryError::kNoSuchJob
-                                           : QueryError::kNoOwner;
-  if (!answer || answer->status != 200)
-    co_return std::nullopt;
-  const auto j = nlohmann::json::parse(answer->body, nullptr, false);
-  const auto state = j.is_object() ? j.find("state") : j.end();
-  co_return state != j.end() && state->is_string()
-      ? StateFromName(state->get_ref<const std::string&>())
-      : std::nullopt;
+  const TimePoint deadline = MonotonicNow() + timeout;
+  reason = QueryError::kNoOwner;
+  std::optional<JobState> state;
+  std::optional<CellId> next = HomeCell(*impl->election, id);
+  for (int i = 0; next && i < kMaxRedirects; ++i) {
+    const CellId asked = *next;
+    next.reset();
+    // A later cell must not use up the time of an answer that is known.
+    const Duration limit = state ? kOwnerRequestTimeout : timeout;
+    const auto response = co_await impl->RequestFromOwner(
+        asked, MakeCellPath(asked, std::string(kJobsResource) + id.value()),
+        std::min(deadline, MonotonicNow() + limit));
+    if (response && response->status == 404 && !state)
+      reason = QueryError::kNoSuchJob;
+    if (!response || response->status != 200)
+      break;
+    const auto answer = DecodeStateAnswer(response->body);
+    if (!answer)
+      break;
+    state = answer->state;
+    next = answer->moved_to;
+  }
+  co_return state;
 }
 
 asio::awaitable<std::optional<size_t>> JobService::CountWaiting(
@@ -302,27 +378,45 @@
   if (cached != impl->waiting.end() &&
       now - cached->second.at < kMaxWaitingCountAge)
     co_return cached->second.count;
-  const auto answer = co_await impl->RequestFromOwner(
-      std::string(kWaitingPath) + queue.value(), now + timeout);
-  if (!answer || answer->status != 200)
-    co_return std::nullopt;
-  const auto j = nlohmann::json::parse(answer->body, nullptr, false);
-  if (!j.is_object() || !j.contains("waiting") ||
-      !j["waiting"].is_number_unsigned())
-    co_return std::nullopt;
-  const auto count = j["waiting"].get<size_t>();
-  impl->waiting[queue] = CachedCount{count, now};
-  co_return count;
+  const TimePoint deadline = now + timeout;
+  while (MonotonicNow() < deadline) {
+    const auto layout = impl->election->layout();
+    if (!layout)
+      co_return std::nullopt;
+    const std::vector<CellId> owned = impl->election->OwnedCells();
+    const CellId asked = owned.empty()
+                             ? CellId(impl->next_counting_cell % layout->cells)
+                             : owned.front();
+    const TimePoint limit =
+        std::min(deadline, MonotonicNow() + kOwnerRequestTimeout);
+    const auto response = co_await impl->RequestFromOwner(
+        asked, std::string(kWaitingPath) + queue.value(), limit);
+    const auto j = response && response->status == 200
+                       ? nlohmann::json::parse(response->body, nullptr, false)
+                       : nlohmann::json();
+    if (j.is_object() && j.contains("waiting") &&
+        j["waiting"].is_number_unsigned()) {
+      const auto count = j["waiting"].get<size_t>();
+      impl->waiting[queue] = CachedCount{count, now};
+      co_return count;
+    }
+    ++impl->next_counting_cell;
+  }
+  co_return std::nullopt;
 }
 
 asio::awaitable<std::optional<HttpResponse>> JobService::HandlePeerRequest(
     HttpRequest request) {
+  const auto impl = m_impl;
   const std::string path(PathWithoutQuery(request.path));
-  if (request.method == "POST" && path.starts_with(kRecordsPath)) {
-    co_return co_await m_impl->HandleForwardedRecord(
-        path.substr(kRecordsPath.size()), std::move(request.body));
+  const auto cell_path = ParseCellPath(path);
+  if (request.method == "POST" && cell_path &&
+      cell_path->resource.starts_with(kRecordsResource)) {
+    std::string key(cell_path->resource.substr(kRecordsResource.size()));
+    co_return co_await impl->HandleForwardedRecord(
+        cell_path->cell, std::move(key), std::move(request.body));
   }
-  co_return m_impl->AnswerFromOwnCell(path);
+  co_return impl->AnswerFromOwnCell(path);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/job_service.h
+++ b/src/scheduler_process/job_service.h
@@ -11,6 +11,7 @@
 #include "src/net/http_client.h"
 #include "src/scheduler_process/cell.h"
 #include "src/scheduler_process/job_intake.h"
+#include "src/scheduler_process/load_exchange.h"
 #include "src/scheduler_process/owner_election.h"
 
 namespace cowslipmast::sched {
@@ -21,17 +22,21 @@
   kNoOwner,  // no owner answered in time
 };
 
+/** Cell that answers for the job; nothing before the layout is known. */
+std::optional<CellId> HomeCell(const OwnerElection& election, const JobId& id);
+
 /** Handles job requests on any process: stores accepted jobs and cancellations,
  * and asks the owner for states. */
 class JobService {
  public:
-  /** `cell` returns the cell that this process owns, or null. */
+  /** `cell` returns a cell that this process owns, or null. */
   static std::shared_ptr<JobService> Make(
       asio::io_context& io,
       const StorePort& store,
       HttpClient& client,
       std::shared_ptr<OwnerElection> election,
-      std::function<std::shared_ptr<Cell>()> cell);
+      std::shared_ptr<LoadExchange> loads,
+      std::function<std::shared_ptr<Cell>(CellId)> cell);
   ~JobService();
 
   /** Stores the job within `timeout`. */
@@ -40,7 +45,7 @@
   asio::awaitable<std::optional<JobState>> StateOf(JobId id,
                                                    Duration timeout,
                                                    QueryError& reason);
-  /** Number of the queue's jobs that wait for their first task, up to 1 s old;
+  /** Number of the queue's jobs that wait for their first task, up to 2 s old;
    * nothing if no owner answered. */
   asio::awaitable<std::optional<size_t>> CountWaiting(QueueId queue,
                                                       Duration timeout);
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/core/random.h"
-#include "src/scheduler_process/clock.h"
+#include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/owner_election_impl.h"
+#include "src/scheduler_process/peer_health.h"
 #include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
@@ -14,33 +15,26 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kHealthCheckInterval = milliseconds(300);
 // A response takes 25 ms between regions; a VM without processor time to spare
 // may need 100 ms more.
 constexpr Duration kHealthCheckTimeout = milliseconds(400);
-// Time of three unanswered requests in a row. An owner may only ask for longer.
-constexpr Duration kMinResponseTimeout = milliseconds(1200);
 // An owner proves its ownership every second; without the store for longer than
 // this it cannot start tasks.
 constexpr Duration kMaxProofAge = milliseconds(2200);
-// A claim takes 6 ms, and up to 1.2 s in a slow store.
-constexpr Duration kClaimTimeout = milliseconds(1400);
-// A candidate waits this many times the latency of its own store calls before
-// it claims, so that one near the store, with faster appends, comes first.
-constexpr int kClaimDelayPerStoreLatency = 12;
-// A candidate with less processor time waits longer, so that a VM that can bear
-// the owner's load comes first. Milliseconds for one core; the delay is
-// inversely proportional to the cores.
-constexpr double kClaimDelayMsTimesCores = 40;
+// The claims change rarely, and are read again before each claim; the wait
+// bounds how long a connection that stopped responding goes unnoticed.
+constexpr FollowTiming kClaimFollowTiming = {
+    .max_wait = milliseconds(5000),
+    .pause_after_records = milliseconds(50)};
 // During a planned stop, whose grace time is 6 s.
 constexpr int kMaxReleaseAttempts = 3;
 constexpr Duration kReleaseRetryDelay = milliseconds(150);
-// Number of processes that the cell is offered to before a planned stop: an
-// offer without a response takes 1.8 s of the grace time.
+// Number of processes that a cell is offered to before a planned stop: an offer
+// without a response takes 1.8 s of the grace time.
 constexpr size_t kMaxOffers = 2;
-// Random part of the delay: candidates at equal distance rarely claim at the
-// same time.
-constexpr size_t kMaxClaimJitterMs = 150;
+// A handover pauses a cell for some tenths of a second.
+constexpr Duration kMoveCheckInterval = milliseconds(5000);
+constexpr Duration kMinOwnershipBeforeMove = milliseconds(8000);
 
 enum class OwnerHealth {
   kHealthy,
@@ -60,231 +54,170 @@
   return "";
 }
 
-}  // namespace
-
-struct OwnerElection::Impl : std::enable_shared_from_this<OwnerElection::Impl> {
-  Impl(asio::io_context& context,
-       const StorePort& store_port,
-       HttpClient& http,
-       const CellChart& cell_chart,
-       const OwnerElectionOptions& election_options,
-       OwnerElectionHooks election_hooks)
-      : io(context),
-        store(store_port),
-        client(http),
-        chart(cell_chart),
-        options(election_options),
-        random(election_options.seed),
-        hooks(std::move(election_hooks)) {}
-
-  asio::awaitable<void> Run();
-  asio::awaitable<OwnerHealth> CheckOwner();
-  asio::awaitable<bool> ReadClaim();
-  asio::awaitable<void> ReadClaimFromSeeds();
-  void AcceptClaim(const CellClaim& claim);
-  asio::awaitable<void> TryToClaim();
-  asio::awaitable<bool> AppendClaim(CellClaim claim, uint64_t at);
-  asio::awaitable<void> ClaimAfterDelay(std::string_view why);
-  Duration ClaimDelay() const;
-
-  asio::io_context& io;
-  StorePort store;
-  HttpClient& client;
-  CellChart chart;
-  OwnerElectionOptions options;
-  Random random;
-  OwnerElectionHooks hooks;
-  const TimePoint started = MonotonicNow();
-  Candidates candidates;
-  std::optional<CellClaim> known_claim;
-  TimePoint known_claim_since;
-  // End offset of the claim topic when `known_claim` was read.
-  uint64_t claim_topic_end = 0;
-  std::optional<TimePoint> owner_responded_at;
-  Duration response_timeout = kOwnerStartupPeriod;
-  Duration store_latency = milliseconds(5);
-  bool stopped = false;
-};
-
-asio::awaitable<bool> OwnerElection::Impl::ReadClaim() {
-  StoreError error;
-  const TimePoint requested_at = MonotonicNow();
-  const auto snapshot = co_await store.read_newest(StoreTopic::kOwner, error);
-  if (!snapshot)
-    co_return false;
-  store_latency = MonotonicNow() - requested_at;
-  claim_topic_end = snapshot->end;
-  for (const KeyedRecord& record : snapshot->records) {
-    if (record.key != kClaimKey)
-      continue;
-    const auto claim = DecodeCellClaim(record.value);
-    if (!claim) {
-      LogEvent("claim_unreadable", {{"key", record.key}});
-      continue;
-    }
-    if (known_claim != claim)
-      AcceptClaim(*claim);
-  }
-  co_return true;
-}
-
-void OwnerElection::Impl::AcceptClaim(const CellClaim& claim) {
-  LogEvent("owner", {{"process", claim.process.value()},
-                     {"epoch", static_cast<int64_t>(claim.epoch.value())},
-                     {"released", static_cast<int64_t>(claim.released)}});
-  known_claim = claim;
-  known_claim_since = MonotonicNow();
-  owner_responded_at = known_claim_since;
-  response_timeout = kOwnerStartupPeriod;
-}
-
-// Reads later claims from other processes, so that a process cut off from the
-// store can still serve callers through the owner.
-asio::awaitable<void> OwnerElection::Impl::ReadClaimFromSeeds() {
-  for (const Endpoint& seed : options.seeds) {
-    HttpRequest request;
-    request.path = std::string(kClaimPath);
-    NetError error;
-    const auto response = co_await client.Call(seed, std::move(request),
-                                               kHealthCheckTimeout, error);
-    const auto claim = response && response->status == 200
-                           ? DecodeCellClaim(response->body)
-                           : std::nullopt;
-    if (claim && (!known_claim || known_claim->epoch < claim->epoch))
-      AcceptClaim(*claim);
-  }
-}
-
-asio::awaitable<OwnerHealth> OwnerElection::Impl::CheckOwner() {
+// Asks the owner of the cell, and tells it that this process is a candidate.
+asio::awaitable<OwnerHealth> CheckOwner(HttpClient& client,
+                                        ElectedCell& cell,
+                                        Candidate candidate) {
   HttpRequest request;
   request.method = "POST";
-  request.path = std::string(kHealthPath);
-  request.body = EncodeCandidate({.control = options.self.control,
-                                  .may_claim = hooks.may_claim(),
-                                  .uptime = MonotonicNow() - started,
-                                  .claim_delay = ClaimDelay()});
-  const Endpoint endpoint = known_claim->control;
+  request.path = MakeCellPath(cell.id, kHealthResource);
+  request.body = EncodeCandidate(candidate);
+  const CellClaim claim = *cell.claim;
+  const TimePoint sent_at = MonotonicNow();
   NetError error;
-  const auto response = co_await client.Call(endpoint, std::move(request),
+  const auto response = co_await client.Call(claim.control, std::move(request),
                                              kHealthCheckTimeout, error);
+  if (cell.claim != claim)
+    co_return OwnerHealth::kHealthy;  // of an owner that is not one any more
   if (!response) {
-    client.DropIdle(endpoint);
+    client.DropIdle(claim.control);
+    NoteSilence(cell.watch, sent_at);
     co_return OwnerHealth::kUnresponsive;
   }
+  const TimePoint now = MonotonicNow();
   const auto health = DecodePeerHealth(response->body);
-  if (!health || !health->owning || health->epoch < known_claim->epoch)
+  if (!health || !health->owning || health->epoch < claim.epoch)
     co_return OwnerHealth::kCannotOwn;
   // A new owner reads its state and lists all workers before its first append.
-  const bool starting_up =
-      MonotonicNow() - known_claim_since < kOwnerStartupPeriod;
-  if (!starting_up && health->proof_age && *health->proof_age > kMaxProofAge)
+  if (!IsStartingUp(cell.watch, now) && health->proof_age &&
+      *health->proof_age > kMaxProofAge)
     co_return OwnerHealth::kCannotOwn;
-  owner_responded_at = MonotonicNow();
-  response_timeout = std::max(kMinResponseTimeout, health->response_timeout);
+  NoteResponse(cell.watch, health->response_timeout, now);
   co_return OwnerHealth::kHealthy;
 }
 
-asio::awaitable<bool> OwnerElection::Impl::AppendClaim(CellClaim claim,
-                                                       uint64_t at) {
-  AppendRequest request;
-  request.topic = StoreTopic::kOwner;
-  request.records.push_back({std::string(kClaimKey), EncodeCellClaim(claim)});
-  request.expected_end = at;
-  request.timeout = kClaimTimeout;
-  StoreError error;
-  const bool stored = co_await store.append(std::move(request), error);
-  if (!stored) {
-    LogEvent("claim_failed",
-             {{"epoch", static_cast<int64_t>(claim.epoch.value())},
-              {"detail", error.detail}});
-  }
-  co_return stored;
+bool HasNoOwner(const ElectedCell& cell, const ProcessId& self) {
+  return !cell.claim || cell.claim->released || cell.claim->process == self;
 }
 
-// Must be called only after the chart returned the action "claim".
-asio::awaitable<void> OwnerElection::Impl::TryToClaim() {
-  CellClaim claim = options.self;
-  claim.epoch = known_claim ? known_claim->epoch.Next() : Epoch(1);
-  const uint64_t at = claim_topic_end;
-  bool stored = co_await AppendClaim(claim, at);
-  if (!stored && !stopped) {
-    // The claim may be stored although no response came.
-    co_await ReadClaim();
-    stored = known_claim == claim;
-  }
-  if (stopped)
-    co_return;
-  if (!stored) {
-    chart.HandleEvent("claim_lost");
-    co_await Sleep(milliseconds(100));
+}  // namespace
+
+ElectedCell* OwnerElection::Impl::Find(CellId id) {
+  return id.value() < cells.size() ? cells[id.value()].get() : nullptr;
+}
+
+size_t OwnerElection::Impl::CountOwned() const {
+  return static_cast<size_t>(std::count_if(
+      cells.begin(), cells.end(),
+      [](const auto& cell) { return cell->chart.state() == "owning"; }));
+}
+
+Duration OwnerElection::Impl::DelayWith(size_t owned_cells) const {
+  return ClaimDelay({.store_latency = store_latency,
+                     .cores = options.cores,
+                     .owned_cells = owned_cells,
+                     .lag = hooks.own_lag()});
+}
+
+// Reads the claims; true if another one of this cell is known now.
+asio::awaitable<bool> OwnerElection::Impl::HasNewClaim(ElectedCell& cell) {
+  const auto before = cell.claim;
+  const bool read = co_await ReadClaims();
+  if (!read)
+    co_await ReadClaimsFromSeeds();
+  co_return cell.claim != before;
+}
+
+// Checks the owner until it is healthy or another one is known, or claims the
+// cell.
+asio::awaitable<void> OwnerElection::Impl::CheckUntilSettled(CellId id) {
+  const auto self = shared_from_this();
+  ElectedCell& cell = *Find(id);
+  const FlagGuard guard(cell.being_checked);
+  if (HasNoOwner(cell, options.process)) {
+    const bool changed = co_await HasNewClaim(cell);
+    if (!changed)
+      co_await ClaimAfterDelay(cell, "no owner");
     co_return;
   }
-  known_claim = claim;
-  owner_responded_at = MonotonicNow();
-  LogEvent("claimed", {{"epoch", static_cast<int64_t>(claim.epoch.value())}});
-  if (chart.HandleEvent("claim_won") == "start_cell")
-    hooks.on_won(claim.epoch);
+  while (!stopped && cell.chart.state() == "following") {
+    const Candidate candidate{.control = options.control,
+                              .may_claim = hooks.may_claim(),
+                              .uptime = MonotonicNow() - started,
+                              .claim_delay = DelayWith(CountOwned())};
+    const OwnerHealth health = co_await CheckOwner(client, cell, candidate);
+    if (health == OwnerHealth::kHealthy) {
+      latest_response = MonotonicNow();
+      co_return;
+    }
+    const bool changed = co_await HasNewClaim(cell);
+    if (changed)
+      co_return;
+    // Only an owner that does not respond may be merely busy.
+    if (health == OwnerHealth::kCannotOwn ||
+        IsOwnerGone(cell.watch, MonotonicNow())) {
+      co_await ClaimAfterDelay(cell, OwnerHealthName(health));
+      co_return;
+    }
+    co_await Sleep(kHealthCheckInterval);
+  }
 }
 
-Duration OwnerElection::Impl::ClaimDelay() const {
-  return std::min<Duration>(store_latency * kClaimDelayPerStoreLatency,
-                            milliseconds(1500)) +
-         milliseconds(static_cast<int64_t>(kClaimDelayMsTimesCores /
-                                           std::max(0.02, options.cores)));
+void OwnerElection::Impl::StartCheck(ElectedCell& cell) {
+  if (cell.being_checked || cell.chart.state() != "following")
+    return;
+  Spawn(io, "owner_check", CheckUntilSettled(cell.id));
 }
 
-// Claims the cell after the claim delay, unless another process has claimed it
-// by then.
-asio::awaitable<void> OwnerElection::Impl::ClaimAfterDelay(
-    std::string_view why) {
-  if (!hooks.may_claim())
-    co_return;
-  const auto before = known_claim;
-  co_await Sleep(ClaimDelay() +
-                 milliseconds(RandomBelow(random, kMaxClaimJitterMs)));
-  const bool read = co_await ReadClaim();
-  if (!read || stopped || known_claim != before)
-    co_return;
-  if (chart.HandleEvent("owner_missed") != "claim")
-    co_return;
-  LogEvent("owner_missed",
-           {{"why", why},
-            {"epoch", static_cast<int64_t>(
-                          known_claim ? known_claim->epoch.value() : 0)}});
-  co_await TryToClaim();
+// Checks the owner of one cell after the other, and one of the cells that have
+// none.
+void OwnerElection::Impl::CheckNextOwners() {
+  StartCheck(*cells[next_check++ % cells.size()]);
+  std::vector<ElectedCell*> without_owner;
+  for (const auto& cell : cells) {
+    if (HasNoOwner(*cell, options.process) && !cell->being_checked &&
+        cell->chart.state() == "following")
+      without_owner.push_back(cell.get());
+  }
+  if (!without_owner.empty())
+    StartCheck(*without_owner[RandomBelow(random, without_owner.size())]);
 }
 
-asio::awaitable<void> OwnerElection::Impl::Run() {
+// Hands one cell over if another process suits much better.
+asio::awaitable<void> OwnerElection::Impl::MoveCellToBetterOwner() {
   const auto self = shared_from_this();
-  while (!stopped) {
-    if (chart.state() == "owning") {
-      co_await Sleep(kHealthCheckInterval);
+  const TimePoint now = MonotonicNow();
+  const size_t owned = CountOwned();
+  if (owned == 0 || claiming)
+    co_return;
+  const Duration own_delay = DelayWith(owned - 1);
+  for (const auto& cell : cells) {
+    if (cell->chart.state() != "owning" ||
+        now - cell->watch.claimed_at < kMinOwnershipBeforeMove)
       continue;
-    }
-    if (!known_claim) {
-      const bool read = co_await ReadClaim();
-      if (read && !known_claim)
-        co_await ClaimAfterDelay("no owner");
-      else
-        co_await Sleep(milliseconds(50));
+    const auto better = FindBetterOwner(cell->candidates, own_delay, now);
+    if (!better)
       continue;
+    const bool moved = co_await OfferTo(*cell, *better);
+    if (moved) {
+      hooks.on_superseded(cell->id);
+      co_return;
     }
-    OwnerHealth answer = OwnerHealth::kCannotOwn;
-    if (!known_claim->released && known_claim->process != options.self.process)
-      answer = co_await CheckOwner();
-    // Only an owner that does not respond may be merely busy.
-    const bool may_be_busy =
-        answer == OwnerHealth::kUnresponsive && owner_responded_at &&
-        MonotonicNow() - *owner_responded_at < response_timeout;
-    if (answer != OwnerHealth::kHealthy) {
-      // Another process may have claimed the cell already; it then gets a full
-      // answer timeout.
-      const auto before = known_claim;
-      const bool read = co_await ReadClaim();
-      if (!read)
-        co_await ReadClaimFromSeeds();
-      if (!may_be_busy && known_claim == before)
-        co_await ClaimAfterDelay(OwnerHealthName(answer));
+  }
+}
+
+asio::awaitable<void> OwnerElection::Impl::Run() {
+  const auto self = shared_from_this();
+  while (!stopped && !layout)
+    co_await EstablishLayout();
+  const std::weak_ptr<Impl> weak = weak_from_this();
+  claim_follower =
+      TopicFollower::Make(io, store, StoreTopic::kOwner, kClaimFollowTiming,
+                          [weak](const TopicFollower::Records&,
+                                 const std::vector<KeyedRecord>& added) {
+                            const auto impl = weak.lock();
+                            if (!impl || impl->stopped)
+                              return;
+                            ClaimTable table;
+                            for (const KeyedRecord& record : added)
+                              ApplyClaimRecord(table, record);
+                            impl->AcceptTable(table);
+                          });
+  while (!stopped) {
+    CheckNextOwners();
+    if (MonotonicNow() - last_move_check > kMoveCheckInterval) {
+      last_move_check = MonotonicNow();
+      co_await MoveCellToBetterOwner();
     }
     co_await Sleep(kHealthCheckInterval);
   }
@@ -313,88 +246,127 @@
   Spawn(m_impl->io, "owner_election", m_impl->Run());
 }
 
-void OwnerElection::OnFenced() {
-  m_impl->chart.HandleEvent("fenced");
+void OwnerElection::OnFenced(CellId cell) {
+  if (ElectedCell* found = m_impl->Find(cell))
+    found->chart.HandleEvent("fenced");
 }
 
-void OwnerElection::OnHealthRequest(const Candidate& candidate) {
-  NoteCandidate(m_impl->candidates, candidate, MonotonicNow());
+void OwnerElection::OnHealthRequest(CellId cell, const Candidate& candidate) {
+  if (ElectedCell* found = m_impl->Find(cell))
+    NoteCandidate(found->candidates, candidate, MonotonicNow());
 }
 
 asio::awaitable<std::optional<CellClaim>> OwnerElection::AcceptOffer(
+    CellId cell,
     Epoch epoch) {
   const auto impl = m_impl;
-  if (!impl->known_claim || impl->known_claim->epoch != epoch ||
-      !impl->hooks.may_claim() || impl->chart.HandleEvent("offered") != "claim")
+  ElectedCell* found = impl->Find(cell);
+  if (found == nullptr)
+    co_return std::nullopt;
+  // The owner may have claimed the cell a moment ago.
+  if (!found->claim || found->claim->epoch != epoch)
+    co_await impl->ReadClaims();
+  if (!found->claim || found->claim->epoch != epoch ||
+      !impl->hooks.may_claim() ||
+      found->chart.HandleEvent("offered") != "claim")
     co_return std::nullopt;
-  LogEvent("offer_taken", {{"epoch", static_cast<int64_t>(epoch.value())}});
-  co_await impl->TryToClaim();
-  if (impl->chart.state() != "owning")
+  LogEvent("offer_taken", {{"cell", static_cast<int64_t>(cell.value())},
+                           {"epoch", static_cast<int64_t>(epoch.value())}});
+  co_await impl->ReadClaims();
+  co_await impl->TryToClaim(*found);
+  if (found->chart.state() != "owning")
     co_return std::nullopt;
-  co_return impl->known_claim;
+  co_return found->claim;
 }
 
-asio::awaitable<bool> OwnerElection::HandOver() {
+asio::awaitable<bool> OwnerElection::HandOver(CellId cell) {
   const auto impl = m_impl;
-  if (!IsOwner() || !impl->known_claim)
+  ElectedCell* found = impl->Find(cell);
+  if (!IsOwner(cell) || !found->claim)
     co_return false;
-  const CellClaim own = *impl->known_claim;
   const TimePoint now = MonotonicNow();
   const std::vector<Endpoint> ranked =
-      RankCandidates(impl->candidates, now - impl->started, now);
+      RankCandidates(found->candidates, now - impl->started, now);
   for (size_t i = 0; i < std::min(ranked.size(), kMaxOffers); ++i) {
     const Endpoint& endpoint = ranked[i];
-    const auto claim = co_await OfferCell(impl->client, endpoint, own);
-    if (!claim)
-      continue;
-    impl->chart.HandleEvent("fenced");
-    impl->AcceptClaim(*claim);
-    co_return true;
+    const bool taken = co_await impl->OfferTo(*found, endpoint);
+    if (taken)
+      co_return true;
   }
   co_return false;
 }
 
-asio::awaitable<void> OwnerElection::Release() {
+asio::awaitable<void> OwnerElection::Release(CellId cell) {
   // The owner is still tracked, as callers are served until the process ends.
   const auto impl = m_impl;
-  const bool release = impl->chart.HandleEvent("sigterm") == "release";
-  if (!release || !impl->known_claim)
+  ElectedCell* found = impl->Find(cell);
+  if (found == nullptr || found->chart.HandleEvent("sigterm") != "release" ||
+      !found->claim)
     co_return;
-  CellClaim claim = *impl->known_claim;
-  claim.released = true;
+  CellClaim released = *found->claim;
+  released.released = true;
   for (int i = 0; i < kMaxReleaseAttempts; ++i) {
-    const bool read = co_await impl->ReadClaim();
-    if (read && impl->known_claim->epoch != claim.epoch)
+    const bool read = co_await impl->ReadClaims();
+    if (read && found->claim->epoch != released.epoch)
       break;
     if (read) {
-      const uint64_t at = impl->claim_topic_end;
-      const bool stored = co_await impl->AppendClaim(claim, at);
-      if (stored) {
-        impl->known_claim = claim;
+      const bool stored = co_await impl->StoreClaim(*found, released);
+      if (stored)
         break;
-      }
     }
     co_await Sleep(kReleaseRetryDelay);
   }
-  impl->chart.HandleEvent("released");
+  found->chart.HandleEvent("released");
+}
+
+std::optional<CellLayout> OwnerElection::layout() const {
+  return m_impl->layout;
+}
+
+ClaimTable OwnerElection::claims() const {
+  ClaimTable table{
+      .layout = m_impl->layout, .has_other_version = false, .claims = {}};
+  for (const auto& cell : m_impl->cells) {
+    if (cell->claim)
+      table.claims[cell->id] = *cell->claim;
+  }
+  return table;
+}
+
+std::optional<CellClaim> OwnerElection::owner(CellId cell) const {
+  const ElectedCell* found = m_impl->Find(cell);
+  return found == nullptr ? std::nullopt : found->claim;
 }
 
-std::optional<CellClaim> OwnerElection::owner() const {
-  return m_impl->known_claim;
+bool OwnerElection::IsOwner(CellId cell) const {
+  return state(cell) == "owning";
 }
 
-bool OwnerElection::IsOwner() const {
-  return m_impl->chart.state() == "owning";
+std::vector<CellId> OwnerElection::OwnedCells() const {
+  std::vector<CellId> owned;
+  for (const auto& cell : m_impl->cells) {
+    if (cell->chart.state() == "owning")
+      owned.push_back(cell->id);
+  }
+  return owned;
+}
+
+std::optional<Duration> OwnerElection::OwnerResponseAge(CellId cell) const {
+  const ElectedCell* found = m_impl->Find(cell);
+  if (found == nullptr || !found->watch.responded_at)
+    return std::nullopt;
+  return MonotonicNow() - *found->watch.responded_at;
 }
 
-std::optional<Duration> OwnerElection::OwnerResponseAge() const {
-  if (!m_impl->owner_responded_at)
+std::optional<Duration> OwnerElection::LatestResponseAge() const {
+  if (!m_impl->latest_response)
     return std::nullopt;
-  return MonotonicNow() - *m_impl->owner_responded_at;
+  return MonotonicNow() - *m_impl->latest_response;
 }
 
-std::string_view OwnerElection::state() const {
-  return m_impl->chart.state();
+std::string_view OwnerElection::state(CellId cell) const {
+  const ElectedCell* found = m_impl->Find(cell);
+  return found == nullptr ? "unknown" : found->chart.state();
 }
 
 }  // namespace cowslipmast::sched
--- /dev/null
+++ b/src/scheduler_process/owner_watch.h
@@ -0,0 +1,58 @@
+#ifndef COWSLIPMAST_SRC_SCHEDULER_PROCESS_OWNER_WATCH_H_
+#define COWSLIPMAST_SRC_SCHEDULER_PROCESS_OWNER_WATCH_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "cowslipmast/units.h"
+
+namespace cowslipmast::sched {
+
+/** Between two health checks of a process. With several cells each check goes
+ * to the owner of another one, so that an owner gets about the same number of
+ * checks in a system of any size. */
+inline constexpr Duration kHealthCheckInterval = std::chrono::milliseconds(300);
+
+/** A new owner reads its state and lists all workers; others wait for its
+ * responses for at least this long after its claim. */
+inline constexpr Duration kOwnerStartupPeriod = std::chrono::milliseconds(4000);
+
+/** What a process has heard from the owner of a cell. */
+struct OwnerWatch {
+  TimePoint claimed_at;
+  std::optional<TimePoint> responded_at;
+  /** When the first request was sent that has not been answered since. */
+  std::optional<TimePoint> silent_since;
+  /** How long the owner asks others to wait for its responses; nothing before
+   * its first one. */
+  std::optional<Duration> response_timeout;
+};
+
+/** A new owner is known. */
+void NoteClaim(OwnerWatch& watch, TimePoint now);
+void NoteResponse(OwnerWatch& watch, Duration response_timeout, TimePoint now);
+/** A request that was sent at `sent_at` got no response. */
+void NoteSilence(OwnerWatch& watch, TimePoint sent_at);
+/** True if the owner may be claimed to be gone. Meant for owners that are late
+ * under load: they must not be replaced by one that has to read everything
+ * again. */
+bool IsOwnerGone(const OwnerWatch& watch, TimePoint now);
+/** True for a while after the claim, when the owner has no proof yet. */
+bool IsStartingUp(const OwnerWatch& watch, TimePoint now);
+
+/** What the suitability of a process as an owner depends on. */
+struct Suitability {
+  Duration store_latency{0};
+  double cores = 1.0;      // processor share of its VM
+  size_t owned_cells = 0;  // that it owns already
+  Duration lag{0};         // with which it handles its events
+};
+
+/** How long a process waits before it claims a cell, so that the best suited
+ * one comes first: one near the store, with processor time to spare for the
+ * cells that it owns and one more. */
+Duration ClaimDelay(const Suitability& suitability);
+
+}  // namespace cowslipmast::sched
+
+#endif  // COWSLIPMAST_SRC_SCHEDULER_PROCESS_OWNER_WATCH_H_
--- a/src/scheduler_process/peer_health.cc
+++ b/src/scheduler_process/peer_health.cc
@@ -1,12 +1,22 @@
 #include "src/scheduler_process/peer_health.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "src/scheduler_process/clock.h"
 
 namespace cowslipmast::sched {
 
-using std::chrono::milliseconds;
+namespace {
+
+// A longer time in a message is malformed; it would overflow in sums.
+constexpr int64_t kMaxMillis = 3'600'000;
+
+Duration BoundedMillis(int64_t ms) {
+  return std::chrono::milliseconds(std::clamp<int64_t>(ms, 0, kMaxMillis));
+}
+
+}  // namespace
 
 std::string EncodePeerHealth(const PeerHealth& health) {
   nlohmann::json j = {{"epoch", health.epoch.value()},
@@ -26,9 +36,9 @@
         .epoch = Epoch(j.at("epoch").get<uint64_t>()),
         .owning = j.at("owning").get<bool>(),
         .proof_age = std::nullopt,
-        .response_timeout = milliseconds(j.value("patience_ms", int64_t{0}))};
+        .response_timeout = BoundedMillis(j.value("patience_ms", int64_t{0}))};
     if (j.contains("proof_age_ms"))
-      health.proof_age = milliseconds(j.at("proof_age_ms").get<int64_t>());
+      health.proof_age = BoundedMillis(j.at("proof_age_ms").get<int64_t>());
     return health;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/src/scheduler_process/peer_health.h
+++ b/src/scheduler_process/peer_health.h
@@ -11,9 +11,9 @@
 
 namespace cowslipmast::sched {
 
-/** Response of a process to a health request. */
+/** Response of a process to a health request for one cell. */
 struct PeerHealth {
-  Epoch epoch;  // epoch of the cell that it owns
+  Epoch epoch;  // of the cell, if the process owns it
   bool owning = false;
   std::optional<Duration>
       proof_age;  // age of the last store append that proved its ownership
@@ -22,16 +22,9 @@
   Duration response_timeout{0};
 };
 
-/** Time after its claim in which an owner reads the stored state and lists all
- * workers, and may not respond: up to 2.6 s for 490 workers on 0.12 core. */
-inline constexpr Duration kOwnerStartupPeriod = std::chrono::milliseconds(4000);
-
 std::string EncodePeerHealth(const PeerHealth& health);
 std::optional<PeerHealth> DecodePeerHealth(std::string_view body);
 
-/** Control path that returns `PeerHealth`; the request body is a `Candidate`.
- */
-inline constexpr std::string_view kHealthPath = "/v1/owner";
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHEDULER_PROCESS_PEER_HEALTH_H_
--- a/src/scheduler_process/platform_ports.h
+++ b/src/scheduler_process/platform_ports.h
@@ -21,7 +21,17 @@
   kWorkers,   // workers announce themselves here; read only
   kJobs,      // accepted submissions and cancellations
   kProgress,  // the owner's records of the runs and their workers
-  kOwner,     // claims of ownership
+  kOwner,     // the layout of the cells, and claims of ownership
+};
+
+/** A topic, or the part of a topic that belongs to one cell. */
+struct StoreStream {
+  // Not explicit: topics that are not divided among cells are named alone.
+  StoreStream(StoreTopic stream_topic, CellId stream_cell = CellId())
+      : topic(stream_topic), cell(stream_cell) {}
+
+  StoreTopic topic;
+  CellId cell;
 };
 
 enum class StoreErrorKind {
@@ -51,7 +61,7 @@
 };
 
 struct AppendRequest {
-  StoreTopic topic = StoreTopic::kJobs;
+  StoreStream stream = StoreTopic::kJobs;
   std::vector<KeyedRecord> records;  // empty: only sets the producer's epoch
   // If set, the append fails unless the stream ends at this offset.
   std::optional<uint64_t> expected_end;
@@ -68,13 +78,13 @@
 /** Calls to the platform's store. */
 struct StorePort {
   std::function<asio::awaitable<bool>(AppendRequest, StoreError&)> append;
-  std::function<asio::awaitable<std::optional<TopicSnapshot>>(StoreTopic,
+  std::function<asio::awaitable<std::optional<TopicSnapshot>>(StoreStream,
                                                               StoreError&)>
       read_newest;
   /** Reads records from an offset on, waiting up to `wait` for one; `end` of
    * the result is the offset to read on from. */
   std::function<asio::awaitable<std::optional<
-      TopicSnapshot>>(StoreTopic, uint64_t from, Duration wait, StoreError&)>
+      TopicSnapshot>>(StoreStream, uint64_t from, Duration wait, StoreError&)>
       follow;
 };
 
--- a/src/scheduler_process/progress_writer.cc
+++ b/src/scheduler_process/progress_writer.cc
@@ -20,12 +20,12 @@
 
 }  // namespace
 
-ProgressWriter::ProgressWriter(const StorePort& store, Epoch epoch)
-    : m_store(store), m_epoch(epoch) {}
+ProgressWriter::ProgressWriter(const StorePort& store, CellId cell, Epoch epoch)
+    : m_store(store), m_cell(cell), m_epoch(epoch) {}
 
 asio::awaitable<bool> ProgressWriter::AppendUntilAnswered(
     AppendRequest request) {
-  request.topic = StoreTopic::kProgress;
+  request.stream = StoreStream(StoreTopic::kProgress, m_cell);
   request.producer = ProducerStamp{m_epoch.value(), m_sequence++};
   request.timeout = kInitialAppendTimeout;
   while (!m_stop_retrying) {
@@ -37,7 +37,8 @@
       co_return true;
     }
     LogEvent("progress_append_failed",
-             {{"epoch", static_cast<int64_t>(m_epoch.value())},
+             {{"cell", static_cast<int64_t>(m_cell.value())},
+              {"epoch", static_cast<int64_t>(m_epoch.value())},
               {"sequence", static_cast<int64_t>(request.producer->sequence)},
               {"detail", error.detail}});
     if (error.kind == StoreErrorKind::kFenced)
--- a/src/scheduler_process/progress_writer.h
+++ b/src/scheduler_process/progress_writer.h
@@ -15,7 +15,7 @@
  * proves the ownership: no later owner had fenced the stream. */
 class ProgressWriter {
  public:
-  ProgressWriter(const StorePort& store, Epoch epoch);
+  ProgressWriter(const StorePort& store, CellId cell, Epoch epoch);
 
   /** Sets the epoch, so that appends of previous owners are refused. Retries
    * until the store answers; false once a later owner has fenced the stream. */
@@ -34,6 +34,7 @@
   asio::awaitable<bool> AppendUntilAnswered(AppendRequest request);
 
   StorePort m_store;
+  CellId m_cell;
   Epoch m_epoch;
   uint64_t m_sequence = 0;
   std::optional<TimePoint> m_proven_at;
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -1,14 +1,19 @@
 #include "src/scheduler_process/scheduler_process.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "src/daemon/metrics.h"
+#include "src/scheduler_process/cell_load_codec.h"
+#include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
 #include "src/scheduler_process/loop_lag.h"
 #include "src/scheduler_process/manifest_follower.h"
+#include "src/scheduler_process/owner_watch.h"
+#include "src/scheduler_process/peer_health.h"
 #include "src/scheduler_process/spawn.h"
 
 namespace cowslipmast::sched {
@@ -33,6 +38,14 @@
 // listings of all workers coincide after a claim.
 constexpr Duration kResponseTimeoutPerWorker = milliseconds(7);
 
+// The number of workers counts as stable if it is the same after this time.
+constexpr Duration kWorkerCountInterval = milliseconds(400);
+
+struct OwnedCell {
+  std::shared_ptr<Cell> cell;
+  TimePoint since;
+};
+
 std::string StatusLabel(uint16_t status) {
   return std::to_string(status);
 }
@@ -58,16 +71,24 @@
                                     HttpHandler handler,
                                     StartError& reason);
   void Connect(const CellChart& chart);
-  void StartOwnedCell(Epoch epoch);
-  void DropLostCell();
+  void ConnectElection(const CellChart& chart);
+  void StartOwnedCell(CellId id, Epoch epoch);
+  void DropLostCell(CellId id);
+  std::shared_ptr<Cell> FindCell(CellId id) const;
+  asio::awaitable<std::optional<uint32_t>> CountCells();
+  std::vector<CellLoad> OwnLoads() const;
   bool IsReady() const;
   asio::awaitable<HttpResponse> HandleCallerRequest(HttpRequest request);
   asio::awaitable<HttpResponse> HandleControlRequest(HttpRequest request);
-  HttpResponse HealthResponse() const;
-  asio::awaitable<HttpResponse> HandleOffer(std::string body);
+  asio::awaitable<std::optional<HttpResponse>> HandleCellRequest(
+      CellPath path,
+      std::string body);
+  HttpResponse HealthResponse(CellId id) const;
+  asio::awaitable<HttpResponse> HandleOffer(CellId id, std::string body);
   std::string Dump() const;
   void RegisterGauges();
   asio::awaitable<void> FlushLog();
+  asio::awaitable<void> GiveUpCells();
   asio::awaitable<void> Drain(std::function<void()> on_stopped);
 
   asio::io_context& io;
@@ -78,17 +99,55 @@
   std::shared_ptr<LoopLag> lag;
   std::unique_ptr<ManifestFollower> manifest_follower;
   std::shared_ptr<OwnerElection> election;
+  std::shared_ptr<LoadExchange> loads;
   std::shared_ptr<JobService> service;
-  std::shared_ptr<Cell> cell;
-  TimePoint owned_since;
+  std::map<CellId, OwnedCell> cells;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness;
   std::unique_ptr<HttpServer> control;
   bool stopping = false;
 };
 
-void SchedulerProcess::Impl::StartOwnedCell(Epoch epoch) {
+std::shared_ptr<Cell> SchedulerProcess::Impl::FindCell(CellId id) const {
+  const auto found = cells.find(id);
+  return found == cells.end() ? nullptr : found->second.cell;
+}
+
+// Counts the workers twice, as they may be announcing themselves just now.
+asio::awaitable<std::optional<uint32_t>> SchedulerProcess::Impl::CountCells() {
+  std::optional<size_t> before;
+  for (int i = 0; i < 2; ++i) {
+    StoreError error;
+    const auto snapshot =
+        co_await ports.store.read_newest(StoreTopic::kWorkers, error);
+    if (!snapshot)
+      co_return std::nullopt;
+    const auto workers = static_cast<size_t>(std::count_if(
+        snapshot->records.begin(), snapshot->records.end(),
+        [this](const KeyedRecord& record) {
+          return !record.value.empty() && ports.decoders.worker(record);
+        }));
+    if (before && *before == workers)
+      co_return ChooseCellCount(workers, settings.workers_per_cell);
+    before = workers;
+    co_await Sleep(kWorkerCountInterval);
+  }
+  co_return std::nullopt;
+}
+
+std::vector<CellLoad> SchedulerProcess::Impl::OwnLoads() const {
+  std::vector<CellLoad> own;
+  for (const auto& [id, entry] : cells) {
+    if (auto load = entry.cell->Load())
+      own.push_back(std::move(*load));
+  }
+  return own;
+}
+
+void SchedulerProcess::Impl::StartOwnedCell(CellId id, Epoch epoch) {
   CellOptions options;
+  options.cell = id;
+  options.layout = *election->layout();
   options.epoch = epoch;
   options.lease = settings.lease;
   options.log_listings = settings.log_listings;
@@ -97,32 +156,35 @@
     return manifest_follower->manifest();
   };
   hooks.own_lag = [this] { return lag->Recent(); };
-  hooks.on_lost = [this] { DropLostCell(); };
-  owned_since = MonotonicNow();
-  cell = Cell::Make(io, ports.store, ports.workers, ports.decoders, options,
-                    std::move(hooks));
+  hooks.on_lost = [this, id] { DropLostCell(id); };
+  auto cell = Cell::Make(io, ports.store, ports.workers, ports.decoders,
+                         options, std::move(hooks));
   cell->Start();
+  cells[id] = {std::move(cell), MonotonicNow()};
 }
 
-void SchedulerProcess::Impl::DropLostCell() {
-  // Called by the cell itself, which is therefore destroyed only after the call
-  // has returned.
-  asio::post(io, [self = shared_from_this(), lost = cell] {
-    if (self->cell == lost)
-      self->cell.reset();
-  });
-  election->OnFenced();
+void SchedulerProcess::Impl::DropLostCell(CellId id) {
+  election->OnFenced(id);
+  const auto found = cells.find(id);
+  if (found == cells.end())
+    return;
+  const std::shared_ptr<Cell> lost = found->second.cell;
+  cells.erase(found);
+  lost->Stop();
+  // The cell itself may have called, so it is destroyed only after the call has
+  // returned.
+  asio::post(io, [lost] {});
 }
 
 bool SchedulerProcess::Impl::IsReady() const {
   if (stopping || !manifest_follower->manifest().known)
     return false;
   const auto store_age = manifest_follower->Age();
-  const auto owner_age = election->OwnerResponseAge();
+  const auto owner_age = election->LatestResponseAge();
   const bool reaches_store =
       store_age && *store_age < kMaxStoreResponseAgeWhenReady;
   const bool reaches_owner =
-      cell != nullptr ||
+      !cells.empty() ||
       (owner_age && *owner_age < kMaxOwnerResponseAgeWhenReady);
   return reaches_store || reaches_owner;
 }
@@ -141,14 +203,16 @@
   co_return response;
 }
 
-HttpResponse SchedulerProcess::Impl::HealthResponse() const {
+HttpResponse SchedulerProcess::Impl::HealthResponse(CellId id) const {
   PeerHealth health;
-  health.owning = cell != nullptr;
-  if (cell) {
+  const auto found = cells.find(id);
+  health.owning = found != cells.end();
+  if (health.owning) {
+    const auto& [cell, since] = found->second;
     health.epoch = cell->epoch();
     health.proof_age = cell->ProofAge();
     health.response_timeout = cell->WorkerCount() * kResponseTimeoutPerWorker;
-    if (MonotonicNow() - owned_since < kOwnerStartupPeriod)
+    if (MonotonicNow() - since < kOwnerStartupPeriod)
       health.response_timeout =
           std::max(health.response_timeout, kOwnerStartupPeriod);
   }
@@ -156,11 +220,12 @@
 }
 
 asio::awaitable<HttpResponse> SchedulerProcess::Impl::HandleOffer(
+    CellId id,
     std::string body) {
   const auto offered = DecodeCellClaim(body);
   if (!offered)
     co_return MakeJsonResponse(400, R"({"error":"bad_offer"})");
-  const auto claim = co_await election->AcceptOffer(offered->epoch);
+  const auto claim = co_await election->AcceptOffer(id, offered->epoch);
   co_return claim ? MakeJsonResponse(200, EncodeCellClaim(*claim))
                   : MakeJsonResponse(409, R"({"error":"not_claimed"})");
 }
@@ -168,34 +233,56 @@
 std::string SchedulerProcess::Impl::Dump() const {
   nlohmann::json j = {{"process", settings.process.value()},
                       {"ready", IsReady()},
-                      {"cell", election->state()},
                       {"manifest_version",
                        manifest_follower->manifest().policy.version.value()},
+                      {"loop_lag_ms", ToMillis(lag->Recent())},
                       {"dropped_log_lines", DroppedLogLines()}};
-  if (const auto owner = election->owner()) {
-    j["owner"] = owner->process.value();
-    j["epoch"] = owner->epoch.value();
+  const ClaimTable table = election->claims();
+  if (table.layout)
+    j["layout"] = {{"version", table.layout->version},
+                   {"cells", table.layout->cells}};
+  for (const auto& [id, claim] : table.claims) {
+    nlohmann::json& entry = j["cells"][std::to_string(id.value())];
+    entry = {{"owner", claim.process.value()},
+             {"epoch", claim.epoch.value()},
+             {"state", election->state(id)}};
+    if (const auto cell = FindCell(id))
+      entry["scheduler"] = nlohmann::json::parse(cell->Dump(), nullptr, false);
   }
-  if (cell)
-    j["scheduler"] = nlohmann::json::parse(cell->Dump());
-  return j.dump(2);
+  // Names in the store may contain any bytes.
+  return j.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// Handles a request to the owner of a cell; nothing for an unknown resource.
+asio::awaitable<std::optional<HttpResponse>>
+SchedulerProcess::Impl::HandleCellRequest(CellPath path, std::string body) {
+  if (path.resource == kHealthResource) {
+    if (const auto candidate = DecodeCandidate(body))
+      election->OnHealthRequest(path.cell, *candidate);
+    co_return HealthResponse(path.cell);
+  }
+  if (path.resource == kOfferResource)
+    co_return co_await HandleOffer(path.cell, std::move(body));
+  if (path.resource == kLoadResource) {
+    const auto cell = FindCell(path.cell);
+    const auto load = cell ? cell->Load() : std::nullopt;
+    co_return load ? MakeJsonResponse(200, EncodeCellLoad(*load))
+                   : MakeJsonResponse(503, R"({"error":"not_owner"})");
+  }
+  co_return std::nullopt;
 }
 
 asio::awaitable<HttpResponse> SchedulerProcess::Impl::HandleControlRequest(
     HttpRequest request) {
-  const std::string_view path = PathWithoutQuery(request.path);
-  if (path == kHealthPath) {
-    if (const auto candidate = DecodeCandidate(request.body))
-      election->OnHealthRequest(*candidate);
-    co_return HealthResponse();
-  }
-  if (path == kOfferPath)
-    co_return co_await HandleOffer(std::move(request.body));
-  if (path == kClaimPath) {
-    const auto owner = election->owner();
-    co_return owner ? MakeJsonResponse(200, EncodeCellClaim(*owner))
-                    : MakeJsonResponse(404, R"({"error":"no_owner"})");
+  const std::string path(PathWithoutQuery(request.path));
+  if (const auto cell_path = ParseCellPath(path)) {
+    const CellPath& parsed = *cell_path;
+    auto response = co_await HandleCellRequest(parsed, request.body);
+    if (response)
+      co_return std::move(*response);
   }
+  if (path == kClaimsPath)
+    co_return MakeJsonResponse(200, EncodeClaimTable(election->claims()));
   if (path == "/metrics") {
     HttpResponse response;
     response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
@@ -213,7 +300,10 @@
 void SchedulerProcess::Impl::RegisterGauges() {
   const auto counter = [this](const std::string& name, const auto read) {
     metrics->Gauge(name, {}, [this, read] {
-      return cell ? static_cast<double>(read(*cell)) : 0.0;
+      double sum = 0;
+      for (const auto& [id, entry] : cells)
+        sum += static_cast<double>(read(*entry.cell));
+      return sum;
     });
   };
   counter("cowslipmast_starts",
@@ -232,7 +322,12 @@
           [](const Cell& c) { return c.calls().listings; });
   counter("cowslipmast_failed_listings",
           [](const Cell& c) { return c.calls().failed_listings; });
-  metrics->Gauge("cowslipmast_owning", {}, [this] { return cell ? 1.0 : 0.0; });
+  counter("cowslipmast_moved_jobs",
+          [](const Cell& c) { return c.counters().moved_jobs; });
+  counter("cowslipmast_moved_tasks",
+          [](const Cell& c) { return c.counters().moved_tasks; });
+  metrics->Gauge("cowslipmast_owned_cells", {},
+                 [this] { return static_cast<double>(cells.size()); });
   metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
     return static_cast<double>(lag->Recent().count()) / 1e6;
   });
@@ -288,26 +383,56 @@
 void SchedulerProcess::Impl::Connect(const CellChart& chart) {
   manifest_follower =
       ManifestFollower::Make(io, ports.store, ports.decoders, [this] {
-        if (cell)
-          cell->OnManifest();
+        for (const auto& [id, entry] : cells)
+          entry.cell->OnManifest();
       });
+  ConnectElection(chart);
+  LoadExchangeHooks load_hooks;
+  load_hooks.own_loads = [this] { return OwnLoads(); };
+  load_hooks.on_loads = [this](const std::vector<CellLoad>& all) {
+    for (const auto& [id, entry] : cells)
+      entry.cell->SetCellLoads(all);
+  };
+  loads = LoadExchange::Make(io, peers, election, std::move(load_hooks));
+  service = JobService::Make(io, ports.store, peers, election, loads,
+                             [this](CellId id) { return FindCell(id); });
+  election->Start();
+}
+
+void SchedulerProcess::Impl::ConnectElection(const CellChart& chart) {
   OwnerElectionOptions options;
-  options.self.process = settings.process;
-  options.self.control = settings.control_endpoint;
+  options.process = settings.process;
+  options.control = settings.control_endpoint;
   options.seeds = settings.seed_endpoints;
   options.cores = settings.cores;
   options.seed = settings.seed;
   OwnerElectionHooks hooks;
-  hooks.on_won = [this](Epoch epoch) { StartOwnedCell(epoch); };
+  hooks.on_won = [this](CellId id, Epoch epoch) { StartOwnedCell(id, epoch); };
+  hooks.on_superseded = [this](CellId id) { DropLostCell(id); };
+  hooks.own_lag = [this] { return lag->Recent(); };
+  hooks.count_cells = [this] { return CountCells(); };
   // Without a manifest the owner would not know the queues of its jobs.
   hooks.may_claim = [this] {
     return !stopping && manifest_follower->manifest().known;
   };
   election = OwnerElection::Make(io, ports.store, peers, chart, options,
                                  std::move(hooks));
-  service = JobService::Make(io, ports.store, peers, election,
-                             [this] { return cell; });
-  election->Start();
+}
+
+// Hands each owned cell over, or gives its claim up.
+asio::awaitable<void> SchedulerProcess::Impl::GiveUpCells() {
+  std::vector<CellId> owned;
+  for (const auto& [id, entry] : cells)
+    owned.push_back(id);
+  for (const CellId id : owned) {
+    const bool handed_over = co_await election->HandOver(id);
+    const auto cell = FindCell(id);
+    if (cell)
+      cell->Stop();
+    cells.erase(id);
+    if (!handed_over)
+      co_await election->Release(id);
+  }
 }
 
 asio::awaitable<void> SchedulerProcess::Impl::Drain(
@@ -315,12 +440,7 @@
   const auto self = shared_from_this();
   const TimePoint begin = MonotonicNow();
   const TimePoint last = begin + settings.stop_grace - kStopMargin;
-  const bool handed_over = co_await election->HandOver();
-  if (cell)
-    cell->Stop();
-  cell.reset();
-  if (!handed_over)
-    co_await election->Release();
+  co_await GiveUpCells();
   caller_server->CloseAfterResponse();
   while (MonotonicNow() < last) {
     const bool balancer_noticed = MonotonicNow() - begin >= kBalancerNoticeTime;
@@ -361,8 +481,7 @@
   if (m_impl->stopping)
     return;
   m_impl->stopping = true;
-  LogEvent("stopping",
-           {{"owning", static_cast<int64_t>(m_impl->cell != nullptr)}});
+  LogEvent("stopping", {{"cells", static_cast<int64_t>(m_impl->cells.size())}});
   Spawn(m_impl->io, "drain", m_impl->Drain(on_stopped), on_stopped);
 }
 
--- a/src/scheduler_process/scheduler_process.h
+++ b/src/scheduler_process/scheduler_process.h
@@ -24,9 +24,10 @@
   // Control addresses of some processes, possibly stale.
   std::vector<Endpoint> seed_endpoints;
   Duration lease{0};
-  Duration stop_grace{0};     // time between SIGTERM and SIGKILL
-  double cores = 1.0;         // processor share of this VM
-  size_t max_body_bytes = 0;  // limit for the body of a caller's request
+  Duration stop_grace{0};         // time between SIGTERM and SIGKILL
+  double cores = 1.0;             // processor share of this VM
+  size_t max_body_bytes = 0;      // limit for the body of a caller's request
+  size_t workers_per_cell = 100;  // for a system that starts for the first time
   uint64_t seed = 0;
   bool log_listings = false;  // log every listing of a worker in full
 };
@@ -50,8 +51,8 @@
   std::string detail;
 };
 
-/** A scheduler process: serves callers, and owns the cell if no other process
- * does. */
+/** A scheduler process: serves callers, and owns cells that no other process
+ * owns. */
 class SchedulerProcess {
  public:
   static std::unique_ptr<SchedulerProcess> Make(asio::io_context& io,
--- a/src/scheduler_process/topic_follower.cc
+++ b/src/scheduler_process/topic_follower.cc
@@ -34,11 +34,11 @@
 
 struct TopicFollower::Impl : std::enable_shared_from_this<TopicFollower::Impl> {
   Impl(const StorePort& store_port,
-       StoreTopic followed,
+       StoreStream followed,
        FollowTiming follow_timing,
        OnRecords callback)
       : store(store_port),
-        topic(followed),
+        stream(followed),
         timing(follow_timing),
         on_records(std::move(callback)) {}
 
@@ -50,7 +50,7 @@
   void HandleResponse(TimePoint requested_at);
 
   StorePort store;
-  StoreTopic topic;
+  StoreStream stream;
   FollowTiming timing;
   OnRecords on_records;
   Records newest;
@@ -63,15 +63,18 @@
 
 void TopicFollower::Impl::HandleError(const StoreError& error) {
   if (!store_failing) {
-    LogEvent("store_lost",
-             {{"topic", TopicName(topic)}, {"detail", error.detail}});
+    LogEvent("store_lost", {{"topic", TopicName(stream.topic)},
+                            {"cell", static_cast<int64_t>(stream.cell.value())},
+                            {"detail", error.detail}});
   }
   store_failing = true;
 }
 
 void TopicFollower::Impl::HandleResponse(TimePoint requested_at) {
   if (store_failing)
-    LogEvent("store_regained", {{"topic", TopicName(topic)}});
+    LogEvent("store_regained",
+             {{"topic", TopicName(stream.topic)},
+              {"cell", static_cast<int64_t>(stream.cell.value())}});
   store_failing = false;
   last_request_at = requested_at;
 }
@@ -90,7 +93,7 @@
   StoreError error;
   const TimePoint requested_at = MonotonicNow();
   std::optional<TopicSnapshot> snapshot =
-      co_await store.read_newest(topic, error);
+      co_await store.read_newest(stream, error);
   if (stopped)
     co_return false;
   if (!snapshot) {
@@ -106,7 +109,7 @@
   StoreError error;
   const TimePoint requested_at = MonotonicNow();
   std::optional<TopicSnapshot> added =
-      co_await store.follow(topic, next_offset, timing.max_wait, error);
+      co_await store.follow(stream, next_offset, timing.max_wait, error);
   if (stopped)
     co_return false;
   if (!added) {
@@ -114,6 +117,12 @@
       has_snapshot = false;
       co_return true;
     }
+    if (error.kind == StoreErrorKind::kNoSuchTopic) {
+      // The store answered: nobody has written a record yet.
+      HandleResponse(requested_at);
+      co_await Sleep(kRetryDelay);
+      co_return true;
+    }
     HandleError(error);
     co_return false;
   }
@@ -155,12 +164,12 @@
 std::unique_ptr<TopicFollower> TopicFollower::Make(
     asio::io_context& io,
     const StorePort& store,
-    StoreTopic topic,
+    StoreStream stream,
     FollowTiming timing,
     OnRecords on_records,
     std::optional<FollowStart> start) {
   auto impl =
-      std::make_shared<Impl>(store, topic, timing, std::move(on_records));
+      std::make_shared<Impl>(store, stream, timing, std::move(on_records));
   if (start)
     impl->StartFrom(start->snapshot, start->requested_at);
   Spawn(io, "topic_follower", impl->Run());
--- a/src/scheduler_process/topic_follower.h
+++ b/src/scheduler_process/topic_follower.h
@@ -43,7 +43,7 @@
   static std::unique_ptr<TopicFollower> Make(
       asio::io_context& io,
       const StorePort& store,
-      StoreTopic topic,
+      StoreStream stream,
       FollowTiming timing,
       OnRecords on_records,
       std::optional<FollowStart> start = std::nullopt);
--- a/standins/platform/store_stand_in.cc
+++ b/standins/platform/store_stand_in.cc
@@ -55,6 +55,16 @@
   return text;
 }
 
+// Name of a partition of a topic.
+std::string PartitionName(const std::string& topic, const std::string& part) {
+  return topic + "/" + part;
+}
+
+std::string PartitionOf(const std::string& path) {
+  return PartitionName(QueryParameter(path, "topic").value_or(""),
+                       QueryParameter(path, "part").value_or("0"));
+}
+
 uint64_t NumberOf(const std::string& path, std::string_view name) {
   const auto text = QueryParameter(path, name);
   return text ? ParseUnsigned(*text).value_or(0) : 0;
@@ -86,8 +96,7 @@
 }
 
 HttpResponse StoreStandIn::Impl::Append(const HttpRequest& request) {
-  TopicState& topic =
-      topics[QueryParameter(request.path, "topic").value_or("")];
+  TopicState& topic = topics[PartitionOf(request.path)];
   const auto at = QueryParameter(request.path, "at");
   if (at && ParseUnsigned(*at) != topic.end())
     return MakeJsonResponse(412, json{{"end", topic.end()}}.dump());
@@ -119,8 +128,7 @@
 }
 
 HttpResponse StoreStandIn::Impl::ReadNewestPage(const HttpRequest& request) {
-  const TopicState& topic =
-      topics[QueryParameter(request.path, "topic").value_or("")];
+  const TopicState& topic = topics[PartitionOf(request.path)];
   const auto after = QueryParameter(request.path, "depends-on");
   auto next = after ? topic.newest.upper_bound(*after) : topic.newest.begin();
   json items = json::array();
@@ -136,8 +144,7 @@
 }
 
 asio::awaitable<HttpResponse> StoreStandIn::Impl::Read(HttpRequest request) {
-  TopicState& topic =
-      topics[QueryParameter(request.path, "topic").value_or("")];
+  TopicState& topic = topics[PartitionOf(request.path)];
   const uint64_t from = NumberOf(request.path, "from");
   const auto limit =
       sched::MonotonicNow() + milliseconds(NumberOf(request.path, "wait-ms"));
@@ -208,7 +215,7 @@
 void StoreStandIn::Put(const std::string& topic,
                        const std::string& key,
                        const std::string& value) {
-  m_impl->Add(m_impl->topics[topic], key, value);
+  m_impl->Add(m_impl->topics[PartitionName(topic, "0")], key, value);
 }
 
 void StoreStandIn::SetFault(StoreFault fault) {
--- a/standins/platform/worker_stand_in.cc
+++ b/standins/platform/worker_stand_in.cc
@@ -33,8 +33,12 @@
 }  // namespace
 
 struct WorkerStandIn::Impl : std::enable_shared_from_this<WorkerStandIn::Impl> {
-  Impl(std::string worker_id, RunObservations& run_observations)
-      : id(std::move(worker_id)), observations(run_observations) {}
+  Impl(std::string worker_id,
+       std::string rack_name,
+       RunObservations& run_observations)
+      : id(std::move(worker_id)),
+        rack(std::move(rack_name)),
+        observations(run_observations) {}
 
   int64_t Clock() const {
     return sched::ToMillis(sched::MonotonicNow() - start_time);
@@ -48,6 +52,7 @@
   asio::awaitable<HttpResponse> HandleRequest(HttpRequest request);
 
   std::string id;
+  std::string rack;
   RunObservations& observations;
   TimePoint start_time = sched::MonotonicNow();
   milliseconds task_duration{300};
@@ -187,8 +192,9 @@
 std::unique_ptr<WorkerStandIn> WorkerStandIn::Make(
     asio::io_context& io,
     const std::string& id,
+    const std::string& rack,
     RunObservations& observations) {
-  auto impl = std::make_shared<Impl>(id, observations);
+  auto impl = std::make_shared<Impl>(id, rack, observations);
   NetError error;
   impl->server = HttpServer::Make(
       io, Endpoint{"127.0.0.1", 0}, HttpServerLimits{},
@@ -210,7 +216,7 @@
       {"state", "ready"},
       {"slots", 8},
       {"capacity", {{"cpu", 16000}, {"mem-mb", 64000}, {"gpu", 0}}},
-      {"labels", {"a", "r1-1"}},
+      {"labels", {"a", m_impl->rack}},
       {"born", 1}}
       .dump();
 }
--- a/standins/platform/worker_stand_in.h
+++ b/standins/platform/worker_stand_in.h
@@ -31,6 +31,7 @@
    * must outlive it. */
   static std::unique_ptr<WorkerStandIn> Make(asio::io_context& io,
                                              const std::string& id,
+                                             const std::string& rack,
                                              RunObservations& observations);
   ~WorkerStandIn();
 
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -50,15 +50,13 @@
     }
   }
   SECTION("survives malformed bodies on every path") {
-    const std::vector<std::string> paths = {"/q/00000000000000ff",
-                                            "/v1/owner",
-                                            "/v1/offer",
-                                            "/v1/claims",
-                                            "/v1/records/0/j/x",
-                                            "/v1/jobs/0/x",
-                                            "/v1/waiting",
-                                            "/v1/load/0",
-                                            "/v1/jobs/99999999999999999999/x"};
+    const std::vector<std::string> paths = {
+        "/q/00000000000000ff",      "/v1/cells/0/owner",
+        "/v1/cells/0/offer",        "/v1/cells/0/load",
+        "/v1/cells/0/records/j/x",  "/v1/cells/0/jobs/x",
+        "/v1/cells/7/jobs/x",       "/v1/cells/99999999999999999999/owner",
+        "/v1/cells/x/records/none", "/v1/claims",
+        "/v1/waiting/quotes",       "/v1/cells/"};
     for (const std::string& path : paths) {
       for (const std::string& text : MalformedTexts()) {
         for (const char* method : {"POST", "GET", "DELETE"})
--- a/tests/platform/silent_worker_test.cc
+++ b/tests/platform/silent_worker_test.cc
@@ -15,7 +15,9 @@
 const char kJobId[] = "00000000000000d4";
 
 TEST_CASE("a worker that is silent or leaves", "[silent]") {
-  TestSystem system(2, 1, seconds(6));
+  TestOptions options;
+  options.lease = seconds(6);
+  TestSystem system(2, 1, options);
   TestProcess& process = system.process(0);
   REQUIRE(system.WaitForOwner(seconds(10)));
   for (size_t i = 0; i < 2; ++i)
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -21,6 +21,9 @@
 using std::chrono::milliseconds;
 
 constexpr int kMaxProcesses = 3;
+constexpr int kWorkersPerRack = 4;
+// Fewer than the cells of some tests.
+constexpr uint32_t kPartitions = 2;
 
 // Below the ephemeral ports, from which stand-ins and outgoing connections get
 // theirs: a port that was free here could otherwise be taken before use.
@@ -99,7 +102,7 @@
     const std::atomic<bool>& unreachable) {
   using sched::AppendRequest;
   using sched::StoreError;
-  using sched::StoreTopic;
+  using sched::StoreStream;
   using sched::TopicSnapshot;
   sched::StorePort port;
   port.append = [store, &unreachable](
@@ -109,19 +112,21 @@
       co_return false;
     co_return co_await store.append(std::move(request), reason);
   };
-  port.read_newest = [store, &unreachable](StoreTopic topic, StoreError& reason)
-      -> asio::awaitable<std::optional<TopicSnapshot>> {
+  port.read_newest =
+      [store, &unreachable](
+          StoreStream stream,
+          StoreError& reason) -> asio::awaitable<std::optional<TopicSnapshot>> {
     if (unreachable)
       co_return std::nullopt;
-    co_return co_await store.read_newest(topic, reason);
+    co_return co_await store.read_newest(stream, reason);
   };
   port.follow =
       [store, &unreachable](
-          StoreTopic topic, uint64_t from, Duration wait,
+          StoreStream stream, uint64_t from, Duration wait,
           StoreError& reason) -> asio::awaitable<std::optional<TopicSnapshot>> {
     if (unreachable)
       co_return std::nullopt;
-    co_return co_await store.follow(topic, from, wait, reason);
+    co_return co_await store.follow(stream, from, wait, reason);
   };
   return port;
 }
@@ -130,21 +135,22 @@
                          const Endpoint& store,
                          const std::vector<Endpoint>& seeds,
                          const Endpoint& control,
-                         milliseconds lease) {
+                         const TestOptions& options) {
   asio::io_context& io = m_loop.io();
   m_settings.process = ProcessId(name);
   m_settings.caller_endpoint = FreeEndpoint(io);
   m_settings.readiness_endpoint = FreeEndpoint(io);
   m_settings.control_endpoint = control;
   m_settings.seed_endpoints = seeds;
-  m_settings.lease = lease;
+  m_settings.lease = options.lease;
+  m_settings.workers_per_cell = options.workers_per_cell;
   m_settings.stop_grace = std::chrono::seconds(6);
   m_settings.max_body_bytes = 262144;
   m_settings.seed = std::hash<std::string>{}(name);
   m_client = HttpClient::Make(io, HttpClientLimits{});
   sched::PlatformPorts ports;
-  ports.store = MakeInterruptibleStorePort(MakeStorePort(*m_client, store),
-                                           m_store_unreachable);
+  ports.store = MakeInterruptibleStorePort(
+      MakeStorePort(*m_client, store, kPartitions), m_store_unreachable);
   ports.workers = MakeWorkerPort(*m_client);
   ports.decoders = {DecodeWorkerEntry, DecodeOperatorSetting};
   ports.handle_caller_request = HandleCallerRequest;
@@ -166,8 +172,8 @@
   m_loop.Freeze();
 }
 
-TestSystem::TestSystem(int workers, int processes, milliseconds lease)
-    : m_lease(lease) {
+TestSystem::TestSystem(int workers, int processes, const TestOptions& options)
+    : m_options(options) {
   m_client = HttpClient::Make(m_caller.io(), HttpClientLimits{});
   asio::io_context& io = m_platform.io();
   for (int i = 0; i < kMaxProcesses; ++i)
@@ -177,7 +183,8 @@
     m_store->Put("keyed.op", "config", MakeConfig());
     for (int i = 0; i < workers; ++i) {
       const std::string id = "i-" + std::to_string(i);
-      m_workers.push_back(WorkerStandIn::Make(io, id, m_observations));
+      const std::string rack = "r1-" + std::to_string(1 + i / kWorkersPerRack);
+      m_workers.push_back(WorkerStandIn::Make(io, id, rack, m_observations));
       m_store->Put("keyed.servers", id, m_workers.back()->StoreEntry());
     }
     return true;
@@ -196,7 +203,7 @@
   const std::string name = "edge-" + std::to_string(m_processes.size());
   m_processes.push_back(
       std::make_unique<TestProcess>(name, m_store->endpoint(), m_seeds,
-                                    m_seeds[m_processes.size()], m_lease));
+                                    m_seeds[m_processes.size()], m_options));
   return *m_processes.back();
 }
 
@@ -220,7 +227,7 @@
   m_processes[index].reset();
   m_processes[index] = std::make_unique<TestProcess>(
       "edge-" + std::to_string(index), m_store->endpoint(), m_seeds,
-      m_seeds[index], m_lease);
+      m_seeds[index], m_options);
 }
 
 std::string TestSystem::SendBytes(const Endpoint& endpoint,
@@ -309,7 +316,8 @@
   const auto response = Call(process, "GET", "/dump");
   if (!response)
     return std::nullopt;
-  return json::parse(response->body).value("epoch", 0);
+  const json cells = json::parse(response->body).value("cells", json());
+  return cells.contains("0") ? cells["0"].value("epoch", 0) : 0;
 }
 
 std::string TestSystem::StateOf(TestProcess& process, const std::string& id) {
@@ -336,7 +344,7 @@
   const auto end = std::chrono::steady_clock::now() + limit;
   while (std::chrono::steady_clock::now() < end) {
     for (size_t i = 0; i < m_processes.size(); ++i) {
-      const auto response = Call(*m_processes[i], "GET", "/v1/owner");
+      const auto response = Call(*m_processes[i], "GET", "/v1/cells/0/owner");
       if (response && json::parse(response->body).value("owning", false))
         return i;
     }
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -41,6 +41,12 @@
   std::thread m_thread;
 };
 
+/** Settings of the processes that a test may choose. */
+struct TestOptions {
+  std::chrono::milliseconds lease{2000};
+  size_t workers_per_cell = 100;
+};
+
 /** A scheduler process on its own event loop. */
 class TestProcess {
  public:
@@ -48,7 +54,7 @@
               const Endpoint& store,
               const std::vector<Endpoint>& seeds,
               const Endpoint& control,
-              std::chrono::milliseconds lease);
+              const TestOptions& options);
   ~TestProcess();
 
   LoopThread& loop() { return m_loop; }
@@ -74,10 +80,9 @@
  * runs. */
 class TestSystem {
  public:
-  explicit TestSystem(
-      int workers,
-      int processes = 0,
-      std::chrono::milliseconds lease = std::chrono::milliseconds(2000));
+  explicit TestSystem(int workers,
+                      int processes = 0,
+                      const TestOptions& options = TestOptions());
   ~TestSystem();
 
   TestProcess& AddProcess();
@@ -127,7 +132,7 @@
   std::vector<std::unique_ptr<WorkerStandIn>> m_workers;
   std::vector<std::unique_ptr<TestProcess>> m_processes;
   std::vector<Endpoint> m_seeds;
-  std::chrono::milliseconds m_lease;
+  TestOptions m_options;
 };
 
 }  // namespace cowslipmast::platform
