cells: repeated transfers of earlier moves, reserves, untrusted workers last

Small VMs claimed cells although large ones had none, and overdue tasks went back to a worker that failed everything it started. Change: a key for each move, and the move's number in the stored progress; processes with less than half of the processor time of the known owners wait longer and check less; untrusted workers come last for overdue tasks.

--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -46,6 +46,7 @@
       ++counts[job->spec.queue];
   }
   std::vector<QueueWaiting> waiting;
+  waiting.reserve(counts.size());
   for (const auto& [queue, jobs] : counts)
     waiting.push_back({queue, jobs});
   return waiting;
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -14,6 +14,9 @@
 // Use above the mean of all cells that a cell keeps: a move costs two appends,
 // and the loads of other cells are up to half a second old.
 constexpr double kKeptAboveMean = 0.03;
+// Added for each earlier move, so that work does not move on and on while the
+// loads change faster than they are known.
+constexpr double kKeptAboveMeanPerHop = 0.06;
 // A move takes about 0.1 s, so shorter waits are left to the cell.
 constexpr Duration kMinShortWait = milliseconds(150);
 constexpr Duration kMinBestEffortWait = milliseconds(300);
@@ -101,7 +104,8 @@
   switch (work.kind) {
     case WorkKind::kLongRunning: {
       const double use = LongRunningCores(own) / capacity;
-      return use > kMinUseToMove && use > mean_use + kKeptAboveMean;
+      return use > kMinUseToMove &&
+             use > mean_use + kKeptAboveMean + kKeptAboveMeanPerHop * work.hop;
     }
     case WorkKind::kShort:
       return work.waited >= kMinShortWait;
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -19,6 +19,7 @@
   MilliCores need;  // of all its tasks that wait; part of the cell's own load
   std::string label;
   Duration waited{0};
+  uint32_t hop = 0;  // cells that it has moved through already
   /** Chooses among cells of equal merit, so that owners with the same view do
    * not all choose the same one. */
   uint64_t random = 0;
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -148,9 +148,12 @@
     if (end == JobState::kFailed || end == JobState::kCancelled ||
         end == JobState::kCompleted)
       job.state = end;
-    // A job with a higher hop number has come back since.
-    if (stored.contains("m") && stored["m"].at(1).get<uint32_t>() >= job.hop)
-      job.moved_to = CellId(stored["m"].at(0).get<uint64_t>());
+    // A job that was received with a higher hop number has come back since.
+    const auto moved = stored.find("m");
+    if (moved != stored.end() && moved->at(1).get<uint32_t>() >= job.hop) {
+      job.moved_to = CellId(moved->at(0).get<uint64_t>());
+      job.hop = moved->at(1).get<uint32_t>();
+    }
     return ApplyStoredIteration(state, job, key->second, stored);
   } catch (const json::exception&) {
     return false;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -24,6 +24,8 @@
 constexpr double kMaxLongRunningShare = 0.92;
 // A best-effort task starts where at least this share of its CPU need is idle.
 constexpr double kMinIdleShareOfNeed = 0.6;
+// Larger than any score.
+constexpr double kUntrustedPenalty = 10000.0;
 // Headroom, as utilisation, that a best-effort task must leave to the
 // latency-critical tasks on its worker; below 0 it would be slowed down at
 // once.
@@ -243,20 +245,78 @@
   LogDecision(state, "run_planned", ref);
 }
 
+struct ScoredWorker {
+  double score = 0;
+  int32_t worker = kNoWorker;
+
+  // Of equal workers the first one is better.
+  bool operator<(const ScoredWorker& other) const {
+    return score != other.score ? score < other.score : worker > other.worker;
+  }
+};
+
+// Workers for the tasks of one step, as a heap with the best one on top. All
+// are scored once for a step instead of once for each of its tasks; a placement
+// changes the score of one worker only.
+struct WorkerHeap {
+  bool last_attempt = false;
+  bool is_overdue = false;
+  std::vector<ScoredWorker> workers;
+};
+
+void PushIfSuitable(const State& state,
+                    const PlacementQuery& query,
+                    int32_t worker,
+                    TimePoint now,
+                    WorkerHeap& heap) {
+  const WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
+  if (!IsSuitable(state, worker_state, query, now))
+    return;
+  if (const auto score = ScoreOf(state, worker_state, query.ref)) {
+    // An overdue task goes to a worker that fails its runs only if no other one
+    // has capacity.
+    const bool trusted = IsTrusted(worker_state, query.last_attempt, now);
+    heap.workers.push_back(
+        {*score - (trusted ? 0.0 : kUntrustedPenalty), worker});
+    std::push_heap(heap.workers.begin(), heap.workers.end());
+  }
+}
+
+WorkerHeap MakeWorkerHeap(const State& state,
+                          const PlacementQuery& query,
+                          TimePoint now) {
+  WorkerHeap heap{.last_attempt = query.last_attempt,
+                  .is_overdue = query.is_overdue,
+                  .workers = {}};
+  for (size_t i = 0; i < state.workers.size(); ++i)
+    PushIfSuitable(state, query, static_cast<int32_t>(i), now, heap);
+  return heap;
+}
+
 // Places the step's waiting tasks one by one. False if one found no worker.
 bool PlaceTasks(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
   StepState& step = key.iteration->steps[key.step];
+  std::optional<WorkerHeap> heap;
   while (!step.ready_tasks.empty()) {
     const TaskRef ref{key.iteration, key.step, step.ready_tasks.back()};
     if (TaskOf(ref).phase != SchedulingPhase::kReady) {
       step.ready_tasks.pop_back();
       continue;
     }
-    const int32_t worker = BestWorker(state, MakeQuery(state, ref, now), now);
-    if (worker == kNoWorker)
+    const PlacementQuery query = MakeQuery(state, ref, now);
+    if (query.must_wait)
+      return false;
+    if (!heap || heap->last_attempt != query.last_attempt ||
+        heap->is_overdue != query.is_overdue)
+      heap = MakeWorkerHeap(state, query, now);
+    if (heap->workers.empty())
       return false;
+    std::pop_heap(heap->workers.begin(), heap->workers.end());
+    const int32_t worker = heap->workers.back().worker;
+    heap->workers.pop_back();
     step.ready_tasks.pop_back();
     PlanStart(state, ref, worker, plan);
+    PushIfSuitable(state, query, worker, now, *heap);
   }
   return true;
 }
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -88,6 +88,7 @@
       .need = WaitingNeed(key),
       .label = spec.label,
       .waited = WaitedFor(key, now),
+      .hop = key.iteration->job->hop,
       .random = std::hash<std::string>{}(key.iteration->job->spec.id.value()) +
                 key.iteration->job->hop};
 }
@@ -123,10 +124,11 @@
                              .from = state.options.cell,
                              .hop = job.hop + 1,
                              .tasks = {}};
-  state.messages.push_back({*job.moved_to,
-                            TransferKey(job.spec.id, ""),
-                            EncodeTransfer(transfer),
-                            {}});
+  state.messages.push_back(
+      {*job.moved_to,
+       TransferKey(job.spec.id, "h" + std::to_string(transfer.hop)),
+       EncodeTransfer(transfer),
+       {}});
 }
 
 void MoveJob(State& state, Job& job, CellId target) {
@@ -360,12 +362,13 @@
     StartFirstIteration(state, job, now);
   } else if (found->second->hop < transfer.hop) {
     Job& job = *found->second;
-    // The job has come back.
-    if (job.received_from == std::nullopt)
+    // The job has come back, unless this is a replay: what is replayed next
+    // tells whether it has left again.
+    if (!job.received_from)
       job.received_from = transfer.from;
     job.hop = transfer.hop;
     job.base_run = RunNumber(transfer.hop);
-    if (job.moved_to && !job.ended_at) {
+    if (!job.ended_at && (job.moved_to || !state.restored)) {
       job.moved_to.reset();
       StartFirstIteration(state, job, now);
     }
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -31,6 +31,10 @@
 // Minimum time between two plans, in which events accumulate: each plan costs
 // an append.
 constexpr Duration kPlanInterval = milliseconds(15);
+// The interval is at least this multiple of the time that the last plan took,
+// so that a VM with little processor time still handles responses and requests.
+constexpr int kPlanIntervalFactor = 2;
+constexpr Duration kMaxPlanInterval = milliseconds(300);
 // Prevents a busy loop while an iteration is due at this moment.
 constexpr Duration kMinPlanWait = milliseconds(1);
 // Between two checks for stops that were not confirmed.
@@ -108,6 +112,7 @@
   std::optional<CellLoad> load;
   TimePoint load_measured_at;
   DecisionLog decisions;
+  Duration plan_interval = kPlanInterval;
   bool restored = false;
   bool stopped = false;
 };
@@ -367,7 +372,11 @@
 // Stores the plan's decisions, then starts the tasks. Pace changes are sent at
 // once. False once the cell is lost.
 asio::awaitable<bool> Cell::Impl::PlanOnce() {
-  Plan plan = scheduler->MakePlan(MonotonicNow(), WallNow());
+  const TimePoint begin = MonotonicNow();
+  Plan plan = scheduler->MakePlan(begin, WallNow());
+  plan_interval =
+      std::clamp<Duration>((MonotonicNow() - begin) * kPlanIntervalFactor,
+                           kPlanInterval, kMaxPlanInterval);
   SendStops();
   for (const PaceCommand& pace : plan.paces)
     driver->Send(pace);
@@ -424,7 +433,7 @@
     if (!owning)
       co_return;
     co_await RefreshOwnershipProof();
-    co_await Sleep(kPlanInterval);
+    co_await Sleep(plan_interval);
   }
 }
 
--- a/src/scheduler_process/cell_claim.cc
+++ b/src/scheduler_process/cell_claim.cc
@@ -21,11 +21,10 @@
 constexpr uint32_t kMaxCells = 100'000;
 
 json ToJson(const CellClaim& claim) {
-  return {{"epoch", claim.epoch.value()},
-          {"process", claim.process.value()},
-          {"address", claim.control.address},
-          {"port", claim.control.port},
-          {"released", claim.released}};
+  return {
+      {"epoch", claim.epoch.value()},     {"process", claim.process.value()},
+      {"address", claim.control.address}, {"port", claim.control.port},
+      {"released", claim.released},       {"cores", claim.cores}};
 }
 
 std::optional<CellClaim> FromJson(const json& j) {
@@ -34,7 +33,8 @@
                      .process = ProcessId(j.at("process").get<std::string>()),
                      .control = {j.at("address").get<std::string>(),
                                  j.at("port").get<uint16_t>()},
-                     .released = j.at("released").get<bool>()};
+                     .released = j.at("released").get<bool>(),
+                     .cores = j.value("cores", 0.0)};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/scheduler_process/cell_claim.h
+++ b/src/scheduler_process/cell_claim.h
@@ -20,6 +20,7 @@
   ProcessId process;
   Endpoint control;       // where the owner serves other processes
   bool released = false;  // after a planned stop: may be claimed at once
+  double cores = 0;       // processor share of the owner's VM; 0 if not known
 
   bool operator==(const CellClaim&) const = default;
 };
--- a/src/scheduler_process/claim_calls.cc
+++ b/src/scheduler_process/claim_calls.cc
@@ -158,7 +158,8 @@
       .epoch = cell.claim ? cell.claim->epoch.Next() : Epoch(1),
       .process = options.process,
       .control = options.control,
-      .released = false};
+      .released = false,
+      .cores = options.cores};
   const bool stored = co_await StoreClaim(cell, claim);
   if (stopped)
     co_return;
--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -91,10 +91,11 @@
     const std::vector<CellLoad>& own) const {
   const TimePoint now = MonotonicNow();
   std::vector<CellLoad> loads = own;
-  for (const auto& [cell, entry] : known) {
+  for (const auto& [id, entry] : known) {
+    const CellId cell = id;
     const bool is_own =
         std::any_of(own.begin(), own.end(),
-                    [&](const CellLoad& load) { return load.cell == cell; });
+                    [cell](const CellLoad& load) { return load.cell == cell; });
     if (!is_own && now - entry.at <= kMaxLoadAge)
       loads.push_back(entry.load);
   }
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -21,6 +21,9 @@
 // An owner proves its ownership every second; without the store for longer than
 // this it cannot start tasks.
 constexpr Duration kMaxProofAge = milliseconds(2200);
+// Owners checked by one process in one round.
+constexpr size_t kChecksPerRound = 3;
+constexpr size_t kReserveRoundsPerCheck = 3;
 // The claims change rarely, and are read again before each claim; the wait
 // bounds how long a connection that stopped responding goes unnoticed.
 constexpr FollowTiming kClaimFollowTiming = {
@@ -102,11 +105,22 @@
       [](const auto& cell) { return cell->chart.state() == "owning"; }));
 }
 
+Suitability OwnerElection::Impl::SuitabilityWith(size_t owned_cells) const {
+  Suitability suitability{.store_latency = store_latency,
+                          .cores = options.cores,
+                          .largest_cores = 0,
+                          .owned_cells = owned_cells,
+                          .lag = hooks.own_lag()};
+  for (const auto& cell : cells) {
+    if (cell->claim)
+      suitability.largest_cores =
+          std::max(suitability.largest_cores, cell->claim->cores);
+  }
+  return suitability;
+}
+
 Duration OwnerElection::Impl::DelayWith(size_t owned_cells) const {
-  return ClaimDelay({.store_latency = store_latency,
-                     .cores = options.cores,
-                     .owned_cells = owned_cells,
-                     .lag = hooks.own_lag()});
+  return ClaimDelay(SuitabilityWith(owned_cells));
 }
 
 // Reads the claims; true if another one of this cell is known now.
@@ -162,7 +176,15 @@
 // Checks the owner of one cell after the other, and one of the cells that have
 // none.
 void OwnerElection::Impl::CheckNextOwners() {
-  StartCheck(*cells[next_check++ % cells.size()]);
+  // Reserves check less often, so that the suitable processes find a cell
+  // without an owner first, and the owners get no more checks in all.
+  const bool is_reserve = IsReserve(SuitabilityWith(0));
+  const bool pauses = is_reserve && rounds++ % kReserveRoundsPerCheck != 0;
+  const size_t checks = pauses       ? 0
+                        : is_reserve ? 1
+                                     : std::min(kChecksPerRound, cells.size());
+  for (size_t i = 0; i < checks; ++i)
+    StartCheck(*cells[next_check++ % cells.size()]);
   std::vector<ElectedCell*> without_owner;
   for (const auto& cell : cells) {
     if (HasNoOwner(*cell, options.process) && !cell->being_checked &&
--- a/src/scheduler_process/owner_election_impl.h
+++ b/src/scheduler_process/owner_election_impl.h
@@ -63,6 +63,7 @@
   asio::awaitable<void> MoveCellToBetterOwner();
   ElectedCell* Find(CellId id);
   size_t CountOwned() const;
+  Suitability SuitabilityWith(size_t owned_cells) const;
   Duration DelayWith(size_t owned_cells) const;
 
   // claim_calls.cc
@@ -95,6 +96,7 @@
   uint64_t claims_end = 0;
   Duration store_latency = std::chrono::milliseconds(5);
   size_t next_check = 0;
+  size_t rounds = 0;      // of checks
   bool claiming = false;  // one claim at a time, so that the delays hold
   std::optional<TimePoint> latest_response;
   TimePoint last_move_check = started;
--- a/src/scheduler_process/owner_watch.cc
+++ b/src/scheduler_process/owner_watch.cc
@@ -21,6 +21,9 @@
 constexpr double kDelayMsTimesCores = 40;
 constexpr double kDelayMsTimesCoresPerCell = 60;
 constexpr double kMinCores = 0.02;
+// Time for the others to find out that a cell has no owner and to claim it.
+constexpr Duration kReserveDelay = milliseconds(1500);
+constexpr double kReserveShare = 0.5;
 // A process that is late itself waits for others first.
 constexpr int kDelayPerLag = 4;
 constexpr Duration kMaxLagDelay = milliseconds(2000);
@@ -63,6 +66,10 @@
   return now - last_heard >= timeout;
 }
 
+bool IsReserve(const Suitability& suitability) {
+  return suitability.cores < suitability.largest_cores * kReserveShare;
+}
+
 Duration ClaimDelay(const Suitability& suitability) {
   const double ms =
       (kDelayMsTimesCores + kDelayMsTimesCoresPerCell *
@@ -71,6 +78,7 @@
   return std::min<Duration>(suitability.store_latency * kDelayPerStoreLatency,
                             kMaxStoreDelay) +
          milliseconds(static_cast<int64_t>(ms)) +
+         (IsReserve(suitability) ? kReserveDelay : Duration(0)) +
          std::min<Duration>(suitability.lag * kDelayPerLag, kMaxLagDelay);
 }
 
--- a/src/scheduler_process/owner_watch.h
+++ b/src/scheduler_process/owner_watch.h
@@ -43,11 +43,17 @@
 /** What the suitability of a process as an owner depends on. */
 struct Suitability {
   Duration store_latency{0};
-  double cores = 1.0;      // processor share of its VM
-  size_t owned_cells = 0;  // that it owns already
-  Duration lag{0};         // with which it handles its events
+  double cores = 1.0;        // processor share of its VM
+  double largest_cores = 0;  // of the owners that are known
+  size_t owned_cells = 0;    // that it owns already
+  Duration lag{0};           // with which it handles its events
 };
 
+/** True if the process has much less processor time than the owners that it
+ * knows of: it claims a cell only if none of those does, and checks owners less
+ * often. */
+bool IsReserve(const Suitability& suitability);
+
 /** How long a process waits before it claims a cell, so that the best suited
  * one comes first: one near the store, with processor time to spare for the
  * cells that it owns and one more. */
--- a/tests/platform/cells_test.cc
+++ b/tests/platform/cells_test.cc
@@ -24,15 +24,17 @@
 
 json DumpOf(TestSystem& system, TestProcess& process) {
   const auto response = system.Call(process, "GET", "/dump");
-  return response ? json::parse(response->body, nullptr, false) : json();
+  json dump = response ? json::parse(response->body, nullptr, false) : json();
+  return dump.is_object() ? dump : json::object();
 }
 
 // Number of cells that have an owner which has restored them.
 size_t CountOwnedCells(TestSystem& system, size_t processes) {
   std::set<std::string> owned;
   for (size_t i = 0; i < processes; ++i) {
-    const json dump = DumpOf(system, system.process(i));
-    for (const auto& [cell, entry] : dump.value("cells", json::object()).items()) {
+    const json cells =
+        DumpOf(system, system.process(i)).value("cells", json::object());
+    for (const auto& [cell, entry] : cells.items()) {
       if (entry.value("state", "") == "owning" && entry.contains("scheduler"))
         owned.insert(cell);
     }
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -9,7 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kTimeStep = milliseconds(10);
 constexpr double kTimeStepS = 0.01;
 constexpr double kIdleTailMs = 4;
 constexpr Duration kListingInterval = milliseconds(700);
@@ -51,16 +50,21 @@
 
 void SimulatedCell::MakeScheduler() {
   ++m_epoch;
+  m_options.epoch = Epoch(m_epoch);
   m_scheduler = Scheduler::Make(m_options, m_now);
   m_scheduler->SetPolicy(m_policy, m_now);
 }
 
-void SimulatedCell::AddWorkers(int count, int64_t cores, int64_t memory_mb) {
+void SimulatedCell::AddWorkers(int count,
+                               int64_t cores,
+                               int64_t memory_mb,
+                               size_t first_number) {
   for (int i = 0; i < count; ++i) {
+    const size_t number = first_number + m_workers.size();
     SimulatedWorker worker;
-    worker.info.id = WorkerId("w" + std::to_string(m_workers.size()));
+    worker.info.id = WorkerId("w" + std::to_string(number));
     worker.info.service = ServiceId("pool");
-    worker.info.rack = RackId("r" + std::to_string(m_workers.size() / 8));
+    worker.info.rack = RackId("r" + std::to_string(number / 8));
     worker.info.data_centre = DataCentreId("cebu");
     worker.info.capacity.cpu = MilliCores(cores * 1000);
     worker.info.capacity.memory = Mebibytes(memory_mb);
@@ -79,9 +83,41 @@
 void SimulatedCell::Submit(JobDefinition spec) {
   spec.accepted = WallTime(m_now.time_since_epoch());
   m_jobs.emplace(spec.id, spec);
+  m_submitted.insert(spec.id);
   m_scheduler->AddJob(spec, m_now, spec.accepted);
 }
 
+void SimulatedCell::ApplyRecord(const std::string& key,
+                                const std::string& value) {
+  const auto parsed = ParseJobRecordKey(key);
+  const WallTime wall(m_now.time_since_epoch());
+  if (parsed->kind == JobRecordKind::kTransfer) {
+    const auto transfer = DecodeTransfer(value);
+    m_jobs.emplace(transfer->job.id, transfer->job);
+    m_scheduler->AddTransfer(*transfer, m_now, wall);
+  } else if (parsed->kind == JobRecordKind::kCancellation) {
+    m_cancelled.insert(parsed->job);
+    m_scheduler->CancelJob(parsed->job, m_now);
+  } else if (parsed->kind == JobRecordKind::kEnd) {
+    m_scheduler->EndMovedJob(parsed->job, *DecodeEnd(value), m_now);
+  }
+}
+
+void SimulatedCell::Deliver(const CellMessage& message) {
+  m_received_records[message.key] = message.value;
+  ApplyRecord(message.key, message.value);
+}
+
+std::vector<CellMessage> SimulatedCell::TakeMessages() {
+  for (CellMessage& message : m_scheduler->TakeCancellations())
+    m_sent_messages.push_back(std::move(message));
+  for (const CellMessage& message : m_sent_messages) {
+    if (message.ended_job)
+      m_scheduler->OnEndMessageStored(*message.ended_job);
+  }
+  return std::exchange(m_sent_messages, {});
+}
+
 void SimulatedCell::Cancel(const std::string& job) {
   m_cancelled.insert(JobId(job));
   m_scheduler->CancelJob(JobId(job), m_now);
@@ -110,13 +146,25 @@
 
 void SimulatedCell::ReplaceOwner() {
   m_pending_plan.reset();
+  m_sent_messages.clear();
   MakeScheduler();
-  for (const auto& [id, spec] : m_jobs)
-    m_scheduler->AddJob(spec, m_now, WallTime(m_now.time_since_epoch()));
+  for (const auto& [id, spec] : m_jobs) {
+    // Jobs that other cells moved here are known from their transfers.
+    if (m_submitted.count(id) > 0)
+      m_scheduler->AddJob(spec, m_now, WallTime(m_now.time_since_epoch()));
+  }
+  const auto replay = [this](JobRecordKind kind) {
+    for (const auto& [key, value] : m_received_records) {
+      if (ParseJobRecordKey(key)->kind == kind)
+        ApplyRecord(key, value);
+    }
+  };
+  replay(JobRecordKind::kTransfer);
   for (const auto& [key, value] : m_stored_records)
     m_scheduler->RestoreProgress({key, value});
   for (const JobId& id : m_cancelled)
     m_scheduler->CancelJob(id, m_now);
+  replay(JobRecordKind::kEnd);
   m_scheduler->FinishRestore(m_now);
   for (SimulatedWorker& worker : m_workers) {
     m_scheduler->UpsertWorker(worker.info, m_now);
@@ -296,6 +344,8 @@
       m_stored_records[record.key] = record.value;
   }
   m_scheduler->OnStored(m_now);
+  for (CellMessage& message : m_pending_plan->messages)
+    m_sent_messages.push_back(std::move(message));
   const std::vector<StartRunCommand> starts = m_pending_plan->starts;
   m_pending_plan.reset();
   for (const StartRunCommand& start : starts)
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -23,6 +23,8 @@
   TimePoint started;
 };
 
+inline constexpr Duration kTimeStep = std::chrono::milliseconds(10);
+
 /** A worker in virtual time that follows the protocol of leases, runs and
  * listings. */
 struct SimulatedWorker {
@@ -62,8 +64,13 @@
  public:
   explicit SimulatedCell(const SchedulerOptions& options = SchedulerOptions());
 
-  void AddWorkers(int count, int64_t cores, int64_t memory_mb);
+  /** `first_number` numbers the workers and, by eights, their racks. */
+  void AddWorkers(int count,
+                  int64_t cores,
+                  int64_t memory_mb,
+                  size_t first_number = 0);
   SimulatedWorker& worker(size_t index) { return m_workers[index]; }
+  const SimulatedWorker& worker(size_t index) const { return m_workers[index]; }
   size_t worker_count() const { return m_workers.size(); }
   void SetQueue(const std::string& queue, const QueuePolicy& policy);
   /** Run time of a task in seconds; the step's estimate if not set. */
@@ -77,6 +84,12 @@
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
   void Submit(JobDefinition spec);
+  /** A record of another cell arrives in this cell's job stream. */
+  void Deliver(const CellMessage& message);
+  /** Messages to other cells that were stored since the last call. */
+  std::vector<CellMessage> TakeMessages();
+  /** Advances the time by `kTimeStep`. */
+  void Advance();
   void Cancel(const std::string& job);
   void RemoveFromList(size_t worker);
   /** The platform lists the worker's changed `info`. */
@@ -106,7 +119,7 @@
 
  private:
   void MakeScheduler();
-  void Advance();
+  void ApplyRecord(const std::string& key, const std::string& value);
   void AdvanceWorker(SimulatedWorker& worker);
   void UpdateTails(SimulatedWorker& worker);
   void SendListing(SimulatedWorker& worker);
@@ -129,8 +142,11 @@
   std::unique_ptr<Scheduler> m_scheduler;
   std::vector<SimulatedWorker> m_workers;
   std::map<JobId, JobDefinition> m_jobs;
+  std::set<JobId> m_submitted;  // here, and not in another cell
   std::set<JobId> m_cancelled;
   std::map<std::string, std::string> m_stored_records;
+  std::map<std::string, std::string> m_received_records;  // by key
+  std::vector<CellMessage> m_sent_messages;
   std::optional<Plan> m_pending_plan;
   TimePoint m_pending_since;
   Policy m_policy;
--- /dev/null
+++ b/tests/sched/simulated_cells.cc
@@ -0,0 +1,147 @@
+#include "tests/sched/simulated_cells.h"
+
+#include <map>
+#include <utility>
+
+namespace cowslipmast::sched {
+
+namespace {
+
+constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
+constexpr Duration kRepetitionDelay = std::chrono::seconds(5);
+// Racks are numbered so that each cell gets its own ones.
+constexpr size_t kWorkersPerRack = 8;
+
+}  // namespace
+
+SimulatedCells::SimulatedCells(uint32_t cells,
+                               int workers_per_cell,
+                               int64_t cores)
+    : m_layout{kLayoutVersion, cells} {
+  for (uint32_t i = 0; i < cells; ++i) {
+    SchedulerOptions options;
+    options.cell = CellId(i);
+    options.layout = m_layout;
+    m_cells.push_back(std::make_unique<SimulatedCell>(options));
+    m_cells.back()->AddWorkers(workers_per_cell, cores, 256000,
+                               i * 1000 * kWorkersPerRack);
+  }
+}
+
+void SimulatedCells::SetQueue(const std::string& queue,
+                              const QueuePolicy& policy) {
+  for (const auto& cell : m_cells)
+    cell->SetQueue(queue, policy);
+}
+
+size_t SimulatedCells::HomeOf(const std::string& job) const {
+  return CellOfJob(m_layout, JobId(job)).value();
+}
+
+std::string SimulatedCells::MakeIdFor(size_t cell, const std::string& prefix) {
+  std::string id;
+  do {
+    id = prefix + std::to_string(m_next_id++);
+  } while (HomeOf(id) != cell);
+  return id;
+}
+
+void SimulatedCells::Submit(const JobDefinition& job) {
+  m_cells[HomeOf(job.id.value())]->Submit(job);
+}
+
+void SimulatedCells::Cancel(const std::string& job) {
+  m_cells[HomeOf(job)]->Cancel(job);
+}
+
+void SimulatedCells::Run(Duration duration) {
+  const TimePoint end = m_cells[0]->now() + duration;
+  while (m_cells[0]->now() < end)
+    Advance();
+}
+
+void SimulatedCells::ExchangeLoads() {
+  const TimePoint now = m_cells[0]->now();
+  std::vector<CellLoad> loads;
+  for (const auto& cell : m_cells)
+    loads.push_back(cell->scheduler().Load(now));
+  for (size_t i = 0; i < m_cells.size(); ++i) {
+    std::vector<CellLoad> others = loads;
+    std::erase_if(others,
+                  [i](const CellLoad& load) { return load.cell == CellId(i); });
+    m_cells[i]->scheduler().SetCellLoads(std::move(others), now);
+  }
+}
+
+void SimulatedCells::Advance() {
+  for (const auto& cell : m_cells)
+    cell->Advance();
+  const TimePoint now = m_cells[0]->now();
+  for (const auto& cell : m_cells) {
+    for (CellMessage& message : cell->TakeMessages()) {
+      if (repeats_messages)
+        m_in_transit.push_back({now + kRepetitionDelay, message});
+      m_in_transit.push_back({now + message_delay, std::move(message)});
+    }
+  }
+  std::erase_if(m_in_transit, [&](const MessageInTransit& entry) {
+    if (entry.arrives > now)
+      return false;
+    m_cells[entry.message.to.value()]->Deliver(entry.message);
+    return true;
+  });
+  if (now >= m_next_exchange) {
+    m_next_exchange = now + kLoadInterval;
+    ExchangeLoads();
+  }
+  CheckRuns();
+}
+
+void SimulatedCells::CheckRuns() {
+  std::map<TaskName, size_t> cell_of;
+  for (size_t i = 0; i < m_cells.size(); ++i) {
+    for (size_t w = 0; w < m_cells[i]->worker_count(); ++w) {
+      const SimulatedWorker& worker = m_cells[i]->worker(w);
+      if (!worker.up)
+        continue;
+      for (const auto& [task, run] : worker.running) {
+        const auto [entry, added] = cell_of.emplace(task, i);
+        if (!added && entry->second != i)
+          m_violations.push_back("runs in two cells: " + task.job.value());
+      }
+    }
+  }
+}
+
+std::optional<JobState> SimulatedCells::StateOf(const std::string& job) const {
+  size_t cell = HomeOf(job);
+  std::optional<JobState> state;
+  for (size_t i = 0; i <= m_cells.size(); ++i) {
+    const auto status = m_cells[cell]->scheduler().StatusOf(JobId(job));
+    if (!status)
+      break;
+    state = status->state;
+    if (!status->moved_to)
+      break;
+    cell = status->moved_to->value();
+  }
+  return state;
+}
+
+size_t SimulatedCells::CountRunning(const std::string& job) const {
+  size_t count = 0;
+  for (const auto& cell : m_cells)
+    count += cell->CountRunning(job);
+  return count;
+}
+
+std::vector<std::string> SimulatedCells::Violations() const {
+  std::vector<std::string> all = m_violations;
+  for (const auto& cell : m_cells) {
+    const auto& own = cell->observations().violations;
+    all.insert(all.end(), own.begin(), own.end());
+  }
+  return all;
+}
+
+}  // namespace cowslipmast::sched
