cells: an idle owner proves its ownership with a record

Cause: an owner without work proved its ownership by an empty append, which took a number of its sequence but did not count for the store. With one cell for all there was always work, so that this did not show. Change: a small record proves the ownership; an append that is out of sequence ends the ownership at once. The store stand-in does as the store. Result: the new test of a cell that is idle for 3 s fails without the change and passes with it.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -242,7 +242,7 @@
   apply(JobRecordKind::kSubmission);
   apply(JobRecordKind::kTransfer);
   for (const KeyedRecord& record : progress.records) {
-    if (!record.value.empty() &&
+    if (!record.value.empty() && record.key != kProofKey &&
         !scheduler->RestoreProgress({record.key, record.value}))
       LogEvent("progress_unreadable", {{"key", record.key}});
   }
@@ -405,7 +405,7 @@
   const auto proven = writer.proven_at();
   if (proven && MonotonicNow() - *proven < kProofInterval)
     co_return;
-  const bool accepted = co_await writer.Fence();
+  const bool accepted = co_await writer.Prove();
   if (!accepted && !stopped)
     OnOwnershipLost();
 }
--- a/src/scheduler_process/platform_ports.h
+++ b/src/scheduler_process/platform_ports.h
@@ -35,12 +35,13 @@
 };
 
 enum class StoreErrorKind {
-  kUnavailable,  // refused or not reached: not applied
-  kUnknown,      // no response: may have been applied, or may be later
-  kFenced,       // a later epoch has written
-  kConflict,     // the expected end offset was wrong: not applied
-  kTrimmed,      // the requested records have been deleted
-  kNoSuchTopic,  // nobody has written to it yet
+  kUnavailable,    // refused or not reached: not applied
+  kUnknown,        // no response: may have been applied, or may be later
+  kFenced,         // a later epoch has written
+  kOutOfSequence,  // not the next append of its producer: not applied
+  kConflict,       // the expected end offset was wrong: not applied
+  kTrimmed,        // the requested records have been deleted
+  kNoSuchTopic,    // nobody has written to it yet
   kMalformedResponse,
 };
 
--- a/src/scheduler_process/progress_writer.cc
+++ b/src/scheduler_process/progress_writer.cc
@@ -41,7 +41,9 @@
               {"epoch", static_cast<int64_t>(m_epoch.value())},
               {"sequence", static_cast<int64_t>(request.producer->sequence)},
               {"detail", error.detail}});
-    if (error.kind == StoreErrorKind::kFenced)
+    // Out of sequence, no later append of this epoch would be taken either.
+    if (error.kind == StoreErrorKind::kFenced ||
+        error.kind == StoreErrorKind::kOutOfSequence)
       co_return false;
     request.timeout = std::min(kMaxAppendTimeout, request.timeout * 2);
     co_await Sleep(kRetryDelay);
@@ -54,6 +56,12 @@
   co_return co_await AppendUntilAnswered(std::move(request));
 }
 
+asio::awaitable<bool> ProgressWriter::Prove() {
+  std::vector<ProgressRecord> proof = {
+      {std::string(kProofKey), std::to_string(m_epoch.value())}};
+  co_return co_await Store(std::move(proof));
+}
+
 asio::awaitable<bool> ProgressWriter::Store(
     std::vector<ProgressRecord> records) {
   size_t next = 0;
--- a/src/scheduler_process/progress_writer.h
+++ b/src/scheduler_process/progress_writer.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "cowslipmast/sched/scheduler.h"
@@ -11,6 +12,10 @@
 
 namespace cowslipmast::sched {
 
+/** Key of the record that an owner without other records appends. A request
+ * without a record would not count in the sequence of its appends. */
+inline constexpr std::string_view kProofKey = "owner-proof";
+
 /** Appends the owner's progress records in order. Each accepted append also
  * proves the ownership: no later owner had fenced the stream. */
 class ProgressWriter {
@@ -21,6 +26,9 @@
    * until the store answers; false once a later owner has fenced the stream. */
   asio::awaitable<bool> Fence();
 
+  /** Appends a record that only proves the ownership. */
+  asio::awaitable<bool> Prove();
+
   /** Appends records, retrying until the store answers; false once a later
    * owner has fenced the stream. */
   asio::awaitable<bool> Store(std::vector<ProgressRecord> records);
--- a/standins/platform/store_stand_in.cc
+++ b/standins/platform/store_stand_in.cc
@@ -106,6 +106,12 @@
     const uint64_t sequence = NumberOf(request.path, "seq");
     if (epoch < producer.epoch)
       return MakeJsonResponse(409, R"({"reason":"fenced"})");
+    // Without a record only the epoch is set.
+    if (request.body.empty()) {
+      if (epoch > producer.epoch)
+        producer = {epoch, std::nullopt};
+      return MakeJsonResponse(200, json{{"end", topic.end()}}.dump());
+    }
     if (epoch == producer.epoch && producer.sequence == sequence)
       return MakeJsonResponse(200, json{{"end", topic.end()}}.dump());
     if (epoch == producer.epoch && producer.sequence &&
--- a/tests/platform/scheduler_process_test.cc
+++ b/tests/platform/scheduler_process_test.cc
@@ -29,6 +29,19 @@
     CHECK(observations.done.size() == 8);
     CHECK(observations.violations.empty());
   }
+  SECTION("goes on after a time without work") {
+    // Guards against proofs of ownership that count in the sequence of the
+    // owner's appends, but not for the store: in the large deployment a cell
+    // that had been idle for a second stored nothing until its owner was
+    // replaced.
+    REQUIRE(system.Submit(process, kFirstJobId, 2) == 200);
+    REQUIRE(
+        system.WaitForState(process, kFirstJobId, "completed", seconds(10)));
+    std::this_thread::sleep_for(seconds(3));
+    REQUIRE(system.Submit(process, kSecondJobId, 2) == 200);
+    CHECK(system.WaitForState(process, kSecondJobId, "completed", seconds(3)));
+    CHECK(system.KnownEpoch(process) == 1);
+  }
   SECTION("runs a job once that is submitted twice") {
     REQUIRE(system.Submit(process, kFirstJobId, 2) == 200);
     REQUIRE(system.Submit(process, kFirstJobId, 2) == 200);
