cells: restored jobs between steps, overdue tasks, shared interference

Change: done tasks mark a job as started; overdue tasks may go to any cell with capacity; owners exchange what their cells have learned every 2 s, and combine it with their own estimates by precision.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -137,6 +137,12 @@
 
   /** Loads of the other cells. */
   void SetCellLoads(std::vector<CellLoad> loads, TimePoint now);
+  /** What this cell has learned of the interference between images, for other
+   * cells. */
+  std::string OwnInterference() const;
+  /** What other cells have learned, as encoded by `OwnInterference`. Returns
+   * the number of encodings that could not be read. */
+  size_t SetPeerInterference(const std::vector<std::string>& encoded);
   /** Load of this cell. */
   CellLoad Load(TimePoint now) const;
 
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -68,6 +68,8 @@
   switch (work.kind) {
     case WorkKind::kLongRunning:
       return mean_use * capacity - LongRunningCores(load);
+    case WorkKind::kOverdueLongRunning:
+      return capacity - LongRunningCores(load) - Cores(load.waiting);
     case WorkKind::kShort: {
       const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
       return free < Cores(work.need) ? 0 : free;
@@ -107,6 +109,8 @@
       return use > kMinUseToMove &&
              use > mean_use + kKeptAboveMean + kKeptAboveMeanPerHop * work.hop;
     }
+    case WorkKind::kOverdueLongRunning:
+      return true;
     case WorkKind::kShort:
       return work.waited >= kMinShortWait;
     case WorkKind::kBestEffort:
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -10,7 +10,12 @@
 
 namespace cowslipmast::sched {
 
-enum class WorkKind { kShort, kLongRunning, kBestEffort };
+enum class WorkKind {
+  kShort,
+  kLongRunning,
+  kOverdueLongRunning,  // must get a worker at once, in any cell
+  kBestEffort
+};
 
 /** Work that waits in a cell. */
 struct WaitingWork {
@@ -31,8 +36,8 @@
  * many long-running jobs as another, and failed workers leave a cell full while
  * others have capacity. Long-running work leaves a cell only down to the mean
  * use of all cells, so that cells with the same view do not overload the
- * emptiest one; short and best-effort work leaves only after it has waited, for
- * a cell where nothing waits. */
+ * emptiest one, unless it is overdue; short and best-effort work leaves only
+ * after it has waited, for a cell where nothing waits. */
 std::optional<CellId> ChooseCell(const WaitingWork& work,
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others);
--- a/src/sched/interference_model.cc
+++ b/src/sched/interference_model.cc
@@ -7,10 +7,6 @@
 
 namespace {
 
-// An unknown best-effort image is assumed to interfere a little. Pairs of
-// images have a coefficient near 0, or of 1 to 5.
-constexpr double kInitialMean = 0.2;
-constexpr double kInitialVariance = 1.0;
 // Variance of a latency-critical task's own utilisation around the initial
 // estimate: waves between 0.2 and 0.65 have a standard deviation of 0.16.
 // Successive listings of a task show the same wave, so the factor makes many of
@@ -26,6 +22,7 @@
 constexpr double kSaturatedUtilisation = 0.9;
 // Part of the standard deviation that is added to an uncertain coefficient.
 constexpr double kUncertaintyWeight = 0.3;
+constexpr double kMinVariance = 1e-6;
 // A smaller coefficient cannot be told from noise and counts as 0: otherwise a
 // latency-critical task at its peak would leave no headroom for any best-effort
 // task. The task's own utilisation then contains the difference.
@@ -116,9 +113,12 @@
 double UtilisationAt(const LatencyCriticalModel& model,
                      double tail_ms,
                      double target_ms) {
-  const double seen = model.shortest_tail_ms > 0
-                          ? model.shortest_tail_ms * kIdleShareOfShortestTail
-                          : target_ms * kMaxIdleShareOfTarget;
+  double shortest = model.shortest_tail_ms;
+  if (model.peer_shortest_tail_ms > 0 &&
+      (shortest <= 0 || model.peer_shortest_tail_ms < shortest))
+    shortest = model.peer_shortest_tail_ms;
+  const double seen = shortest > 0 ? shortest * kIdleShareOfShortestTail
+                                   : target_ms * kMaxIdleShareOfTarget;
   const double idle = std::clamp(seen, target_ms * kMinIdleShareOfTarget,
                                  target_ms * kMaxIdleShareOfTarget);
   return std::clamp(1.0 - idle / std::max(tail_ms, idle), 0.0, 1.0);
@@ -178,13 +178,21 @@
                             ImageIndex best_effort) {
   const LatencyCriticalModel& entry =
       model.latency_critical_models[latency_critical];
-  if (best_effort >= entry.mean.size())
-    return kInitialMean + kUncertaintyWeight * std::sqrt(kInitialVariance);
-  const double variance =
-      entry.covariance[best_effort * entry.mean.size() + best_effort];
-  const double estimate =
-      entry.mean[best_effort] +
-      kUncertaintyWeight * std::sqrt(std::max(0.0, variance));
+  double mean = kInitialMean;
+  double variance = kInitialVariance;
+  if (best_effort < entry.mean.size()) {
+    mean = entry.mean[best_effort];
+    variance = std::max(
+        kMinVariance,
+        entry.covariance[best_effort * entry.mean.size() + best_effort]);
+  }
+  if (best_effort < entry.peers.size()) {
+    const PeerEstimate& peers = entry.peers[best_effort];
+    const double precision = 1 / variance + peers.precision;
+    mean = (mean / variance + peers.weighted_mean) / precision;
+    variance = 1 / precision;
+  }
+  const double estimate = mean + kUncertaintyWeight * std::sqrt(variance);
   return estimate < kMinInterference ? 0.0 : estimate;
 }
 
--- a/src/sched/interference_model.h
+++ b/src/sched/interference_model.h
@@ -12,6 +12,12 @@
 /** Position of an image in the lists of an interference model. */
 using ImageIndex = uint32_t;
 
+/** What other cells have learned of a coefficient, as sums over the cells. */
+struct PeerEstimate {
+  double precision = 0;      // inverse variances, beyond the initial one
+  double weighted_mean = 0;  // means times their precisions
+};
+
 /** Estimated interference of best-effort images with one latency-critical
  * image.
  *
@@ -21,9 +27,11 @@
  * the share of the worker's processors that the image uses. The coefficients
  * are estimated by a Kalman filter with one dimension per best-effort image. */
 struct LatencyCriticalModel {
-  double shortest_tail_ms = 0;     // seen so far; 0 before the first
-  std::vector<double> mean;        // coefficients, by best-effort image
-  std::vector<double> covariance;  // square, row by row
+  double shortest_tail_ms = 0;       // seen so far; 0 before the first
+  double peer_shortest_tail_ms = 0;  // seen by other cells; 0 if none
+  std::vector<PeerEstimate> peers;   // by best-effort image
+  std::vector<double> mean;          // coefficients, by best-effort image
+  std::vector<double> covariance;    // square, row by row
 };
 
 /** How images of tasks interfere with each other, learned from listings. */
@@ -92,6 +100,12 @@
                          ImageIndex latency_critical,
                          const std::vector<BestEffortShare>& shares);
 
+/** Estimate of a coefficient before the first observation: an unknown
+ * best-effort image is assumed to interfere a little. Pairs of images have a
+ * coefficient near 0, or of 1 to 5. */
+inline constexpr double kInitialMean = 0.2;
+inline constexpr double kInitialVariance = 1.0;
+
 /** Own utilisation assumed of a latency-critical task before it is measured. */
 inline constexpr double kInitialOwnUtilisation = 0.45;
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -47,6 +47,7 @@
   if (stored.is_number()) {
     task.phase = SchedulingPhase::kDone;
     --StepOf(ref).unfinished_tasks;
+    ref.iteration->job->has_started = true;
     return;
   }
   const RunNumber run(stored.at(1).get<uint64_t>());
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -12,6 +12,7 @@
 #include "src/sched/listing.h"
 #include "src/sched/pacing.h"
 #include "src/sched/progress.h"
+#include "src/sched/shared_interference.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/transfers.h"
 #include "src/sched/workers.h"
@@ -212,6 +213,14 @@
   m_impl->state.cell_loads_at = now;
 }
 
+std::string Scheduler::OwnInterference() const {
+  return EncodeOwnEstimates(m_impl->state.interference);
+}
+
+size_t Scheduler::SetPeerInterference(const std::vector<std::string>& encoded) {
+  return SetPeerEstimates(m_impl->state.interference, encoded);
+}
+
 CellLoad Scheduler::Load(TimePoint now) const {
   return MeasureLoad(m_impl->state, now);
 }
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -25,9 +25,10 @@
 constexpr uint32_t kMaxHops = 4;
 // Steps considered in one plan; bounds its duration while many wait.
 constexpr size_t kMaxStepsConsidered = 200;
-// A long-running task must have a worker after 3 s; a move takes 0.1 s, and the
-// next cell may have to wait for a worker, too.
-constexpr Duration kMinWaitToMoveTask = milliseconds(1000);
+// A long-running task must have a worker after 3 s. It is overdue in its cell
+// after 1.5 s, and may then use the capacity that is kept for short work; a
+// move takes 0.1 s.
+constexpr Duration kMinWaitToMoveTask = milliseconds(1700);
 
 bool HasFreshLoads(const State& state, TimePoint now) {
   return !state.cell_loads.empty() && now - state.cell_loads_at < kMaxLoadAge;
@@ -55,6 +56,7 @@
       return;
     switch (work.kind) {
       case WorkKind::kLongRunning:
+      case WorkKind::kOverdueLongRunning:
         load->waiting_long_running += need;
         return;
       case WorkKind::kShort:
@@ -330,7 +332,8 @@
       continue;
     if (!own)
       own = MeasureLoad(state, now);
-    const WaitingWork work = DescribeWork(state, key, now);
+    WaitingWork work = DescribeWork(state, key, now);
+    work.kind = WorkKind::kOverdueLongRunning;
     if (const auto target = ChooseCell(work, *own, state.cell_loads)) {
       ShiftLoad(state, *own, work, *target);
       moves.emplace_back(key, *target);
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -503,6 +503,20 @@
   return m_impl->load;
 }
 
+std::string Cell::OwnInterference() const {
+  return IsCurrent() ? m_impl->scheduler->OwnInterference() : std::string();
+}
+
+void Cell::SetPeerInterference(const std::vector<std::string>& encoded) {
+  if (!m_impl->scheduler || m_impl->stopped)
+    return;
+  const size_t unreadable = m_impl->scheduler->SetPeerInterference(encoded);
+  if (unreadable > 0)
+    LogEvent("peer_interference_unreadable",
+             {{"cell", static_cast<int64_t>(m_impl->options.cell.value())},
+              {"count", static_cast<int64_t>(unreadable)}});
+}
+
 void Cell::SetCellLoads(const std::vector<CellLoad>& loads) {
   if (!m_impl->scheduler || m_impl->stopped)
     return;
--- a/src/scheduler_process/cell.h
+++ b/src/scheduler_process/cell.h
@@ -63,6 +63,11 @@
   size_t WorkerCount() const;
   /** Load of the cell, up to 0.2 s old; nothing while `IsCurrent` is false. */
   std::optional<CellLoad> Load() const;
+  /** What the cell has learned of the interference between images; empty while
+   * `IsCurrent` is false. */
+  std::string OwnInterference() const;
+  /** What the other cells have learned. */
+  void SetPeerInterference(const std::vector<std::string>& encoded);
   /** Loads of all cells; that of this cell is ignored. */
   void SetCellLoads(const std::vector<CellLoad>& loads);
   std::string Dump() const;
--- a/src/scheduler_process/cell_path.h
+++ b/src/scheduler_process/cell_path.h
@@ -23,6 +23,7 @@
 inline constexpr std::string_view kHealthResource = "owner";
 inline constexpr std::string_view kOfferResource = "offer";
 inline constexpr std::string_view kLoadResource = "load";
+inline constexpr std::string_view kInterferenceResource = "interference";
 inline constexpr std::string_view kJobsResource = "jobs/";
 inline constexpr std::string_view kRecordsResource = "records/";
 
--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -20,6 +20,9 @@
 constexpr Duration kInterval = milliseconds(500);
 constexpr size_t kMaxCellsAtFullRate = 64;
 constexpr Duration kRequestTimeout = milliseconds(400);
+// What cells have learned is exchanged in every fourth round: it changes within
+// seconds, and takes about 9 kB for a cell.
+constexpr uint64_t kRoundsPerInterference = 4;
 // Decisions use loads up to this age. During a change of owner a cell's last
 // waiting count is used for longer.
 constexpr Duration kMaxLoadAge = milliseconds(2500);
@@ -47,6 +50,7 @@
 
   asio::awaitable<void> Run();
   asio::awaitable<void> Ask(CellId cell, Endpoint owner);
+  asio::awaitable<void> AskForInterference(CellId cell, Endpoint owner);
   void AskOthers(const CellLayout& layout, const std::vector<CellLoad>& own);
   std::vector<CellLoad> RecentLoads(const std::vector<CellLoad>& own) const;
 
@@ -55,6 +59,8 @@
   std::shared_ptr<OwnerElection> election;
   LoadExchangeHooks hooks;
   std::map<CellId, KnownLoad> known;
+  std::map<CellId, std::string> known_interference;
+  uint64_t rounds = 0;
   std::optional<TimePoint> owning_since;
   bool stopped = false;
 };
@@ -74,6 +80,19 @@
     known[cell] = {std::move(*load), MonotonicNow()};
 }
 
+asio::awaitable<void> LoadExchange::Impl::AskForInterference(CellId cell,
+                                                             Endpoint owner) {
+  const auto self = shared_from_this();
+  HttpRequest request;
+  request.path = MakeCellPath(cell, kInterferenceResource);
+  NetError error;
+  auto response =
+      co_await client.Call(owner, std::move(request), kRequestTimeout, error);
+  // Without a response what was learned before still holds.
+  if (response && response->status == 200 && !response->body.empty())
+    known_interference[cell] = std::move(response->body);
+}
+
 void LoadExchange::Impl::AskOthers(const CellLayout& layout,
                                    const std::vector<CellLoad>& own) {
   for (uint32_t i = 0; i < layout.cells; ++i) {
@@ -82,8 +101,12 @@
         std::any_of(own.begin(), own.end(),
                     [cell](const CellLoad& load) { return load.cell == cell; });
     const auto owner = election->owner(cell);
-    if (!is_own && owner && !owner->released)
-      Spawn(io, "load_request", Ask(cell, owner->control));
+    if (is_own || !owner || owner->released)
+      continue;
+    Spawn(io, "load_request", Ask(cell, owner->control));
+    if (rounds % kRoundsPerInterference == 0)
+      Spawn(io, "interference_request",
+            AskForInterference(cell, owner->control));
   }
 }
 
@@ -114,6 +137,11 @@
     }
     if (layout && layout->cells > 1 && !own.empty()) {
       hooks.on_loads(RecentLoads(own));
+      if (++rounds % kRoundsPerInterference == 1) {
+        std::map<CellId, std::string> learned = hooks.own_interference();
+        learned.insert(known_interference.begin(), known_interference.end());
+        hooks.on_interference(learned);
+      }
       AskOthers(*layout, own);
     }
     const size_t cells = layout ? layout->cells : 1;
--- a/src/scheduler_process/load_exchange.h
+++ b/src/scheduler_process/load_exchange.h
@@ -2,6 +2,7 @@
 #define COWSLIPMAST_SRC_SCHEDULER_PROCESS_LOAD_EXCHANGE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -17,12 +18,17 @@
 struct LoadExchangeHooks {
   /** Loads of the cells that this process owns and knows completely. */
   std::function<std::vector<CellLoad>()> own_loads;
+  /** What the process's own cells have learned of interference, by cell. */
+  std::function<std::map<CellId, std::string>()> own_interference;
+  /** Called with what all cells have learned. */
+  std::function<void(const std::map<CellId, std::string>&)> on_interference;
   /** Called with the recent loads of all cells. */
   std::function<void(const std::vector<CellLoad>&)> on_loads;
 };
 
-/** Keeps the loads of all cells known to a process that owns one: asks the
- * other owners for theirs. Processes that own none ask nobody. */
+/** Keeps the loads of all cells, and what they have learned, known to a process
+ * that owns one: asks the other owners for theirs. Processes that own none ask
+ * nobody. */
 class LoadExchange {
  public:
   static std::shared_ptr<LoadExchange> Make(
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -263,6 +263,15 @@
   }
   if (path.resource == kOfferResource)
     co_return co_await HandleOffer(path.cell, std::move(body));
+  if (path.resource == kInterferenceResource) {
+    const auto cell = FindCell(path.cell);
+    HttpResponse response;
+    response.status = cell ? 200 : 503;
+    response.headers.push_back({"Content-Type", "application/cbor"});
+    if (cell)
+      response.body = cell->OwnInterference();
+    co_return response;
+  }
   if (path.resource == kLoadResource) {
     const auto cell = FindCell(path.cell);
     const auto load = cell ? cell->Load() : std::nullopt;
@@ -393,6 +402,23 @@
     for (const auto& [id, entry] : cells)
       entry.cell->SetCellLoads(all);
   };
+  load_hooks.own_interference = [this] {
+    std::map<CellId, std::string> learned;
+    for (const auto& [id, entry] : cells)
+      learned[id] = entry.cell->OwnInterference();
+    return learned;
+  };
+  load_hooks.on_interference =
+      [this](const std::map<CellId, std::string>& learned) {
+        for (const auto& [id, entry] : cells) {
+          std::vector<std::string> others;
+          for (const auto& [peer, encoded] : learned) {
+            if (peer != id && !encoded.empty())
+              others.push_back(encoded);
+          }
+          entry.cell->SetPeerInterference(others);
+        }
+      };
   loads = LoadExchange::Make(io, peers, election, std::move(load_hooks));
   service = JobService::Make(io, ports.store, peers, election, loads,
                              [this](CellId id) { return FindCell(id); });
--- a/tests/sched/cells_replay_test.cc
+++ b/tests/sched/cells_replay_test.cc
@@ -276,6 +276,33 @@
   }
 }
 
+TEST_CASE("a job between two steps whose owner is replaced", "[sched]") {
+  // Guards against a job that is taken for one that never started because its
+  // first step is done and its second one waits: it moved to another cell and
+  // ran again from the start (run trouble-1 of the large deployment).
+  const auto system = MakeCells(2, 1);
+  std::vector<StepSpec> steps = {MakeStep(2, 2, 1000, 0.3),
+                                 MakeStep(2, 2, 1000, 0.3)};
+  steps[1].depends_on = {0};
+  const std::string job = system->MakeIdFor(0, "j");
+  system->Submit(MakeJob(job, "urgent", steps));
+  system->Run(milliseconds(200));
+  REQUIRE(system->CountRunning(job) == 2);
+  // The second step finds no worker in its cell.
+  system->cell(0).worker(0).info.draining = true;
+  system->cell(0).UpdateWorkerInfo(0);
+  system->Run(milliseconds(600));
+  system->cell(0).ReplaceOwner();
+  system->Run(seconds(2));
+  CHECK(system->Violations().empty());
+  CHECK(system->CountRunning(job) == 0);
+  system->cell(0).worker(0).info.draining = false;
+  system->cell(0).UpdateWorkerInfo(0);
+  system->Run(seconds(2));
+  CHECK(system->StateOf(job) == JobState::kCompleted);
+  CHECK(system->Violations().empty());
+}
+
 TEST_CASE("choosing a cell for long-running work", "[sched]") {
   const auto load = [](uint64_t cell, int64_t long_running) {
     ServiceLoad service;
