tests: a task that ran to its end in one cell must not run in another

Cause: the simulation of several cells looked for tasks that were started after their end in each cell alone. Change: the ends of all cells are known to the check.

--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -108,9 +108,14 @@
         const auto [entry, added] = cell_of.emplace(task, i);
         if (!added && entry->second != i)
           m_violations.push_back("runs in two cells: " + task.job.value());
+        if (m_done.count(task) > 0)
+          m_violations.push_back("runs after it was done: " + task.job.value());
       }
     }
   }
+  for (const auto& cell : m_cells)
+    m_done.insert(cell->observations().done.begin(),
+                  cell->observations().done.end());
 }
 
 std::optional<JobState> SimulatedCells::StateOf(const std::string& job) const {
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -2,6 +2,7 @@
 #define COWSLIPMAST_TESTS_SCHED_SIMULATED_CELLS_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,7 @@
   std::vector<std::unique_ptr<SimulatedCell>> m_cells;
   std::vector<MessageInTransit> m_in_transit;
   std::vector<std::string> m_violations;
+  std::set<TaskName> m_done;  // in any cell
   TimePoint m_next_exchange;
   int m_next_id = 0;
 };
