--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -41,7 +41,9 @@
 constexpr Duration kStopInterval = milliseconds(100);
 constexpr Duration kRetryDelay = milliseconds(100);
 // If the stream of jobs was last read longer ago than this, a missing job may
-// still exist; a job must be visible 3 s after its acceptance.
+// still exist, and a job may have been cancelled: a job must be visible 3 s
+// after its acceptance, and none of its tasks may start 3 s after its
+// cancellation.
 constexpr Duration kMaxJobsAge = milliseconds(2000);
 constexpr FollowTiming kJobFollowTiming = {
     .max_wait = milliseconds(1000),
@@ -289,6 +291,10 @@
   const std::weak_ptr<Impl> weak = weak_from_this();
   WorkerDriverHooks driver_hooks;
   driver_hooks.has_authority = [this] { return HasAuthority(); };
+  driver_hooks.knows_cancellations = [this] {
+    const auto age = job_follower ? job_follower->Age() : std::nullopt;
+    return age && *age < kMaxJobsAge;
+  };
   driver_hooks.on_event = [this] { wake.Notify(); };
   driver_hooks.own_lag = hooks.own_lag;
   driver_hooks.on_fenced = [this] { OnOwnershipLost(); };
--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -26,6 +26,7 @@
 // one.
 constexpr Duration kPauseAfterListing = std::chrono::milliseconds(60);
 constexpr Duration kPauseAfterError = std::chrono::milliseconds(250);
+constexpr Duration kPauseWhileBehind = std::chrono::milliseconds(50);
 // Commands in progress to one worker, besides the listing; each takes a
 // connection, and new connections have a cost.
 constexpr size_t kMaxCommandsInProgress = 2;
@@ -257,6 +258,12 @@
 
 asio::awaitable<void> WorkerDriver::Impl::Execute(WorkerChannelPtr channel,
                                                   StartRunCommand command) {
+  // An owner that is behind, or does not reach the store, may not have read
+  // that the job was cancelled.
+  while (!stopped && hooks.has_authority() && !hooks.knows_cancellations())
+    co_await Sleep(kPauseWhileBehind);
+  if (stopped)
+    co_return;
   if (!scheduler.IsStillWanted(command) || !hooks.has_authority()) {
     scheduler.OnStartSkipped(command, MonotonicNow());
     hooks.on_event();
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -63,6 +63,7 @@
     port.drop_connections = [](const WorkerInfo&) {};
     WorkerDriverHooks hooks;
     hooks.has_authority = [] { return true; };
+    hooks.knows_cancellations = [this] { return knows_cancellations; };
     hooks.on_event = [] {};
     hooks.own_lag = [this] { return own_lag; };
     hooks.on_fenced = [] {};
@@ -112,6 +113,7 @@
   std::vector<StartOutcome> start_outcomes;
   size_t start_calls = 0;
   size_t stop_calls = 0;
+  bool knows_cancellations = true;
   Duration own_lag{0};
   Duration response_time{0};
   ListRequest last_request;
@@ -146,6 +148,33 @@
   }
 }
 
+TEST_CASE("an owner that is behind", "[scheduler-process]") {
+  // Guards against tasks that start seconds after their job's cancellation was
+  // acknowledged, because the owner has not read it (run trouble-3 of
+  // quispe-balizas-grown, after an outage of the store).
+  DrivenCell cell;
+  cell.AddWorkers({MakeWorker("w1")});
+  cell.scheduler->AddJob(MakeOneTaskJob(), MonotonicNow(), WallNow());
+  const Plan plan = cell.MakePlan();
+  REQUIRE(plan.starts.size() == 1);
+  cell.knows_cancellations = false;
+  cell.driver->Send(plan.starts[0]);
+  cell.RunFor(milliseconds(300));
+  CHECK(cell.start_calls == 0);
+
+  SECTION("starts no task whose cancellation it then reads") {
+    cell.scheduler->CancelJob(JobId("a"), MonotonicNow());
+    cell.knows_cancellations = true;
+    cell.RunFor(milliseconds(300));
+    CHECK(cell.start_calls == 0);
+  }
+  SECTION("starts the task once it has caught up") {
+    cell.knows_cancellations = true;
+    cell.RunFor(milliseconds(300));
+    CHECK(cell.start_calls == 1);
+  }
+}
+
 TEST_CASE("a worker without a response", "[scheduler-process]") {
   DrivenCell cell;
   cell.AddWorkers({MakeWorker("w1")});
