--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -20,9 +20,9 @@
 constexpr Duration kInterval = milliseconds(500);
 constexpr size_t kMaxCellsAtFullRate = 64;
 constexpr Duration kRequestTimeout = milliseconds(400);
-// What cells have learned is exchanged in every fourth round: it changes within
+// What cells have learned is exchanged in every other round: it changes within
 // seconds, and takes about 9 kB for a cell.
-constexpr uint64_t kRoundsPerInterference = 4;
+constexpr uint64_t kRoundsPerInterference = 2;
 // Decisions use loads up to this age. During a change of owner a cell's last
 // waiting count is used for longer.
 constexpr Duration kMaxLoadAge = milliseconds(2500);
