cells: only a plan of over 0.1 s stretches the interval

Cause: the interval between plans had become twice the time that a plan takes. Change: the interval is stretched only after a plan of over 100 ms.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -31,9 +31,10 @@
 // Minimum time between two plans, in which events accumulate: each plan costs
 // an append.
 constexpr Duration kPlanInterval = milliseconds(15);
-// The interval is at least this multiple of the time that the last plan took,
-// so that a VM with little processor time still handles responses and requests.
-constexpr int kPlanIntervalFactor = 2;
+// After a plan that took longer than this, the interval is as long as the plan,
+// so that an owner that is short of processor time still handles responses and
+// requests.
+constexpr Duration kLongPlan = milliseconds(100);
 constexpr Duration kMaxPlanInterval = milliseconds(300);
 // Prevents a busy loop while an iteration is due at this moment.
 constexpr Duration kMinPlanWait = milliseconds(1);
@@ -380,9 +381,9 @@
 asio::awaitable<bool> Cell::Impl::PlanOnce() {
   const TimePoint begin = MonotonicNow();
   Plan plan = scheduler->MakePlan(begin, WallNow());
+  const Duration took = MonotonicNow() - begin;
   plan_interval =
-      std::clamp<Duration>((MonotonicNow() - begin) * kPlanIntervalFactor,
-                           kPlanInterval, kMaxPlanInterval);
+      took > kLongPlan ? std::min(took, kMaxPlanInterval) : kPlanInterval;
   SendStops();
   for (const PaceCommand& pace : plan.paces)
     driver->Send(pace);
