scheduler process: only permissions are timed by the clock since boot

Change: the proof of ownership and the age of the stream of jobs use the time since boot, as they must count a suspension; all else the steady clock. Lease ends computed from the steady clock are only earlier. Timers of the stop and lag checks fire every 200 ms.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -39,7 +39,7 @@
 // Prevents a busy loop while an iteration is due at this moment.
 constexpr Duration kMinPlanWait = milliseconds(1);
 // Between two checks for stops that were not confirmed.
-constexpr Duration kStopInterval = milliseconds(100);
+constexpr Duration kStopInterval = milliseconds(200);
 constexpr Duration kRetryDelay = milliseconds(100);
 // If the stream of jobs was last read longer ago than this, a missing job may
 // still exist, and a job may have been cancelled: a job must be visible 3 s
@@ -122,7 +122,7 @@
 
 bool Cell::Impl::HasAuthority() const {
   const auto proven = writer.proven_at();
-  return !stopped && proven && MonotonicNow() - *proven < kAuthorityPeriod;
+  return !stopped && proven && BootTimeNow() - *proven < kAuthorityPeriod;
 }
 
 void Cell::Impl::StopAll() {
@@ -268,7 +268,7 @@
   scheduler_options.lease = options.lease;
   scheduler = Scheduler::Make(scheduler_options, claimed);
   scheduler->SetPolicy(hooks.manifest().policy, claimed);
-  const TimePoint requested_at = MonotonicNow();
+  const TimePoint requested_at = BootTimeNow();
   auto job_records = co_await ReadNewest(StoreTopic::kJobs);
   if (!job_records)
     co_return false;
@@ -410,7 +410,7 @@
 // Renews the proof of ownership while there is nothing else to store.
 asio::awaitable<void> Cell::Impl::RefreshOwnershipProof() {
   const auto proven = writer.proven_at();
-  if (proven && MonotonicNow() - *proven < kProofInterval)
+  if (proven && BootTimeNow() - *proven < kProofInterval)
     co_return;
   const bool accepted = co_await writer.Prove();
   if (!accepted && !stopped)
@@ -492,7 +492,7 @@
   const auto proven = m_impl->writer.proven_at();
   if (!proven)
     return std::nullopt;
-  return MonotonicNow() - *proven;
+  return BootTimeNow() - *proven;
 }
 
 std::optional<JobStatus> Cell::StatusOf(const JobId& id) const {
--- a/src/scheduler_process/clock.h
+++ b/src/scheduler_process/clock.h
@@ -10,9 +10,15 @@
 
 namespace cowslipmast::sched {
 
-/** Time since boot, including the time for which the VM was suspended, which
- * the steady clock omits: a lease or a proof of ownership goes on ageing. */
+/** Omits the time for which the VM was suspended. */
 inline TimePoint MonotonicNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/** Time since boot, including the time for which the VM was suspended: the age
+ * of a permission must count it. Costs a system call on some platforms. */
+inline TimePoint BootTimeNow() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
--- a/src/scheduler_process/loop_lag.cc
+++ b/src/scheduler_process/loop_lag.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kSampleInterval = milliseconds(100);
+constexpr Duration kSampleInterval = milliseconds(200);
 constexpr Duration kSampleRetention = milliseconds(2000);
 // Half of the time that a request to a worker may take.
 constexpr Duration kLateLoop = milliseconds(250);
--- a/src/scheduler_process/progress_writer.cc
+++ b/src/scheduler_process/progress_writer.cc
@@ -29,7 +29,7 @@
   request.producer = ProducerStamp{m_epoch.value(), m_sequence++};
   request.timeout = kInitialAppendTimeout;
   while (!m_stop_retrying) {
-    const TimePoint sent = MonotonicNow();
+    const TimePoint sent = BootTimeNow();
     StoreError error;
     const bool accepted = co_await m_store.append(request, error);
     if (accepted) {
--- a/src/scheduler_process/progress_writer.h
+++ b/src/scheduler_process/progress_writer.h
@@ -33,7 +33,7 @@
    * owner has fenced the stream. */
   asio::awaitable<bool> Store(std::vector<ProgressRecord> records);
 
-  /** Time at which the latest accepted append was sent. */
+  /** Time since boot at which the latest accepted append was sent. */
   std::optional<TimePoint> proven_at() const { return m_proven_at; }
   /** Stops retrying an append that gets no response. */
   void StopRetrying() { m_stop_retrying = true; }
--- a/src/scheduler_process/topic_follower.cc
+++ b/src/scheduler_process/topic_follower.cc
@@ -91,7 +91,7 @@
 
 asio::awaitable<bool> TopicFollower::Impl::ReadNewest() {
   StoreError error;
-  const TimePoint requested_at = MonotonicNow();
+  const TimePoint requested_at = BootTimeNow();
   std::optional<TopicSnapshot> snapshot =
       co_await store.read_newest(stream, error);
   if (stopped)
@@ -107,7 +107,7 @@
 
 asio::awaitable<bool> TopicFollower::Impl::ReadAdded() {
   StoreError error;
-  const TimePoint requested_at = MonotonicNow();
+  const TimePoint requested_at = BootTimeNow();
   std::optional<TopicSnapshot> added =
       co_await store.follow(stream, next_offset, timing.max_wait, error);
   if (stopped)
@@ -179,7 +179,7 @@
 std::optional<Duration> TopicFollower::Age() const {
   if (!m_impl->last_request_at)
     return std::nullopt;
-  return MonotonicNow() - *m_impl->last_request_at;
+  return BootTimeNow() - *m_impl->last_request_at;
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/topic_follower.h
+++ b/src/scheduler_process/topic_follower.h
@@ -20,7 +20,7 @@
   Duration pause_after_records{0};
 };
 
-/** Snapshot that was read before, and when it was requested. */
+/** Snapshot that was read before, and when it was requested, since boot. */
 struct FollowStart {
   TopicSnapshot snapshot;
   TimePoint requested_at;
--- a/src/scheduler_process/worker_driver.h
+++ b/src/scheduler_process/worker_driver.h
@@ -15,8 +15,8 @@
 struct WorkerDriverHooks {
   /** True while the owner may extend leases and start tasks. */
   std::function<bool()> has_authority;
-  /** True while the cancellations that were accepted some seconds ago are known:
-   * no task starts otherwise. */
+  /** True while the cancellations that were accepted some seconds ago are
+   * known: no task starts otherwise. */
   std::function<bool()> knows_cancellations;
   /** Called after a change that the scheduler should plan for. */
   std::function<void()> on_event;
