owner election: a claim is given time for the store's response

Processes now read claims from the stream, before the claimant itself has the store's response; the claimant then answered that it did not own the cell, and another one claimed it at once. Change: in the first 1.5 s after a claim such an answer counts as none.

--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -24,6 +24,9 @@
 // Owners checked by one process in one round.
 constexpr size_t kChecksPerRound = 3;
 constexpr size_t kReserveRoundsPerCheck = 3;
+// Until the store's response to a claim, which others may read before, its
+// process does not own the cell yet.
+constexpr Duration kMaxClaimTime = milliseconds(1500);
 // The claims change rarely, and are read again before each claim; the wait
 // bounds how long a connection that stopped responding goes unnoticed.
 constexpr FollowTiming kClaimFollowTiming = {
@@ -79,8 +82,11 @@
   }
   const TimePoint now = MonotonicNow();
   const auto health = DecodePeerHealth(response->body);
+  // A new owner may still wait for the store's response to its claim.
   if (!health || !health->owning || health->epoch < claim.epoch)
-    co_return OwnerHealth::kCannotOwn;
+    co_return now - cell.watch.claimed_at < kMaxClaimTime
+        ? OwnerHealth::kUnresponsive
+        : OwnerHealth::kCannotOwn;
   // A new owner reads its state and lists all workers before its first append.
   if (!IsStartingUp(cell.watch, now) && health->proof_age &&
       *health->proof_age > kMaxProofAge)
