--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -178,6 +178,7 @@
   const bool learning =
       !m_impl->owning_since || now - *m_impl->owning_since < kLearningPeriod;
   std::vector<const CellLoad*> loads;
+  loads.reserve(layout->cells);
   for (const CellLoad& load : own)
     loads.push_back(&load);
   for (uint32_t i = 0; i < layout->cells; ++i) {
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -503,7 +503,7 @@
       new SchedulerProcess(std::move(impl)));
 }
 
-void SchedulerProcess::Terminate(std::function<void()> on_stopped) {
+void SchedulerProcess::Terminate(const std::function<void()>& on_stopped) {
   if (m_impl->stopping)
     return;
   m_impl->stopping = true;
--- a/src/scheduler_process/scheduler_process.h
+++ b/src/scheduler_process/scheduler_process.h
@@ -65,7 +65,7 @@
 
   /** Starts a planned stop; `on_stopped` is called when no request is in
    * progress or the grace time is nearly over. */
-  void Terminate(std::function<void()> on_stopped);
+  void Terminate(const std::function<void()>& on_stopped);
 
  private:
   struct Impl;
--- a/src/scheduler_process/spawn.cc
+++ b/src/scheduler_process/spawn.cc
@@ -14,7 +14,7 @@
            std::function<void()> on_failure) {
   asio::co_spawn(io, std::move(task),
                  [name = std::string(name), on_failure = std::move(on_failure)](
-                     std::exception_ptr error) {
+                     const std::exception_ptr& error) {
                    if (!error)
                      return;
                    try {
