cells: one check for the cells in a list, unused parameters removed

Cause: reading the change again. The same search for a cell among loads stood three times in the load exchange, and two transfer decisions took a plan that they did not use, as their messages go through the state. Change: one function; the parameters are gone. Behaviour is the same.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -404,9 +404,9 @@
   CreateDueIterations(state, now, wall);
   RequeueTasksOfExpiredLeases(state, now);
   StopTasksOfDrainingWorkers(state, now);
-  PlanJobTransfers(state, now, plan);
+  PlanJobTransfers(state, now);
   PlaceReadyTasks(state, now, plan);
-  PlanTaskTransfers(state, now, plan);
+  PlanTaskTransfers(state, now);
   PlanPaces(state, plan);
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -300,7 +300,7 @@
 
 }  // namespace
 
-void PlanJobTransfers(State& state, TimePoint now, Plan&) {
+void PlanJobTransfers(State& state, TimePoint now) {
   if (!HasFreshLoads(state, now))
     return;
   std::optional<CellLoad> own;
@@ -336,7 +336,7 @@
   }
 }
 
-void PlanTaskTransfers(State& state, TimePoint now, Plan&) {
+void PlanTaskTransfers(State& state, TimePoint now) {
   if (!HasFreshLoads(state, now))
     return;
   std::vector<std::pair<ReadyKey, CellId>> moves;
--- a/src/sched/transfers.h
+++ b/src/sched/transfers.h
@@ -8,11 +8,11 @@
 
 /** Moves waiting jobs, of which no task has started, to cells that suit them
  * better. Must be called before tasks are placed. */
-void PlanJobTransfers(State& state, TimePoint now, Plan& plan);
+void PlanJobTransfers(State& state, TimePoint now);
 
 /** Moves long-running tasks that have waited too long to cells with capacity.
  * Must be called after tasks were placed. */
-void PlanTaskTransfers(State& state, TimePoint now, Plan& plan);
+void PlanTaskTransfers(State& state, TimePoint now);
 
 /** Takes over a job, or tasks of one, that another cell has moved here.
  * Repeated and late transfers have no effect. */
--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -36,6 +36,12 @@
   TimePoint at;
 };
 
+bool ContainsCell(const std::vector<CellLoad>& loads, CellId cell) {
+  return std::any_of(loads.begin(), loads.end(), [cell](const CellLoad& load) {
+    return load.cell == cell;
+  });
+}
+
 }  // namespace
 
 struct LoadExchange::Impl : std::enable_shared_from_this<LoadExchange::Impl> {
@@ -97,9 +103,7 @@
                                    const std::vector<CellLoad>& own) {
   for (uint32_t i = 0; i < layout.cells; ++i) {
     const CellId cell(i);
-    const bool is_own =
-        std::any_of(own.begin(), own.end(),
-                    [cell](const CellLoad& load) { return load.cell == cell; });
+    const bool is_own = ContainsCell(own, cell);
     const auto owner = election->owner(cell);
     if (is_own || !owner || owner->released)
       continue;
@@ -114,11 +118,8 @@
     const std::vector<CellLoad>& own) const {
   const TimePoint now = MonotonicNow();
   std::vector<CellLoad> loads = own;
-  for (const auto& [id, entry] : known) {
-    const CellId cell = id;
-    const bool is_own =
-        std::any_of(own.begin(), own.end(),
-                    [cell](const CellLoad& load) { return load.cell == cell; });
+  for (const auto& [cell, entry] : known) {
+    const bool is_own = ContainsCell(own, cell);
     if (!is_own && now - entry.at <= kMaxLoadAge)
       loads.push_back(entry.load);
   }
@@ -182,9 +183,7 @@
   for (const CellLoad& load : own)
     loads.push_back(&load);
   for (uint32_t i = 0; i < layout->cells; ++i) {
-    const bool is_own = std::any_of(
-        own.begin(), own.end(),
-        [i](const CellLoad& load) { return load.cell == CellId(i); });
+    const bool is_own = ContainsCell(own, CellId(i));
     if (is_own)
       continue;
     const auto found = m_impl->known.find(CellId(i));
