observability: why a task waits, and for how long

A long-running task without a worker was visible only as the lack of a run_planned line: neither logs nor metrics told whether its cell had no capacity, kept it for short work, trusted no worker, or missed it in a plan.

Once a second an owner logs up to four of the tasks that have waited for over 3 s (run_waits), each with the number of workers that pass each condition for its placement. Two gauges tell how many long-running tasks are overdue and how long the first of them has waited.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -101,6 +101,12 @@
   uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
 };
 
+/** Long-running tasks that wait for a worker longer than they may. */
+struct WaitingSummary {
+  size_t overdue_tasks = 0;
+  Duration longest_wait{0};
+};
+
 /** What a cell knows of a job. */
 struct JobStatus {
   JobState state = JobState::kQueued;  // as last stored
@@ -212,6 +218,7 @@
   std::vector<WorkerInfo> Workers() const;
   size_t CountWorkers() const;
   const SchedulerCounters& counters() const;
+  WaitingSummary Waiting(TimePoint now) const;
   /** Decisions since the last call, oldest first. */
   std::vector<Decision> TakeDecisions();
   /** Tasks of a worker as last listed, as JSON on one line, for analysing
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -15,6 +15,7 @@
 #include "src/sched/shared_interference.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/transfers.h"
+#include "src/sched/waiting_tasks.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -406,6 +407,7 @@
   StopTasksOfDrainingWorkers(state, now);
   PlanJobTransfers(state, now);
   PlaceReadyTasks(state, now, plan);
+  LogWaitingTasks(state, now);
   PlanTaskTransfers(state, now);
   PlanPaces(state, plan);
   EncodeDirtyIterations(state, plan);
@@ -500,6 +502,10 @@
   return m_impl->state.counters;
 }
 
+WaitingSummary Scheduler::Waiting(TimePoint now) const {
+  return SummarizeOverdueTasks(m_impl->state, now);
+}
+
 std::vector<Decision> Scheduler::TakeDecisions() {
   return std::exchange(m_impl->state.decisions, {});
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -212,6 +212,7 @@
   std::map<TaskName, TaskRef> stopping_tasks;
   /** Stops of runs that no task accounts for. */
   std::vector<StopRunCommand> pending_stops;
+  TimePoint next_waiting_log;
   /** Jobs whose state is published once the plan is stored. */
   std::vector<JobId> jobs_to_publish;
   /** Ended jobs by the time at which they are deleted. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -149,6 +149,14 @@
   const RackId* rack = nullptr;  // only this rack, if set
 };
 
+// True if neither the label nor the number of the step's tasks there keeps the
+// task off the worker.
+bool AllowsTask(const WorkerState& worker, const PlacementQuery& query) {
+  return HasLabel(worker, query.spec.label) &&
+         (query.spec.max_per_worker == 0 ||
+          CountTasksOfStep(worker, query.ref) < query.spec.max_per_worker);
+}
+
 bool IsSuitable(const State& state,
                 const WorkerState& worker,
                 const PlacementQuery& query,
@@ -158,9 +166,7 @@
          EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
          (query.is_overdue || IsTrusted(worker, query.last_attempt, now)) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
-         HasLabel(worker, query.spec.label) &&
-         (query.spec.max_per_worker == 0 ||
-          CountTasksOfStep(worker, query.ref) < query.spec.max_per_worker);
+         AllowsTask(worker, query);
 }
 
 int32_t BestWorker(const State& state,
@@ -414,6 +420,29 @@
   return BestWorker(state, MakeQuery(state, ref, now), now);
 }
 
+PlacementConditions CheckPlacement(const State& state,
+                                   const TaskRef& ref,
+                                   TimePoint now) {
+  const PlacementQuery query = MakeQuery(state, ref, now);
+  PlacementConditions passed{.waits_for_reserve = query.must_wait};
+  for (const WorkerState& worker : state.workers) {
+    if (!worker.listed || worker.info.service != query.policy.service)
+      continue;
+    ++passed.listed;
+    if (EligibilityOf(state, worker, now) != WorkerEligibility::kEligible)
+      continue;
+    ++passed.eligible;
+    if (!AllowsTask(worker, query))
+      continue;
+    ++passed.suitable;
+    if (!HasCapacity(worker, query.spec))
+      continue;
+    ++passed.with_capacity;
+    passed.trusted += IsTrusted(worker, query.last_attempt, now) ? 1 : 0;
+  }
+  return passed;
+}
+
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
   UnplacedSteps unplaced_steps;
   std::map<std::pair<uint32_t, uint32_t>, size_t> unplaced_counts;
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -16,6 +16,22 @@
                           const TaskRef& ref,
                           TimePoint now);
 
+/** Workers of a task's service that pass each condition for its placement and
+ * all conditions before it. */
+struct PlacementConditions {
+  uint32_t listed = 0;
+  uint32_t eligible = 0;
+  uint32_t suitable = 0;  // by label and by tasks of the step that run there
+  uint32_t with_capacity = 0;
+  uint32_t trusted = 0;
+  /** The task leaves the remaining capacity to short work. */
+  bool waits_for_reserve = false;
+};
+
+PlacementConditions CheckPlacement(const State& state,
+                                   const TaskRef& ref,
+                                   TimePoint now);
+
 /** Assigns waiting tasks to workers, in order, and adds their starts to the
  * plan. */
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan);
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -547,6 +547,11 @@
   return m_impl->scheduler ? m_impl->scheduler->counters() : none;
 }
 
+WaitingSummary Cell::Waiting() const {
+  return m_impl->scheduler ? m_impl->scheduler->Waiting(MonotonicNow())
+                           : WaitingSummary{};
+}
+
 const WorkerCallCounters& Cell::calls() const {
   static const WorkerCallCounters none;
   return m_impl->driver ? m_impl->driver->counters() : none;
--- a/src/scheduler_process/cell.h
+++ b/src/scheduler_process/cell.h
@@ -72,6 +72,8 @@
   void SetCellLoads(const std::vector<CellLoad>& loads);
   std::string Dump() const;
   const SchedulerCounters& counters() const;
+  /** Long-running tasks that wait longer than they may. */
+  WaitingSummary Waiting() const;
   const WorkerCallCounters& calls() const;
 
  private:
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -335,6 +335,14 @@
           [](const Cell& c) { return c.counters().moved_jobs; });
   counter("cowslipmast_moved_tasks",
           [](const Cell& c) { return c.counters().moved_tasks; });
+  counter("cowslipmast_overdue_tasks",
+          [](const Cell& c) { return c.Waiting().overdue_tasks; });
+  metrics->Gauge("cowslipmast_longest_overdue_wait_seconds", {}, [this] {
+    Duration longest{0};
+    for (const auto& [id, entry] : cells)
+      longest = std::max(longest, entry.cell->Waiting().longest_wait);
+    return static_cast<double>(longest.count()) / 1e6;
+  });
   metrics->Gauge("cowslipmast_owned_cells", {},
                  [this] { return static_cast<double>(cells.size()); });
   metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
