placement: an overdue long-running task takes any capacity

Cause: once long-running tasks hold 92% of a cell, an overdue one might use the rest only if the cell had capacity for two such tasks. Each cell decided for itself: with room for one task in each of three cells, none started any, and nothing in the cells' state would ever change that.

An overdue task now takes any capacity that suffices for it. The reserve still delays a long-running task for 1.5 s, in which short work goes first.

--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -189,32 +189,14 @@
   return best;
 }
 
-// True if the service has capacity for two such tasks, on one worker or on two.
-bool HasCapacityForTwo(const State& state,
-                       const ServiceId& service,
-                       const StepSpec& spec,
-                       TimePoint now) {
-  int64_t fitting_tasks = 0;
-  for (const WorkerState& worker : state.workers) {
-    if (worker.info.service != service || !HasCapacity(worker, spec) ||
-        EligibilityOf(state, worker, now) != WorkerEligibility::kEligible)
-      continue;
-    const Resources free = worker.info.capacity - worker.reserved;
-    fitting_tasks += Fits(spec.need + spec.need, free) ? 2 : 1;
-    if (fitting_tasks >= 2)
-      return true;
-  }
-  return false;
-}
-
 PlacementQuery MakeQuery(const State& state,
                          const TaskRef& ref,
                          TimePoint now) {
   const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
   const StepSpec& spec = SpecOf(ref);
   const Task& task = TaskOf(ref);
-  // An overdue task may also take the capacity kept for short work, if that
-  // suffices for two such tasks.
+  // The reserve for short work may delay a long-running task, but not keep it
+  // from running: an overdue one takes any capacity.
   const bool is_overdue = IsOverdue(spec, task, now);
   return PlacementQuery{
       .spec = spec,
@@ -222,10 +204,8 @@
       .ref = ref,
       .last_attempt = IsLastAttempt(policy, spec, task),
       .is_overdue = is_overdue,
-      .must_wait = spec.long_running && !spec.best_effort &&
-                   !StaysWithinLongRunningShare(state, policy.service, spec) &&
-                   (!is_overdue ||
-                    !HasCapacityForTwo(state, policy.service, spec, now))};
+      .must_wait = spec.long_running && !spec.best_effort && !is_overdue &&
+                   !StaysWithinLongRunningShare(state, policy.service, spec)};
 }
 
 void PlanStart(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
