placement: the task of a step that has waited longest is placed first

Cause: the waiting tasks of a step were a stack. A task that had just ended went before those that had waited for seconds; and as only the top one is looked at, it also hid from the order of steps, from the reserve and from moves between cells that its step was overdue. While a task ends every second, nothing of the step is placed.

Waiting tasks are now kept in order of the time since which they wait.

The new test fails without the change: in three of six checks one of six workers stays idle (5 == 6).

--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -140,7 +140,12 @@
     return;
   task.phase = SchedulingPhase::kReady;
   task.ready_since = now;
-  step.ready_tasks.push_back(ref.index);
+  const auto place =
+      std::upper_bound(step.ready_tasks.begin(), step.ready_tasks.end(), now,
+                       [&step](TimePoint since, uint32_t other) {
+                         return step.tasks[other].ready_since < since;
+                       });
+  step.ready_tasks.insert(place, ref.index);
   state.ready_steps.insert(MakeReadyKey(state, *ref.iteration, ref.step, now));
   state.needs_plan = true;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -70,7 +70,8 @@
 
 struct StepState {
   std::vector<Task> tasks;
-  std::vector<uint32_t> ready_tasks;  // indices; the next one is the last
+  /** Indices; the last one has waited longest and is the next to be placed. */
+  std::vector<uint32_t> ready_tasks;
   uint32_t unfinished_tasks = 0;
   ImageIndex image = 0;  // among latency-critical or best-effort images
   bool unblocked = false;
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -59,5 +59,30 @@
   CHECK(system->Violations().empty());
 }
 
+TEST_CASE("a task that has just ended hides overdue tasks of its step",
+          "[sched]") {
+  // Each worker can run one task; two of the eight are lost.
+  SimulatedCell cell;
+  cell.AddWorkers(8, 4, 64000);
+  cell.SetQueue("urgent", MakePolicy(0, 2));
+  cell.Run(milliseconds(200));
+  cell.Submit(MakeJob("s", "urgent", {MakeLongRunningStep(8, 4)}));
+  cell.Run(seconds(3));
+  REQUIRE(cell.CountRunning("s") == 8);
+  for (const size_t lost : {6, 7}) {
+    cell.worker(lost).up = false;
+    cell.RemoveFromList(lost);
+  }
+  cell.Run(seconds(12));
+  REQUIRE(cell.CountRunning("s") == 6);
+  // From now on one more task ends each second.
+  for (size_t restarted = 0; restarted < 6; ++restarted) {
+    cell.RestartWorker(restarted);
+    cell.Run(seconds(1));
+    CHECK(cell.CountRunning("s") == 6);
+  }
+  CHECK(cell.observations().violations.empty());
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
