cells: overdue tasks move only to free pieces that hold them

Cause: owners told each other sums. The target of an overdue task was drawn by capacity less long-running, waiting and short work. In a full service this sum misleads both ways: a cell with waiting tasks that need more than it can give had none to offer, although a worker had a piece for a smaller task; and many small remainders made a full cell look like the best one, so that tasks went there, waited 1.7 s again and went on. All waiting tasks of a step went at once, however many fitted.

Owners now tell the largest free pieces of their workers, a task goes only where one holds it, as many go as fit, and a moved task keeps the time that it has waited, so that it is overdue on arrival.

Two new sections fail without the change (0 == 4 running, 4 <= 2 moves).

--- a/include/cowslipmast/sched/cell.h
+++ b/include/cowslipmast/sched/cell.h
@@ -39,6 +39,9 @@
 /** Cell of the worker: that of its rack. */
 CellId CellOfWorker(const CellLayout& layout, const WorkerInfo& info);
 
+/** Length of `ServiceLoad::free_pieces` at most. */
+inline constexpr size_t kMaxFreePieces = 24;
+
 /** Use of one service's workers in a cell. Counts only workers that may get new
  * tasks. */
 struct ServiceLoad {
@@ -52,6 +55,8 @@
   MilliCores waiting_best_effort;   // best-effort tasks without a worker
   MilliCores idle;  // expected to be used by none; may serve best-effort tasks
   std::vector<std::string> labels;  // of the workers, without their racks
+  /** Free capacities of single workers: the largest ones, largest first. */
+  std::vector<Resources> free_pieces;
 
   bool operator==(const ServiceLoad&) const = default;
 };
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -18,6 +18,9 @@
   load.long_running += worker.long_running_cpu;
   load.idle += MilliCores(
       std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
+  const Resources free = worker.info.capacity - worker.reserved;
+  if (free.cpu.count() > 0)
+    load.free_pieces.push_back(free);
   for (const std::string& label : worker.info.labels) {
     if (label != worker.info.rack.value() &&
         std::find(load.labels.begin(), load.labels.end(), label) ==
@@ -26,6 +29,14 @@
   }
 }
 
+void KeepLargestPieces(ServiceLoad& load) {
+  std::sort(
+      load.free_pieces.begin(), load.free_pieces.end(),
+      [](const Resources& a, const Resources& b) { return a.cpu > b.cpu; });
+  if (load.free_pieces.size() > kMaxFreePieces)
+    load.free_pieces.resize(kMaxFreePieces);
+}
+
 void AddWaitingStep(ServiceLoad& load, const ReadyKey& key) {
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
   const MilliCores need(
@@ -67,6 +78,7 @@
                 .waiting = CountWaitingJobs(state)};
   for (auto& [service, entry] : loads) {
     entry.service = service;
+    KeepLargestPieces(entry);
     load.services.push_back(std::move(entry));
   }
   return load;
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -24,7 +24,7 @@
 
 json EncodeTask(const MovedTask& task) {
   return json::array({task.step, task.index, task.run.value(), task.failures,
-                      task.checkpoint});
+                      task.checkpoint, task.waited.count()});
 }
 
 MovedTask DecodeTask(const json& j) {
@@ -32,7 +32,9 @@
           .index = j.at(1).get<uint32_t>(),
           .run = RunNumber(j.at(2).get<uint64_t>()),
           .failures = j.at(3).get<uint32_t>(),
-          .checkpoint = j.at(4).get<std::string>()};
+          .checkpoint = j.at(4).get<std::string>(),
+          // Records of an earlier version do not have it.
+          .waited = Duration(j.size() > 5 ? j.at(5).get<int64_t>() : 0)};
 }
 
 }  // namespace
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -71,7 +71,7 @@
     case WorkKind::kLongRunning:
       return mean_use * capacity - LongRunningCores(load);
     case WorkKind::kOverdueLongRunning:
-      return capacity - LongRunningCores(load) - Cores(load.waiting);
+      return static_cast<double>(CountFittingTasks(load, work.task_need));
     case WorkKind::kShort: {
       const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
       return free < Cores(work.need) ? 0 : free;
@@ -127,6 +127,24 @@
 
 }  // namespace
 
+size_t CountFittingTasks(const ServiceLoad& load, const Resources& task_need) {
+  size_t count = 0;
+  for (Resources piece : load.free_pieces) {
+    for (; Fits(task_need, piece) && count < kMaxFreePieces; ++count)
+      piece -= task_need;
+  }
+  return count;
+}
+
+void TakePieces(ServiceLoad& load, const Resources& task_need, size_t tasks) {
+  // The smallest suitable pieces first, which leaves large ones whole.
+  for (auto piece = load.free_pieces.rbegin();
+       piece != load.free_pieces.rend() && tasks > 0; ++piece) {
+    for (; tasks > 0 && Fits(task_need, *piece); --tasks)
+      *piece -= task_need;
+  }
+}
+
 const ServiceLoad* FindServiceLoad(const CellLoad& load,
                                    const ServiceId& service) {
   const auto found = std::find_if(
@@ -152,20 +170,21 @@
     if (!ShouldLeave(work, *load, mean_use))
       return std::nullopt;
   }
-  std::vector<Candidate> candidates;
+  std::vector<Candidate> with_spare;
+  std::vector<Candidate> with_workers;
   for (const CellLoad& other : others) {
     const ServiceLoad* entry = FindServiceLoad(other, work.service);
     if (other.cell == own.cell || entry == nullptr || entry->workers == 0 ||
         !HasLabel(*entry, work.label))
       continue;
-    // Work without any worker here goes to any cell that has some.
+    with_workers.push_back({other.cell, Cores(entry->capacity)});
     const double spare = SpareFor(work, *entry, mean_use);
-    const double weight =
-        can_stay ? spare : std::max(spare, Cores(entry->capacity) / 100);
-    if (weight > 0)
-      candidates.push_back({other.cell, weight});
+    if (spare > 0)
+      with_spare.push_back({other.cell, spare});
   }
-  return Draw(candidates, work.random);
+  // Work without any worker here goes to any cell that has some.
+  const bool goes_anywhere = with_spare.empty() && !can_stay;
+  return Draw(goes_anywhere ? with_workers : with_spare, work.random);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -22,6 +22,7 @@
   ServiceId service;
   WorkKind kind = WorkKind::kShort;
   MilliCores need;  // of all its tasks that wait; part of the cell's own load
+  Resources task_need{};  // of one task
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
@@ -36,12 +37,19 @@
  * many long-running jobs as another, and failed workers leave a cell full while
  * others have capacity. Long-running work leaves a cell only down to the mean
  * use of all cells, so that cells with the same view do not overload the
- * emptiest one, unless it is overdue; short and best-effort work leaves only
- * after it has waited, for a cell where nothing waits. */
+ * emptiest one; overdue work goes only where a worker has a piece of free
+ * capacity that is large enough for one task. Short and best-effort work leaves
+ * only after it has waited, for a cell where nothing waits. */
 std::optional<CellId> ChooseCell(const WaitingWork& work,
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others);
 
+/** Number of such tasks that the free pieces of the service's workers hold. */
+size_t CountFittingTasks(const ServiceLoad& load, const Resources& task_need);
+
+/** Takes the capacity for that many tasks out of the free pieces. */
+void TakePieces(ServiceLoad& load, const Resources& task_need, size_t tasks);
+
 /** The load of a service in a cell; null if the cell has none. */
 ServiceLoad* FindServiceLoad(CellLoad& load, const ServiceId& service);
 const ServiceLoad* FindServiceLoad(const CellLoad& load,
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -133,18 +133,22 @@
   }
 }
 
-void MakeReady(State& state, const TaskRef& ref, TimePoint now) {
+void MakeReady(State& state,
+               const TaskRef& ref,
+               TimePoint now,
+               Duration waited) {
   StepState& step = StepOf(ref);
   Task& task = TaskOf(ref);
   if (task.phase == SchedulingPhase::kReady)
     return;
   task.phase = SchedulingPhase::kReady;
-  task.ready_since = now;
-  const auto place =
-      std::upper_bound(step.ready_tasks.begin(), step.ready_tasks.end(), now,
-                       [&step](TimePoint since, uint32_t other) {
-                         return step.tasks[other].ready_since < since;
-                       });
+  task.ready_since = now - waited;
+  task.ready_here_since = now;
+  const auto place = std::upper_bound(
+      step.ready_tasks.begin(), step.ready_tasks.end(), task.ready_since,
+      [&step](TimePoint since, uint32_t other) {
+        return step.tasks[other].ready_since < since;
+      });
   step.ready_tasks.insert(place, ref.index);
   state.ready_steps.insert(MakeReadyKey(state, *ref.iteration, ref.step, now));
   state.needs_plan = true;
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -17,8 +17,11 @@
 /** Queues the tasks of each step whose dependencies are done. */
 void UnblockSteps(State& state, Iteration& iteration, TimePoint now);
 
-/** Queues a task for placement. */
-void MakeReady(State& state, const TaskRef& ref, TimePoint now);
+/** Queues a task for placement that has waited in other cells for `waited`. */
+void MakeReady(State& state,
+               const TaskRef& ref,
+               TimePoint now,
+               Duration waited = Duration(0));
 
 /** Marks the iteration's stored record as out of date. */
 void MarkDirty(State& state, Iteration& iteration);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -46,6 +46,7 @@
   uint32_t failures = 0;
   uint32_t other_cell = kThisCell;  // that runs the task
   TimePoint ready_since;            // while the task waits for a worker
+  TimePoint ready_here_since;       // in this cell
   std::string checkpoint;
   /** A listing requested after this time shows the run if it is present; not
    * set while the start command is on its way. */
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -29,6 +29,9 @@
 // after 1.5 s, and may then use the capacity that is kept for short work; a
 // move takes 0.1 s.
 constexpr Duration kMinWaitToMoveTask = milliseconds(1700);
+// A task that has come from another cell waits here until the loads of the
+// other cells have been read again.
+constexpr Duration kMinStayOfMovedTask = milliseconds(500);
 
 bool HasFreshLoads(const State& state, TimePoint now) {
   return !state.cell_loads.empty() && now - state.cell_loads_at < kMaxLoadAge;
@@ -55,8 +58,9 @@
     if (load == nullptr)
       return;
     switch (work.kind) {
+      case WorkKind::kOverdueLongRunning:  // see `TakePieces`
+        return;
       case WorkKind::kLongRunning:
-      case WorkKind::kOverdueLongRunning:
         load->waiting_long_running += need;
         return;
       case WorkKind::kShort:
@@ -88,6 +92,7 @@
       .service = PolicyOf(state, *key.iteration->job).service,
       .kind = KindOf(spec),
       .need = WaitingNeed(key),
+      .task_need = spec.need,
       .label = spec.label,
       .waited = WaitedFor(key, now),
       .hop = key.iteration->job->hop,
@@ -95,6 +100,50 @@
                 key.iteration->job->hop};
 }
 
+// Tasks of a step that go to another cell.
+struct TaskMove {
+  ReadyKey key;
+  CellId target;
+  size_t tasks = 0;
+};
+
+bool MayMoveTasks(const ReadyKey& key, TimePoint now) {
+  const Job& job = *key.iteration->job;
+  const StepSpec& spec = job.spec.steps[key.step];
+  const StepState& step = key.iteration->steps[key.step];
+  if (!spec.long_running || spec.gang || job.spec.iterations > 0 ||
+      step.ready_tasks.empty())
+    return false;
+  const Task& oldest = step.tasks[step.ready_tasks.back()];
+  return now - oldest.ready_since >= kMinWaitToMoveTask &&
+         now - oldest.ready_here_since >= kMinStayOfMovedTask;
+}
+
+// Moves no more tasks than the other cell has pieces of capacity for, unless no
+// worker of this cell could ever run them. Takes these pieces out of the loads,
+// so that the next decision does not count on them.
+std::optional<TaskMove> ChooseTaskMove(State& state,
+                                       const ReadyKey& key,
+                                       const CellLoad& own,
+                                       TimePoint now) {
+  WaitingWork work = DescribeWork(state, key, now);
+  work.kind = WorkKind::kOverdueLongRunning;
+  const auto target = ChooseCell(work, own, state.cell_loads);
+  if (!target)
+    return std::nullopt;
+  size_t tasks = key.iteration->steps[key.step].ready_tasks.size();
+  for (CellLoad& other : state.cell_loads) {
+    ServiceLoad* load =
+        other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
+    if (load == nullptr)
+      continue;
+    const size_t fitting = CountFittingTasks(*load, work.task_need);
+    tasks = fitting > 0 ? std::min(tasks, fitting) : tasks;
+    TakePieces(*load, work.task_need, tasks);
+  }
+  return TaskMove{key, *target, tasks};
+}
+
 // The cell with the rack of the step's data, if that is another one.
 std::optional<CellId> CellOfData(const State& state, const ReadyKey& key) {
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
@@ -151,13 +200,14 @@
                 "to_cell=" + std::to_string(target.value()));
 }
 
-MovedTask DescribeTask(const TaskRef& ref) {
+MovedTask DescribeTask(const TaskRef& ref, Duration waited) {
   const Task& task = TaskOf(ref);
   return {.step = ref.step,
           .index = ref.index,
           .run = task.run,
           .failures = task.failures,
-          .checkpoint = task.checkpoint};
+          .checkpoint = task.checkpoint,
+          .waited = waited};
 }
 
 void SendTasks(State& state,
@@ -177,13 +227,18 @@
       {target, TransferKey(job.spec.id, part), EncodeTransfer(transfer), {}});
 }
 
-// Moves all tasks of the step that wait.
-void MoveTasks(State& state, const ReadyKey& key, CellId target) {
+// Moves the tasks of the step that have waited longest, `count` at most.
+void MoveTasks(State& state,
+               const ReadyKey& key,
+               CellId target,
+               size_t count,
+               TimePoint now) {
   Iteration& iteration = *key.iteration;
   StepState& step = iteration.steps[key.step];
   std::vector<MovedTask> moved;
-  for (const uint32_t index : step.ready_tasks) {
-    const TaskRef ref{&iteration, key.step, index};
+  for (; !step.ready_tasks.empty() && moved.size() < count;
+       step.ready_tasks.pop_back()) {
+    const TaskRef ref{&iteration, key.step, step.ready_tasks.back()};
     Task& task = TaskOf(ref);
     if (task.phase != SchedulingPhase::kReady)
       continue;
@@ -194,9 +249,8 @@
     task.run = task.run.Next();
     task.phase = SchedulingPhase::kElsewhere;
     task.other_cell = static_cast<uint32_t>(target.value());
-    moved.push_back(DescribeTask(ref));
+    moved.push_back(DescribeTask(ref, now - task.ready_since));
   }
-  step.ready_tasks.clear();
   MarkDirty(state, iteration);
   state.counters.moved_tasks += moved.size();
   SendTasks(state, *iteration.job, target, std::move(moved));
@@ -230,7 +284,7 @@
     if (!state.restored || job.ended_at)
       continue;
     iteration.steps[moved.step].unblocked = true;
-    MakeReady(state, ref, now);
+    MakeReady(state, ref, now, moved.waited);
   }
 }
 
@@ -290,7 +344,8 @@
         const Task& task = TaskOf(ref);
         if (task.phase == SchedulingPhase::kElsewhere &&
             task.other_cell != kThisCell)
-          moved[CellId(task.other_cell)].push_back(DescribeTask(ref));
+          moved[CellId(task.other_cell)].push_back(
+              DescribeTask(ref, Duration(0)));
       }
     }
   }
@@ -339,27 +394,20 @@
 void PlanTaskTransfers(State& state, TimePoint now) {
   if (!HasFreshLoads(state, now))
     return;
-  std::vector<std::pair<ReadyKey, CellId>> moves;
+  std::vector<TaskMove> moves;
   std::optional<CellLoad> own;
   for (const ReadyKey& key : state.ready_steps) {
-    const Job& job = *key.iteration->job;
-    const StepSpec& spec = job.spec.steps[key.step];
-    if (!spec.long_running || spec.gang || job.spec.iterations > 0 ||
-        key.iteration->steps[key.step].ready_tasks.empty() ||
-        WaitedFor(key, now) < kMinWaitToMoveTask)
+    if (!MayMoveTasks(key, now))
       continue;
     if (!own)
       own = MeasureLoad(state, now);
-    WaitingWork work = DescribeWork(state, key, now);
-    work.kind = WorkKind::kOverdueLongRunning;
-    if (const auto target = ChooseCell(work, *own, state.cell_loads)) {
-      ShiftLoad(state, *own, work, *target);
-      moves.emplace_back(key, *target);
-    }
+    if (const auto move = ChooseTaskMove(state, key, *own, now))
+      moves.push_back(*move);
   }
-  for (const auto& [key, target] : moves) {
-    state.ready_steps.erase(key);
-    MoveTasks(state, key, target);
+  for (const TaskMove& move : moves) {
+    MoveTasks(state, move.key, move.target, move.tasks, now);
+    if (move.key.iteration->steps[move.key.step].ready_tasks.empty())
+      state.ready_steps.erase(move.key);
   }
 }
 
--- a/src/scheduler_process/cell_load_codec.cc
+++ b/src/scheduler_process/cell_load_codec.cc
@@ -9,6 +9,27 @@
 
 using nlohmann::json;
 
+json EncodePieces(const std::vector<Resources>& pieces) {
+  json encoded = json::array();
+  for (const Resources& piece : pieces)
+    encoded.push_back(
+        {piece.cpu.count(), piece.memory.count(), piece.accelerators.count()});
+  return encoded;
+}
+
+// A process of an earlier version tells none.
+std::vector<Resources> DecodePieces(const json& service) {
+  std::vector<Resources> pieces;
+  const auto encoded = service.find("free_pieces");
+  if (encoded == service.end())
+    return pieces;
+  for (const json& piece : *encoded)
+    pieces.push_back({MilliCores(piece.at(0).get<int64_t>()),
+                      Mebibytes(piece.at(1).get<int64_t>()),
+                      Accelerators(piece.at(2).get<int64_t>())});
+  return pieces;
+}
+
 json EncodeService(const ServiceLoad& load) {
   return {{"service", load.service.value()},
           {"workers", load.workers},
@@ -19,7 +40,8 @@
           {"waiting_long_running", load.waiting_long_running.count()},
           {"waiting_best_effort", load.waiting_best_effort.count()},
           {"idle", load.idle.count()},
-          {"labels", load.labels}};
+          {"labels", load.labels},
+          {"free_pieces", EncodePieces(load.free_pieces)}};
 }
 
 ServiceLoad DecodeService(const json& j) {
@@ -35,7 +57,8 @@
           .waiting_long_running = cpu("waiting_long_running"),
           .waiting_best_effort = cpu("waiting_best_effort"),
           .idle = cpu("idle"),
-          .labels = j.at("labels").get<std::vector<std::string>>()};
+          .labels = j.at("labels").get<std::vector<std::string>>(),
+          .free_pieces = DecodePieces(j)};
 }
 
 }  // namespace
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "src/sched/choose_cell.h"
 #include "tests/sched/simulated_cells.h"
 
 namespace cowslipmast::sched {
@@ -84,5 +85,73 @@
   CHECK(cell.observations().violations.empty());
 }
 
+TEST_CASE("an overdue task waits in a full cell although another one has room",
+          "[sched]") {
+  SECTION("that tasks which need more wait for") {
+    const auto system = MakeCells(2);
+    // Cell 1 is left with two cores on each worker, and with tasks that need
+    // more.
+    SubmitLongRunning(*system, 0, 32);
+    for (int i = 0; i < 3; ++i)
+      SubmitLongRunning(*system, 1, 8, i == 0 ? 14 : 4);
+    system->Run(seconds(6));
+    const std::string job = SubmitLongRunning(*system, 0, 4, 2);
+    system->Run(seconds(4));
+    CHECK(system->CountRunning(job) == 4);
+    CHECK(system->Violations().empty());
+  }
+  SECTION("and a third one only pieces that are too small") {
+    const auto load = [](uint64_t cell, int64_t pieces, int64_t cores) {
+      ServiceLoad service;
+      service.service = ServiceId("pool");
+      service.workers = 8;
+      service.capacity = MilliCores(128000);
+      service.long_running = MilliCores(128000 - pieces * cores * 1000);
+      service.free_pieces.resize(
+          static_cast<size_t>(pieces),
+          {MilliCores(cores * 1000), Mebibytes(1000), Accelerators(0)});
+      return CellLoad{
+          .cell = CellId(cell), .services = {service}, .waiting = {}};
+    };
+    WaitingWork work{.service = ServiceId("pool"),
+                     .kind = WorkKind::kOverdueLongRunning,
+                     .need = MilliCores(4000),
+                     .task_need = MakeStep(1, 4, 1000, 0).need,
+                     .label = "",
+                     .waited = seconds(2),
+                     .hop = 0,
+                     .random = 0};
+    for (; work.random < 1000000; work.random += 99730)
+      CHECK(ChooseCell(work, load(0, 0, 0), {load(1, 8, 3), load(2, 1, 4)}) ==
+            CellId(2));
+  }
+  SECTION("and takes no other waiting tasks along than fit there") {
+    const auto system = MakeCells(2);
+    std::vector<std::string> jobs;
+    for (uint32_t i = 0; i < 8; ++i) {
+      jobs.push_back(SubmitLongRunning(*system, 0, 4));
+      jobs.push_back(SubmitLongRunning(*system, 1, i == 0 ? 2 : 4));
+      system->Run(milliseconds(100));
+    }
+    system->Run(seconds(4));
+    const auto count_running = [&] {
+      size_t count = 0;
+      for (const std::string& job : jobs)
+        count += system->CountRunning(job);
+      return count;
+    };
+    REQUIRE(count_running() == 62);
+    // Four tasks lose their worker; there is room for two of them.
+    system->cell(0).worker(0).up = false;
+    system->Run(seconds(12));
+    CHECK(count_running() == 60);
+    uint64_t moved_tasks = 0;
+    for (size_t cell = 0; cell < system->size(); ++cell)
+      moved_tasks += system->cell(cell).scheduler().counters().moved_tasks;
+    CHECK(moved_tasks <= 2);
+    CHECK(system->Violations().empty());
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
