simulated cells: work that waits while the service has capacity is found

No test looked for tasks without a worker across all cells. The checker sees workers, runs and accepted jobs of all simulated cells, and nothing that schedulers know: a long-running task must not wait for 3 s, and after the load a job must not have nothing running, while the service has capacity for two such tasks. Cells can be without an owner for a time, loads of other cells can be missing, messages can be late, and long-running tasks can end.

--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -84,7 +84,8 @@
   spec.accepted = WallTime(m_now.time_since_epoch());
   m_jobs.emplace(spec.id, spec);
   m_submitted.insert(spec.id);
-  m_scheduler->AddJob(spec, m_now, spec.accepted);
+  if (m_has_owner)
+    m_scheduler->AddJob(spec, m_now, spec.accepted);
 }
 
 void SimulatedCell::ApplyRecord(const std::string& key,
@@ -105,10 +106,13 @@
 
 void SimulatedCell::Deliver(const CellMessage& message) {
   m_received_records[message.key] = message.value;
-  ApplyRecord(message.key, message.value);
+  if (m_has_owner)
+    ApplyRecord(message.key, message.value);
 }
 
 std::vector<CellMessage> SimulatedCell::TakeMessages() {
+  if (!m_has_owner)
+    return {};
   for (CellMessage& message : m_scheduler->TakeCancellations())
     m_sent_messages.push_back(std::move(message));
   for (const CellMessage& message : m_sent_messages) {
@@ -120,7 +124,8 @@
 
 void SimulatedCell::Cancel(const std::string& job) {
   m_cancelled.insert(JobId(job));
-  m_scheduler->CancelJob(JobId(job), m_now);
+  if (m_has_owner)
+    m_scheduler->CancelJob(JobId(job), m_now);
 }
 
 void SimulatedCell::RemoveFromList(size_t index) {
@@ -128,7 +133,25 @@
 }
 
 void SimulatedCell::UpdateWorkerInfo(size_t index) {
-  m_scheduler->UpsertWorker(m_workers[index].info, m_now);
+  if (m_has_owner)
+    m_scheduler->UpsertWorker(m_workers[index].info, m_now);
+}
+
+void SimulatedCell::StopWorker(size_t index) {
+  SimulatedWorker& worker = m_workers[index];
+  worker.up = false;
+  // These tasks have to run again.
+  const uint64_t seen =
+      m_has_owner ? m_scheduler->AcknowledgedEnds(worker.info.id) : 0;
+  for (const EndedRun& ended : worker.ended) {
+    if (ended.number > seen && ended.outcome == RunOutcome::kDone)
+      m_observations.done.erase(ended.task);
+  }
+}
+
+void SimulatedCell::EndRunOf(const TaskName& task, RunOutcome outcome) {
+  if (const auto index = WorkerOf(task))
+    EndRun(m_workers[*index], task, outcome);
 }
 
 void SimulatedCell::RestartWorker(size_t index) {
@@ -144,7 +167,16 @@
   worker.up = true;
 }
 
+void SimulatedCell::RemoveOwner(bool last_plan_is_stored) {
+  if (m_pending_plan && last_plan_is_stored)
+    StorePendingRecords();
+  m_pending_plan.reset();
+  m_sent_messages.clear();
+  m_has_owner = false;
+}
+
 void SimulatedCell::ReplaceOwner() {
+  m_has_owner = true;
   m_pending_plan.reset();
   m_sent_messages.clear();
   MakeScheduler();
@@ -188,6 +220,11 @@
   m_now += kTimeStep;
   for (SimulatedWorker& worker : m_workers)
     AdvanceWorker(worker);
+  if (m_has_owner)
+    AdvanceOwner();
+}
+
+void SimulatedCell::AdvanceOwner() {
   ApplyStoredPlan();
   for (SimulatedWorker& worker : m_workers) {
     if (m_now >= worker.next_listing)
@@ -332,17 +369,21 @@
     Pace(pace);
 }
 
-// The records of the plan made in the previous time step are stored by now.
-void SimulatedCell::ApplyStoredPlan() {
-  if (!m_pending_plan || !store_is_up ||
-      m_now - m_pending_since < append_latency)
-    return;
+void SimulatedCell::StorePendingRecords() {
   for (const ProgressRecord& record : m_pending_plan->records) {
     if (record.value.empty())
       m_stored_records.erase(record.key);
     else
       m_stored_records[record.key] = record.value;
   }
+}
+
+// The records of the plan made in the previous time step are stored by now.
+void SimulatedCell::ApplyStoredPlan() {
+  if (!m_pending_plan || !store_is_up ||
+      m_now - m_pending_since < append_latency)
+    return;
+  StorePendingRecords();
   m_scheduler->OnStored(m_now);
   for (CellMessage& message : m_pending_plan->messages)
     m_sent_messages.push_back(std::move(message));
@@ -404,7 +445,7 @@
   run.remaining_work_s = run.total_work_s;
   if (!command.checkpoint.empty())
     run.remaining_work_s -= std::stod(command.checkpoint) / 1000.0;
-  run.fails = worker->fails_all;
+  run.fails = worker->fails_all || (run_fails && run_fails(command.task));
   run.started = m_now;
   worker->running[command.task] = run;
   m_scheduler->OnStarted(command, m_now);
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -84,6 +84,9 @@
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
   void Submit(JobDefinition spec);
+  /** True if that run of the task fails, on a worker that is healthy. */
+  std::function<bool(const TaskName&)> run_fails;
+
   /** A record of another cell arrives in this cell's job stream. */
   void Deliver(const CellMessage& message);
   /** Messages to other cells that were stored since the last call. */
@@ -96,6 +99,10 @@
   void UpdateWorkerInfo(size_t worker);
   /** Replaces the worker's instance by a new one without runs. */
   void RestartWorker(size_t worker);
+  /** The worker's instance is gone, with its runs and unread outcomes. */
+  void StopWorker(size_t worker);
+  /** A run ends; a long-running task's only ends in this way. */
+  void EndRunOf(const TaskName& task, RunOutcome outcome);
   /** While false nothing is stored, and no plan is carried out. */
   bool store_is_up = true;
   /** Time between a plan and the response of the store to its records. */
@@ -103,12 +110,17 @@
   /** Another process takes over the cell: a new scheduler starts from what is
    * stored. */
   void ReplaceOwner();
+  /** The owner is gone until `ReplaceOwner`. Its last plan may be stored
+   * although none of its messages and starts was sent. */
+  void RemoveOwner(bool last_plan_is_stored);
+  bool has_owner() const { return m_has_owner; }
 
   void Run(Duration duration);
   /** Runs until the job has ended or `limit` has passed. */
   void RunUntilEnd(const std::string& job, Duration limit);
 
   Scheduler& scheduler() { return *m_scheduler; }
+  const Policy& policy() const { return m_policy; }
   const Observations& observations() const { return m_observations; }
   TimePoint now() const { return m_now; }
   std::optional<JobState> StateOf(const std::string& job) const;
@@ -119,6 +131,8 @@
 
  private:
   void MakeScheduler();
+  void StorePendingRecords();
+  void AdvanceOwner();
   void ApplyRecord(const std::string& key, const std::string& value);
   void AdvanceWorker(SimulatedWorker& worker);
   void UpdateTails(SimulatedWorker& worker);
@@ -154,6 +168,7 @@
   std::map<JobId, TimePoint> m_end_times;
   std::map<TaskName, double> m_over_target_s;
   uint64_t m_epoch = 0;
+  bool m_has_owner = true;
 };
 
 /** A step with `count` tasks that need `cores` and `memory_mb` and run for
--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -1,5 +1,6 @@
 #include "tests/sched/simulated_cells.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -47,10 +48,12 @@
 }
 
 void SimulatedCells::Submit(const JobDefinition& job) {
+  m_jobs.emplace(job.id, job);
   m_cells[HomeOf(job.id.value())]->Submit(job);
 }
 
 void SimulatedCells::Cancel(const std::string& job) {
+  m_cancelled.insert(JobId(job));
   m_cells[HomeOf(job)]->Cancel(job);
 }
 
@@ -63,12 +66,18 @@
 void SimulatedCells::ExchangeLoads() {
   const TimePoint now = m_cells[0]->now();
   std::vector<CellLoad> loads;
-  for (const auto& cell : m_cells)
-    loads.push_back(cell->scheduler().Load(now));
+  for (const auto& cell : m_cells) {
+    if (cell->has_owner())
+      loads.push_back(cell->scheduler().Load(now));
+  }
   for (size_t i = 0; i < m_cells.size(); ++i) {
+    if (!m_cells[i]->has_owner())
+      continue;
     std::vector<CellLoad> others = loads;
-    std::erase_if(others,
-                  [i](const CellLoad& load) { return load.cell == CellId(i); });
+    std::erase_if(others, [this, i](const CellLoad& load) {
+      return load.cell == CellId(i) ||
+             (load_arrives && !load_arrives(load.cell.value(), i));
+    });
     m_cells[i]->scheduler().SetCellLoads(std::move(others), now);
   }
 }
@@ -81,7 +90,9 @@
     for (CellMessage& message : cell->TakeMessages()) {
       if (repeats_messages)
         m_in_transit.push_back({now + kRepetitionDelay, message});
-      m_in_transit.push_back({now + message_delay, std::move(message)});
+      const Duration extra =
+          extra_message_delay ? extra_message_delay() : Duration(0);
+      m_in_transit.push_back({now + message_delay + extra, std::move(message)});
     }
   }
   std::erase_if(m_in_transit, [&](const MessageInTransit& entry) {
@@ -108,14 +119,17 @@
         const auto [entry, added] = cell_of.emplace(task, i);
         if (!added && entry->second != i)
           m_violations.push_back("runs in two cells: " + task.job.value());
-        if (m_done.count(task) > 0)
+        if (IsDone(task))
           m_violations.push_back("runs after it was done: " + task.job.value());
       }
     }
   }
-  for (const auto& cell : m_cells)
-    m_done.insert(cell->observations().done.begin(),
-                  cell->observations().done.end());
+}
+
+bool SimulatedCells::IsDone(const TaskName& task) const {
+  return std::any_of(m_cells.begin(), m_cells.end(), [&task](const auto& cell) {
+    return cell->observations().done.count(task) > 0;
+  });
 }
 
 std::optional<JobState> SimulatedCells::StateOf(const std::string& job) const {
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPMAST_TESTS_SCHED_SIMULATED_CELLS_H_
 #define COWSLIPMAST_TESTS_SCHED_SIMULATED_CELLS_H_
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -36,6 +38,17 @@
   Duration message_delay = std::chrono::milliseconds(30);
   /** Delivers each message a second time, seconds later. */
   bool repeats_messages = false;
+  /** Added to `message_delay` for one message. */
+  std::function<Duration()> extra_message_delay;
+  /** True if one cell's load reaches another one in this exchange; a cell
+   * without an owner has none. */
+  std::function<bool(size_t from, size_t to)> load_arrives;
+
+  /** Jobs that were submitted, and those of them that were cancelled. */
+  const std::map<JobId, JobDefinition>& jobs() const { return m_jobs; }
+  const std::set<JobId>& cancelled_jobs() const { return m_cancelled; }
+  TimePoint now() const { return m_cells[0]->now(); }
+  bool IsDone(const TaskName& task) const;
 
  private:
   struct MessageInTransit {
@@ -50,7 +63,8 @@
   std::vector<std::unique_ptr<SimulatedCell>> m_cells;
   std::vector<MessageInTransit> m_in_transit;
   std::vector<std::string> m_violations;
-  std::set<TaskName> m_done;  // in any cell
+  std::map<JobId, JobDefinition> m_jobs;
+  std::set<JobId> m_cancelled;
   TimePoint m_next_exchange;
   int m_next_id = 0;
 };
--- /dev/null
+++ b/tests/sched/waiting_work_test.cc
@@ -0,0 +1,225 @@
+// Guards against accepted work that waits while the service has capacity for it
+// twice over (LOST). Each test is one way in which that can happen.
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/sched/waiting_work_checker.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts) {
+  QueuePolicy policy;
+  policy.service = ServiceId("pool");
+  policy.priority = priority;
+  policy.max_attempts = max_attempts;
+  policy.critical_path_factor = 2;
+  policy.objective_offset = seconds(1);
+  return policy;
+}
+
+// Workers have 16 cores.
+std::unique_ptr<SimulatedCells> MakeCells(uint32_t cells, int workers) {
+  auto system = std::make_unique<SimulatedCells>(cells, workers, 16);
+  system->SetQueue("urgent", MakePolicy(0, 2));
+  system->SetQueue("batch", MakePolicy(2, 3));
+  system->Run(milliseconds(800));
+  return system;
+}
+
+StepSpec MakeLongRunningStep(uint32_t count, int64_t cores) {
+  StepSpec step = MakeStep(count, cores, 1000, 0);
+  step.long_running = true;
+  return step;
+}
+
+std::string SubmitTo(SimulatedCells& system,
+                     size_t cell,
+                     const std::string& queue,
+                     std::vector<StepSpec> steps) {
+  std::string id = system.MakeIdFor(cell, "j");
+  system.Submit(MakeJob(id, queue, std::move(steps)));
+  return id;
+}
+
+TaskName Task(const std::string& job, uint32_t index, uint32_t step = 0) {
+  return {JobId(job), 0, step, index};
+}
+
+void SetDraining(SimulatedCells& system,
+                 size_t cell,
+                 size_t worker,
+                 bool draining) {
+  system.cell(cell).worker(worker).info.draining = draining;
+  system.cell(cell).UpdateWorkerInfo(worker);
+}
+
+// Long-running tasks fill all 16 cores of that many workers but `hole` on each.
+void FillWorkers(SimulatedCells& system,
+                 size_t cell,
+                 uint32_t workers,
+                 int64_t hole) {
+  StepSpec large = MakeLongRunningStep(workers, 8);
+  large.max_per_worker = 1;
+  const auto small_tasks = static_cast<uint32_t>(8 - hole);
+  StepSpec small = MakeLongRunningStep(workers * small_tasks, 1);
+  small.max_per_worker = small_tasks;
+  SubmitTo(system, cell, "urgent", {large, small});
+}
+
+TEST_CASE("a long-running task waits behind tasks of its step that end later",
+          "[sched][lost]") {
+  // 80 tasks of 4 cores for 320 cores; one waits, as there is capacity for only
+  // one. Then others end, one every 1.2 s, and must wait for 1.5 s until they
+  // may use the capacity that is kept for short work.
+  const auto system = MakeCells(1, 20);
+  WaitingWorkChecker checker(*system);
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(80, 4)});
+  checker.Run(seconds(4));
+  REQUIRE(system->CountRunning(job) >= 79);
+  uint32_t next = 0;
+  for (int i = 0; i < 6; ++i) {
+    while (!system->cell(0).WorkerOf(Task(job, next)))
+      ++next;
+    system->cell(0).EndRunOf(Task(job, next), RunOutcome::kFailed);
+    ++next;
+    checker.Run(milliseconds(1200));
+  }
+  checker.Run(seconds(3));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+}
+
+TEST_CASE("a long-running task waits although two cells have capacity for one",
+          "[sched][lost]") {
+  // Four of 16 cores are free in each cell, and kept for short work.
+  const auto system = MakeCells(2, 1);
+  WaitingWorkChecker checker(*system);
+  for (size_t cell = 0; cell < 2; ++cell)
+    SubmitTo(*system, cell, "urgent", {MakeLongRunningStep(1, 12)});
+  checker.Run(seconds(2));
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(1, 4)});
+  checker.Run(seconds(10));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(job) == 1);
+}
+
+TEST_CASE("a long-running task that moves waits again in its next cell",
+          "[sched][lost]") {
+  // Cell 0 loses its only usable worker. The workers of cell 1 have holes of
+  // one core, which are kept for short work.
+  const auto system = MakeCells(2, 8);
+  WaitingWorkChecker checker(*system);
+  for (size_t i = 1; i < 8; ++i)
+    SetDraining(*system, 0, i, true);
+  FillWorkers(*system, 1, 8, 1);
+  checker.Run(seconds(4));
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(2, 1)});
+  checker.Run(seconds(2));
+  REQUIRE(system->cell(0).CountRunning(job) == 2);
+  REQUIRE(checker.found().empty());
+  system->cell(0).StopWorker(0);
+  checker.NoteFault();
+  checker.Run(seconds(14));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(job) == 2);
+}
+
+TEST_CASE("a long-running task moves to cells where it does not fit",
+          "[sched][lost]") {
+  // Cell 0 loses its only usable worker. Cells 1 and 2 have free capacity in
+  // pieces that are too small; in cell 3 they are large enough.
+  for (int i = 0; i < 4; ++i) {
+    const auto system = MakeCells(4, 8);
+    WaitingWorkChecker checker(*system);
+    for (size_t k = 1; k < 8; ++k)
+      SetDraining(*system, 0, k, true);
+    for (size_t k = 2; k < 8; ++k)
+      SetDraining(*system, 3, k, true);
+    for (int skipped = 0; skipped < i; ++skipped)
+      system->MakeIdFor(0, "j");
+    const std::string job =
+        SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(1, 5)});
+    checker.Run(seconds(1));
+    REQUIRE(system->cell(0).CountRunning(job) == 1);
+    for (size_t cell = 1; cell < 3; ++cell) {
+      FillWorkers(*system, cell, 8, 3);
+      checker.Run(milliseconds(600));
+    }
+    checker.Run(seconds(2));
+    system->cell(0).StopWorker(0);
+    checker.NoteFault();
+    checker.Run(seconds(16));
+    INFO("job " << job << "\n" << checker.Describe());
+    CHECK(checker.found().empty());
+    CHECK(system->CountRunning(job) == 1);
+  }
+}
+
+TEST_CASE("steps wait for more workers in two cells that could help each other",
+          "[sched][lost]") {
+  // In each cell more work waits than is free, but no worker there may run a
+  // second task of the step.
+  const auto system = MakeCells(2, 4);
+  WaitingWorkChecker checker(*system);
+  system->load_arrives = [](size_t, size_t) { return false; };
+  checker.Run(seconds(1));
+  std::vector<std::string> jobs;
+  for (size_t cell = 0; cell < 2; ++cell) {
+    StepSpec wide = MakeLongRunningStep(26, 3);
+    wide.max_per_worker = 1;
+    jobs.push_back(SubmitTo(*system, cell, "urgent", {wide}));
+  }
+  checker.Run(milliseconds(300));
+  checker.NoteFault();
+  system->load_arrives = nullptr;
+  checker.Run(seconds(12));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(jobs[0]) == 8);
+  CHECK(system->CountRunning(jobs[1]) == 8);
+}
+
+TEST_CASE("a long-running task that moves is lost at a change of owner",
+          "[sched][lost]") {
+  // All of cell 0 is lost; its tasks move to cell 1 while the owners change.
+  for (const bool stored : {false, true}) {
+    for (int offset_ms = 0; offset_ms < 400; offset_ms += 10) {
+      const auto system = MakeCells(2, 4);
+      WaitingWorkChecker checker(*system);
+      const std::string job =
+          SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(4, 4)});
+      checker.Run(seconds(2));
+      const size_t from = system->cell(0).CountRunning(job) > 0 ? 0 : 1;
+      for (size_t i = 0; i < 4; ++i)
+        system->cell(from).StopWorker(i);
+      checker.NoteFault();
+      checker.Run(milliseconds(6000 + offset_ms));
+      for (size_t i = 0; i < 2; ++i)
+        system->cell(i).RemoveOwner(stored);
+      checker.Run(seconds(1));
+      for (size_t i = 0; i < 2; ++i)
+        system->cell(i).ReplaceOwner();
+      checker.NoteFault();
+      checker.Run(seconds(15));
+      INFO("offset " << offset_ms << " stored " << stored << "\n"
+                     << checker.Describe());
+      CHECK(system->CountRunning(job) == 4);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
