cells: a job that comes back after a change of owner runs again

Callers could see a job that never runs, in a service with capacity for it.

Cause: an owner that restores a job which has left for another cell unblocks its steps, so that single tasks which come back alone are placed. When the whole job then came back, its steps counted as unblocked already, and none of its tasks was queued. Nothing but another change of owner could help it.

A job that comes back has its steps blocked again before they are examined.

The new test fails without the change (0 == 2 running after 10 s).

--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -292,6 +292,8 @@
 void ReturnTasks(Job& job) {
   for (auto& [number, iteration] : job.iterations) {
     for (StepState& step : iteration->steps) {
+      // A replay has unblocked it for tasks that come back alone.
+      step.unblocked = false;
       for (Task& task : step.tasks) {
         if (task.phase == SchedulingPhase::kElsewhere &&
             task.other_cell == kThisCell)
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -192,6 +192,31 @@
   CHECK(system->CountRunning(jobs[1]) == 8);
 }
 
+TEST_CASE("a job that comes back to a cell whose owner was replaced",
+          "[sched][lost]") {
+  // The only worker of cell 0 is drained, so that the job moves to cell 1, and
+  // back when that of cell 1 is drained instead.
+  const auto system = MakeCells(2, 1);
+  WaitingWorkChecker checker(*system);
+  SetDraining(*system, 0, 0, true);
+  // Another job keeps the worker of cell 1 busy.
+  SubmitTo(*system, 1, "urgent", {MakeStep(1, 16, 1000, 60)});
+  checker.Run(seconds(1));
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(2, 4)});
+  checker.Run(seconds(1));
+  REQUIRE(system->cell(0).scheduler().StatusOf(JobId(job))->moved_to ==
+          CellId(1));
+  system->cell(0).ReplaceOwner();
+  checker.Run(milliseconds(800));
+  SetDraining(*system, 1, 0, true);
+  SetDraining(*system, 0, 0, false);
+  checker.Run(seconds(10));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(job) == 2);
+}
+
 TEST_CASE("a long-running task that moves is lost at a change of owner",
           "[sched][lost]") {
   // All of cell 0 is lost; its tasks move to cell 1 while the owners change.
