cells: tasks that may not share a worker do not go back and forth

Callers could see long-running tasks of a step with a limit of tasks on one worker wait although a third cell had workers for them.

Cause: the draw of a cell depended on the job alone, so each draw of a task ended at the same cell; two cells whose workers ran as many tasks of the step as they may passed the rest to and fro every 0.55 s (trace of the test: 26 moves in 14 s). A free piece also counted for more tasks of the step than its worker may run.

Each move draws anew, and a piece counts for as many tasks of a step as one worker may run.

--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -62,6 +62,11 @@
   return candidates.back().cell;
 }
 
+// A worker may already run tasks of the step, which its cell does not tell.
+size_t TaskLimitOfPiece(const WaitingWork& work) {
+  return work.max_per_worker > 0 ? work.max_per_worker : kMaxFreePieces;
+}
+
 // Capacity of a cell that the work could use.
 double SpareFor(const WaitingWork& work,
                 const ServiceLoad& load,
@@ -71,7 +76,7 @@
     case WorkKind::kLongRunning:
       return mean_use * capacity - LongRunningCores(load);
     case WorkKind::kOverdueLongRunning:
-      return static_cast<double>(CountFittingTasks(load, work.task_need));
+      return static_cast<double>(CountFittingTasks(load, work));
     case WorkKind::kShort: {
       const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
       return free < Cores(work.need) ? 0 : free;
@@ -127,21 +132,23 @@
 
 }  // namespace
 
-size_t CountFittingTasks(const ServiceLoad& load, const Resources& task_need) {
+size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work) {
   size_t count = 0;
   for (Resources piece : load.free_pieces) {
-    for (; Fits(task_need, piece) && count < kMaxFreePieces; ++count)
-      piece -= task_need;
+    const size_t limit = count + TaskLimitOfPiece(work);
+    for (; Fits(work.task_need, piece) && count < limit; ++count)
+      piece -= work.task_need;
   }
   return count;
 }
 
-void TakePieces(ServiceLoad& load, const Resources& task_need, size_t tasks) {
+void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
   // The smallest suitable pieces first, which leaves large ones whole.
   for (auto piece = load.free_pieces.rbegin();
        piece != load.free_pieces.rend() && tasks > 0; ++piece) {
-    for (; tasks > 0 && Fits(task_need, *piece); --tasks)
-      *piece -= task_need;
+    const size_t kept = tasks - std::min(tasks, TaskLimitOfPiece(work));
+    for (; tasks > kept && Fits(work.task_need, *piece); --tasks)
+      *piece -= work.task_need;
   }
 }
 
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -22,7 +22,8 @@
   ServiceId service;
   WorkKind kind = WorkKind::kShort;
   MilliCores need;  // of all its tasks that wait; part of the cell's own load
-  Resources task_need{};  // of one task
+  Resources task_need{};        // of one task
+  uint32_t max_per_worker = 0;  // tasks on one worker; 0 for no limit
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
@@ -44,11 +45,12 @@
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others);
 
-/** Number of such tasks that the free pieces of the service's workers hold. */
-size_t CountFittingTasks(const ServiceLoad& load, const Resources& task_need);
+/** Number of the work's tasks that the free pieces of the service's workers
+ * hold. */
+size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work);
 
 /** Takes the capacity for that many tasks out of the free pieces. */
-void TakePieces(ServiceLoad& load, const Resources& task_need, size_t tasks);
+void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks);
 
 /** The load of a service in a cell; null if the cell has none. */
 ServiceLoad* FindServiceLoad(CellLoad& load, const ServiceId& service);
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -84,20 +85,30 @@
   return now - step.tasks[step.ready_tasks.back()].ready_since;
 }
 
+// Differs after each move, so that work which a cell could not place does not
+// choose that cell again and again.
+uint64_t RandomOf(const ReadyKey& key) {
+  const Job& job = *key.iteration->job;
+  const StepState& step = key.iteration->steps[key.step];
+  const RunNumber run = step.tasks[step.ready_tasks.back()].run;
+  return std::hash<std::string>{}(job.spec.id.value() + "." +
+                                  std::to_string(job.hop) + "." +
+                                  std::to_string(run.value()));
+}
+
 WaitingWork DescribeWork(const State& state,
                          const ReadyKey& key,
                          TimePoint now) {
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
-  return {
-      .service = PolicyOf(state, *key.iteration->job).service,
-      .kind = KindOf(spec),
-      .need = WaitingNeed(key),
-      .task_need = spec.need,
-      .label = spec.label,
-      .waited = WaitedFor(key, now),
-      .hop = key.iteration->job->hop,
-      .random = std::hash<std::string>{}(key.iteration->job->spec.id.value()) +
-                key.iteration->job->hop};
+  return {.service = PolicyOf(state, *key.iteration->job).service,
+          .kind = KindOf(spec),
+          .need = WaitingNeed(key),
+          .task_need = spec.need,
+          .max_per_worker = spec.max_per_worker,
+          .label = spec.label,
+          .waited = WaitedFor(key, now),
+          .hop = key.iteration->job->hop,
+          .random = RandomOf(key)};
 }
 
 // Tasks of a step that go to another cell.
@@ -137,9 +148,9 @@
         other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
     if (load == nullptr)
       continue;
-    const size_t fitting = CountFittingTasks(*load, work.task_need);
+    const size_t fitting = CountFittingTasks(*load, work);
     tasks = fitting > 0 ? std::min(tasks, fitting) : tasks;
-    TakePieces(*load, work.task_need, tasks);
+    TakePieces(*load, work, tasks);
   }
   return TaskMove{key, *target, tasks};
 }
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -168,6 +168,20 @@
   }
 }
 
+TEST_CASE("a long-running step for more workers than its cell has",
+          "[sched][lost]") {
+  // All waiting tasks of a step move to one cell, where only some of them fit.
+  const auto system = MakeCells(3, 7);
+  WaitingWorkChecker checker(*system);
+  StepSpec step = MakeLongRunningStep(21, 2);
+  step.max_per_worker = 1;
+  const std::string job = SubmitTo(*system, 0, "urgent", {step});
+  checker.Run(seconds(20));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(job) == 21);
+}
+
 TEST_CASE("steps wait for more workers in two cells that could help each other",
           "[sched][lost]") {
   // In each cell more work waits than is free, but no worker there may run a
