placement: a last attempt waits for a trusted worker only for a while

Callers could see a job, and jobs behind it, that never went on while workers were idle.

Cause: a task on its last attempt was placed only on a worker without a failed run since its last completed one. Where every suitable worker had failed once and nothing else was left to run, no run could complete, and the task waited without end. It also kept back tasks of its step with more attempts, and, as a step that found no worker rules out those which need at least as much, jobs that could run anywhere.

A worker is trusted with a last attempt again some seconds after its last failure; one without failures is preferred. Only tasks on their last attempt wait for that: the others of the step are placed, and a step is ruled out only by one that asks no more of a worker.

--- a/src/sched/health.cc
+++ b/src/sched/health.cc
@@ -26,14 +26,23 @@
   if (outcome != RunOutcome::kFailed)
     return;
   ++health.failure_streak;
+  health.last_failure = now;
   health.probing = false;
   if (health.failure_streak >= kFailureStreakToAvoid)
     health.avoid_until = now + kAvoidDuration;
 }
 
+bool IsLastAttempt(const QueuePolicy& policy,
+                   const StepSpec& spec,
+                   const Task& task) {
+  return !spec.long_running && task.failures > 0 &&
+         task.failures + 1 >= policy.max_attempts;
+}
+
 bool IsTrusted(const WorkerState& worker, bool last_attempt, TimePoint now) {
   const WorkerHealth& health = worker.health;
-  if (last_attempt && health.failure_streak > 0)
+  if (last_attempt && health.failure_streak > 0 &&
+      now < health.last_failure + kAvoidDuration)
     return false;
   if (!health.avoid_until)
     return true;
--- a/src/sched/health.h
+++ b/src/sched/health.h
@@ -16,8 +16,14 @@
                       RunOutcome outcome,
                       TimePoint now);
 
+/** True if one more failed run of the task fails its job. */
+bool IsLastAttempt(const QueuePolicy& policy,
+                   const StepSpec& spec,
+                   const Task& task);
+
 /** True if the worker is healthy enough to get the task now. A task on its last
- * attempt may only go where no run has failed since the last completed one. */
+ * attempt may only go where no run has failed since the last completed one, or
+ * for a while. */
 bool IsTrusted(const WorkerState& worker, bool last_attempt, TimePoint now);
 
 }  // namespace cowslipmast::sched
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -130,6 +130,7 @@
 /** A worker's health, derived from the outcomes of its runs. */
 struct WorkerHealth {
   uint32_t failure_streak = 0;  // failed runs since the last completed one
+  TimePoint last_failure;
   std::optional<TimePoint> avoid_until;
   bool probing = false;  // runs one task to show whether it works again
 };
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -132,13 +132,6 @@
   return penalty + CpuShare(worker, Millicores(worker.reserved.cpu));
 }
 
-bool IsLastAttempt(const QueuePolicy& policy,
-                   const StepSpec& spec,
-                   const Task& task) {
-  return !spec.long_running && task.failures > 0 &&
-         task.failures + 1 >= policy.max_attempts;
-}
-
 struct PlacementQuery {
   const StepSpec& spec;
   const QueuePolicy& policy;
@@ -260,8 +253,10 @@
     return;
   if (const auto score = ScoreOf(state, worker_state, query.ref)) {
     // An overdue task goes to a worker that fails its runs only if no other one
-    // has capacity.
-    const bool trusted = IsTrusted(worker_state, query.last_attempt, now);
+    // has capacity, and a last attempt to one with an earlier failure.
+    const bool trusted =
+        IsTrusted(worker_state, query.last_attempt, now) &&
+        !(query.last_attempt && worker_state.health.failure_streak > 0);
     heap.workers.push_back(
         {*score - (trusted ? 0.0 : kUntrustedPenalty), worker});
     std::push_heap(heap.workers.begin(), heap.workers.end());
@@ -283,28 +278,34 @@
 bool PlaceTasks(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
   StepState& step = key.iteration->steps[key.step];
   std::optional<WorkerHeap> heap;
+  std::vector<uint32_t> unplaced;
   while (!step.ready_tasks.empty()) {
-    const TaskRef ref{key.iteration, key.step, step.ready_tasks.back()};
-    if (TaskOf(ref).phase != SchedulingPhase::kReady) {
-      step.ready_tasks.pop_back();
+    const uint32_t index = step.ready_tasks.back();
+    const TaskRef ref{key.iteration, key.step, index};
+    step.ready_tasks.pop_back();
+    if (TaskOf(ref).phase != SchedulingPhase::kReady)
       continue;
-    }
     const PlacementQuery query = MakeQuery(state, ref, now);
-    if (query.must_wait)
-      return false;
-    if (!heap || heap->last_attempt != query.last_attempt ||
-        heap->is_overdue != query.is_overdue)
+    const bool is_scored = heap && heap->last_attempt == query.last_attempt &&
+                           heap->is_overdue == query.is_overdue;
+    if (!is_scored && !query.must_wait)
       heap = MakeWorkerHeap(state, query, now);
-    if (heap->workers.empty())
-      return false;
+    if (query.must_wait || heap->workers.empty()) {
+      unplaced.push_back(index);
+      // Only tasks on their last attempt ask more of a worker than the others.
+      if (!query.last_attempt)
+        break;
+      continue;
+    }
     std::pop_heap(heap->workers.begin(), heap->workers.end());
     const int32_t worker = heap->workers.back().worker;
     heap->workers.pop_back();
-    step.ready_tasks.pop_back();
     PlanStart(state, ref, worker, plan);
     PushIfSuitable(state, query, worker, now, *heap);
   }
-  return true;
+  step.ready_tasks.insert(step.ready_tasks.end(), unplaced.rbegin(),
+                          unplaced.rend());
+  return step.ready_tasks.empty();
 }
 
 // Chooses workers for all members on one rack, or on any if `rack` is null.
--- a/src/sched/unplaced_steps.h
+++ b/src/sched/unplaced_steps.h
@@ -21,8 +21,9 @@
     Resources need;
     ImageIndex image = 0;  // of best-effort steps
     bool best_effort = false;
-    bool restricted = false;  // may go to some workers only
-    bool overdue = false;     // may go to untrusted workers as well
+    bool restricted = false;    // may go to some workers only
+    bool overdue = false;       // may go to untrusted workers as well
+    bool last_attempt = false;  // needs a worker without failures
   };
   static Requirements RequirementsOf(const State& state,
                                      const ReadyKey& key,
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -51,6 +51,8 @@
   std::vector<std::string> violations;
   std::map<TaskName, int> starts;
   std::set<TaskName> done;
+  /** Ended on workers that are gone, perhaps before their outcome was read. */
+  std::set<TaskName> possibly_done;
   uint64_t starts_without_capacity = 0;
   /** Time that latency-critical tasks were over their targets while best-effort
    * tasks interfered: in total, and the longest period of one task. */
--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -132,6 +132,12 @@
   });
 }
 
+bool SimulatedCells::IsPossiblyDone(const TaskName& task) const {
+  return std::any_of(m_cells.begin(), m_cells.end(), [&task](const auto& cell) {
+    return cell->observations().possibly_done.count(task) > 0;
+  });
+}
+
 std::optional<JobState> SimulatedCells::StateOf(const std::string& job) const {
   size_t cell = HomeOf(job);
   std::optional<JobState> state;
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -49,6 +49,8 @@
   const std::set<JobId>& cancelled_jobs() const { return m_cancelled; }
   TimePoint now() const { return m_cells[0]->now(); }
   bool IsDone(const TaskName& task) const;
+  /** True if only the owners know whether it is done. */
+  bool IsPossiblyDone(const TaskName& task) const;
 
  private:
   struct MessageInTransit {
