placement: the reserve for short work no longer keeps short work waiting

Callers could see short jobs wait for up to 1.5 s beside free capacity while long-running tasks held 92% of a cell.

Cause: a step that found no worker rules out the steps that need at least as much. A long-running step that leaves the last capacity to short work counted as one that found none, and so ruled out the work that the capacity is kept for.

A step that leaves the reserve free rules out only others that do so too.

The new test fails without the change (the job is not completed after 0.7 s).

--- a/src/sched/unplaced_steps.cc
+++ b/src/sched/unplaced_steps.cc
@@ -30,14 +30,16 @@
   const bool overdue =
       !step.ready_tasks.empty() &&
       IsOverdue(spec, step.tasks[step.ready_tasks.back()], now);
-  return Requirements{.service = PolicyOf(state, *key.iteration->job).service,
-                      .need = spec.need,
-                      .image = spec.best_effort ? step.image : 0,
-                      .best_effort = spec.best_effort,
-                      .restricted = spec.gang || spec.max_per_worker != 0 ||
-                                    !spec.label.empty(),
-                      .overdue = overdue,
-                      .last_attempt = AreAllOnLastAttempt(state, key)};
+  return Requirements{
+      .service = PolicyOf(state, *key.iteration->job).service,
+      .need = spec.need,
+      .image = spec.best_effort ? step.image : 0,
+      .best_effort = spec.best_effort,
+      .restricted =
+          spec.gang || spec.max_per_worker != 0 || !spec.label.empty(),
+      .overdue = overdue,
+      .last_attempt = AreAllOnLastAttempt(state, key),
+      .leaves_reserve = spec.long_running && !spec.best_effort && !overdue};
 }
 
 void UnplacedSteps::Add(const State& state,
@@ -56,6 +58,7 @@
         return !unplaced.restricted &&
                (unplaced.overdue || !required.overdue) &&
                (!unplaced.last_attempt || required.last_attempt) &&
+               (!unplaced.leaves_reserve || required.leaves_reserve) &&
                unplaced.service == required.service &&
                unplaced.best_effort == required.best_effort &&
                unplaced.image == required.image &&
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -85,6 +85,18 @@
   CHECK(cell.observations().violations.empty());
 }
 
+TEST_CASE("short work waits behind a task that leaves capacity to short work",
+          "[sched]") {
+  const auto system = MakeCells(1);
+  SubmitLongRunning(*system, 0, 30);
+  system->Run(seconds(4));
+  SubmitLongRunning(*system, 0, 1);
+  const std::string job = system->MakeIdFor(0, "b");
+  system->Submit(MakeJob(job, "batch", {MakeStep(1, 4, 1000, 0.5)}));
+  system->Run(milliseconds(700));
+  CHECK(system->StateOf(job) == JobState::kCompleted);
+}
+
 TEST_CASE("an overdue task waits in a full cell although another one has room",
           "[sched]") {
   SECTION("that tasks which need more wait for") {
