placement: steps beyond the first unplaced ones get their turn

Callers could see jobs and long-running tasks wait without end beside idle workers.

Cause: a plan gave up a priority and rank after 24 steps that found no worker. While the same 24 steps stay first, for example long-running ones that need a worker each, or ones whose label no worker has, no later step is ever examined.

After the first 24 a plan now goes on with the steps that the last one left out, up to 24 more of them, so that each step has its turn within some plans while a plan stays bounded.

Two new tests fail without the change (0 == 1 running after 6 s; the short job is not completed after 20 s).

--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -207,6 +208,9 @@
   std::vector<WorkerState> workers;
   absl::flat_hash_map<WorkerId, int32_t> worker_index;
   std::set<ReadyKey> ready_steps;
+  /** For each priority and rank, the step at which the next plan goes on, if
+   * the last one left steps out. Their iterations may no longer exist. */
+  std::map<std::pair<uint32_t, uint32_t>, ReadyKey> resume_at;
   /** Due times of iterations that do not exist yet. */
   std::multimap<WallTime, Job*> upcoming_iterations;
   /** Iterations whose record must be written. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -31,9 +31,10 @@
 // once.
 constexpr double kMinHeadroom = 0.0;
 // Number of steps of one priority and rank that may fail to be placed before
-// the others of that rank are left for the next plan; bounds the time to make a
-// plan while many steps wait. Steps that are skipped because they need at least
-// as much as an unplaced one do not count.
+// the plan goes on with the steps that earlier plans left out, and of these
+// before the rest is left out; bounds the time to make a plan while many steps
+// wait. Steps that are skipped because they need at least as much as an
+// unplaced one do not count.
 constexpr size_t kMaxUnplacedSteps = 24;
 
 double Millicores(MilliCores cpu) {
@@ -393,6 +394,42 @@
   return PlaceTasks(state, key, now, plan);
 }
 
+// Steps of one priority and rank that a plan could not place.
+struct UnplacedCount {
+  size_t count = 0;
+  bool has_resumed = false;   // at the step where the last plan left off
+  bool has_left_out = false;  // steps for the next plan
+};
+using UnplacedCounts = std::map<std::pair<uint32_t, uint32_t>, UnplacedCount>;
+
+// The step to go on with after too many unplaced ones: those that the last plan
+// left out come first, then the next rank or priority.
+std::set<ReadyKey>::iterator SkipSteps(State& state,
+                                       const ReadyKey& key,
+                                       UnplacedCount& unplaced) {
+  const std::pair rank(key.priority, key.rank);
+  if (!std::exchange(unplaced.has_resumed, true)) {
+    unplaced.count = 0;
+    const auto resume = state.resume_at.find(rank);
+    // Without a later step to resume at, the rest follows here.
+    return resume == state.resume_at.end() || resume->second < key
+               ? state.ready_steps.find(key)
+               : state.ready_steps.lower_bound(resume->second);
+  }
+  unplaced.has_left_out = true;
+  state.resume_at.insert_or_assign(rank, key);
+  return state.ready_steps.lower_bound(
+      ReadyKey{.priority = key.priority, .rank = key.rank + 1});
+}
+
+// A rank that was planned to its end starts again after its first steps.
+void ForgetFinishedRanks(State& state, const UnplacedCounts& unplaced) {
+  std::erase_if(state.resume_at, [&unplaced](const auto& entry) {
+    const auto found = unplaced.find(entry.first);
+    return found == unplaced.end() || !found->second.has_left_out;
+  });
+}
+
 }  // namespace
 
 int32_t FindWorkerForTask(const State& state,
@@ -426,16 +463,14 @@
 
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
   UnplacedSteps unplaced_steps;
-  std::map<std::pair<uint32_t, uint32_t>, size_t> unplaced_counts;
+  UnplacedCounts unplaced_counts;
   std::vector<ReadyKey> reordered;
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
     const ReadyKey key = *next;
-    size_t& unplaced_count = unplaced_counts[{key.priority, key.rank}];
-    if (unplaced_count >= kMaxUnplacedSteps) {
-      // Skip to the next rank or priority.
-      next = state.ready_steps.lower_bound(
-          ReadyKey{.priority = key.priority, .rank = key.rank + 1});
+    UnplacedCount& unplaced = unplaced_counts[{key.priority, key.rank}];
+    if (unplaced.count >= kMaxUnplacedSteps) {
+      next = SkipSteps(state, key, unplaced);
       continue;
     }
     const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
@@ -453,9 +488,10 @@
       continue;
     }
     unplaced_steps.Add(state, key, now);
-    ++unplaced_count;
+    ++unplaced.count;
     ++next;
   }
+  ForgetFinishedRanks(state, unplaced_counts);
   state.ready_steps.insert(reordered.begin(), reordered.end());
   if (!reordered.empty())
     state.needs_plan = true;
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -106,6 +106,48 @@
   CHECK(checker.found().empty());
 }
 
+TEST_CASE("a step that fits waits behind 24 long-running steps that do not",
+          "[sched][lost]") {
+  // Over its share a long-running task waits for 1.5 s, and is then one of many
+  // overdue ones.
+  const auto system = MakeCells(1, 4);
+  WaitingWorkChecker checker(*system);
+  FillWorkers(*system, 0, 4, 1);
+  checker.Run(seconds(3));
+  for (int i = 0; i < 24; ++i) {
+    StepSpec large = MakeLongRunningStep(1, 4);
+    large.max_per_worker = 1;
+    SubmitTo(*system, 0, "urgent", {large});
+  }
+  const std::string small =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(1, 1)});
+  checker.Run(seconds(6));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->CountRunning(small) == 1);
+}
+
+TEST_CASE("a short job waits behind 24 steps whose label no worker has",
+          "[sched][lost]") {
+  const auto system = MakeCells(1, 4);
+  QueuePolicy patient = MakePolicy(2, 3);
+  patient.objective_offset = seconds(60);
+  system->SetQueue("patient", patient);
+  WaitingWorkChecker checker(*system);
+  for (int i = 0; i < 24; ++i) {
+    StepSpec labelled = MakeStep(2, 4, 1000, 1);
+    labelled.label = "gpu";
+    SubmitTo(*system, 0, "patient", {labelled});
+  }
+  const std::string job =
+      SubmitTo(*system, 0, "patient", {MakeStep(2, 1, 1000, 1)});
+  checker.NoteEndOfLoad();
+  checker.Run(seconds(20));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->StateOf(job) == JobState::kCompleted);
+}
+
 TEST_CASE("a last attempt waits while every worker has failed once",
           "[sched][lost]") {
   const auto system = MakeCells(1, 2);
