cells: a task that one cell could not place does not go back to it at once

Cause: an owner cannot see which workers of another cell already run tasks of the step, so the cell that has sent a task away because of that limit may offer the largest pieces, and was drawn again.

A moved task goes on to a cell other than the one it came from, if another one has a piece for it.

The new section fails without the change (the draw is 1 instead of 2).

--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -43,6 +43,13 @@
   double weight = 0;
 };
 
+void PreferOtherThan(std::optional<CellId> cell,
+                     std::vector<Candidate>& candidates) {
+  if (cell && candidates.size() > 1)
+    std::erase_if(candidates,
+                  [cell](const Candidate& c) { return c.cell == *cell; });
+}
+
 // Chooses one in proportion to the weights.
 std::optional<CellId> Draw(const std::vector<Candidate>& candidates,
                            uint64_t random) {
@@ -189,6 +196,7 @@
     if (spare > 0)
       with_spare.push_back({other.cell, spare});
   }
+  PreferOtherThan(work.came_from, with_spare);
   // Work without any worker here goes to any cell that has some.
   const bool goes_anywhere = with_spare.empty() && !can_stay;
   return Draw(goes_anywhere ? with_workers : with_spare, work.random);
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -27,6 +27,9 @@
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
+  /** A cell that could not place the work; chosen only if no other one suits.
+   */
+  std::optional<CellId> came_from = std::nullopt;
   /** Chooses among cells of equal merit, so that owners with the same view do
    * not all choose the same one. */
   uint64_t random = 0;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -46,6 +46,7 @@
   RunNumber run;               // of the latest start; 0 before the first
   uint32_t failures = 0;
   uint32_t other_cell = kThisCell;  // that runs the task
+  uint32_t came_from = kThisCell;   // the cell that moved the task here
   TimePoint ready_since;            // while the task waits for a worker
   TimePoint ready_here_since;       // in this cell
   std::string checkpoint;
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -139,10 +139,14 @@
                                        TimePoint now) {
   WaitingWork work = DescribeWork(state, key, now);
   work.kind = WorkKind::kOverdueLongRunning;
+  const StepState& step = key.iteration->steps[key.step];
+  const uint32_t came_from = step.tasks[step.ready_tasks.back()].came_from;
+  if (came_from != kThisCell)
+    work.came_from = CellId(came_from);
   const auto target = ChooseCell(work, own, state.cell_loads);
   if (!target)
     return std::nullopt;
-  size_t tasks = key.iteration->steps[key.step].ready_tasks.size();
+  size_t tasks = step.ready_tasks.size();
   for (CellLoad& other : state.cell_loads) {
     ServiceLoad* load =
         other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
@@ -289,6 +293,7 @@
     task.failures = moved.failures;
     task.checkpoint = moved.checkpoint;
     task.other_cell = kThisCell;
+    task.came_from = static_cast<uint32_t>(transfer.from.value());
     task.phase = SchedulingPhase::kBlocked;
     MarkDirty(state, iteration);
     // A replay makes its tasks ready at its end.
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -137,6 +137,33 @@
       CHECK(ChooseCell(work, load(0, 0, 0), {load(1, 8, 3), load(2, 1, 4)}) ==
             CellId(2));
   }
+  SECTION("and the cell that has moved it here seems to have more") {
+    const auto load = [](uint64_t cell, size_t pieces) {
+      ServiceLoad service;
+      service.service = ServiceId("pool");
+      service.workers = 8;
+      service.capacity = MilliCores(128000);
+      service.free_pieces.resize(
+          pieces, {MilliCores(4000), Mebibytes(1000), Accelerators(0)});
+      return CellLoad{
+          .cell = CellId(cell), .services = {service}, .waiting = {}};
+    };
+    // Its workers run as many tasks of the step as they may.
+    WaitingWork work{.service = ServiceId("pool"),
+                     .kind = WorkKind::kOverdueLongRunning,
+                     .need = MilliCores(4000),
+                     .task_need = MakeStep(1, 4, 1000, 0).need,
+                     .max_per_worker = 1,
+                     .label = "",
+                     .waited = seconds(2),
+                     .hop = 0,
+                     .came_from = CellId(1),
+                     .random = 0};
+    for (; work.random < 1000000; work.random += 99730)
+      CHECK(ChooseCell(work, load(0, 0), {load(1, 8), load(2, 1)}) ==
+            CellId(2));
+    CHECK(ChooseCell(work, load(0, 0), {load(1, 8), load(2, 0)}) == CellId(1));
+  }
   SECTION("and takes no other waiting tasks along than fit there") {
     const auto system = MakeCells(2);
     std::vector<std::string> jobs;
