cells: a job of which tasks have moved does not move as a whole

Cause: since as many tasks move as fit, a step may keep some. Its job had not started here, and so could still leave as a whole: to a third cell, which then started also the tasks that run in the second one, or to the second one, which ignores a transfer of a job that it knows.

A job has started once tasks of it have moved, as it already counts after a change of owner.

The new test fails without the change (runs in two cells; 3 of 2 running).

--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -266,6 +266,8 @@
     task.other_cell = static_cast<uint32_t>(target.value());
     moved.push_back(DescribeTask(ref, now - task.ready_since));
   }
+  // The rest of the job must not move as a whole any more.
+  iteration.job->has_started = true;
   MarkDirty(state, iteration);
   state.counters.moved_tasks += moved.size();
   SendTasks(state, *iteration.job, target, std::move(moved));
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -299,6 +299,54 @@
   CHECK(system->CountRunning(jobs[1]) == 8);
 }
 
+TEST_CASE("a job that has started waits in a cell that lost its workers",
+          "[.known-red]") {
+  const auto system = MakeCells(2, 4);
+  WaitingWorkChecker checker(*system);
+  std::vector<StepSpec> steps = {MakeStep(2, 2, 1000, 0.3),
+                                 MakeStep(2, 2, 1000, 0.3)};
+  steps[1].depends_on = {0};
+  const std::string job = SubmitTo(*system, 0, "batch", steps);
+  checker.Run(milliseconds(500));
+  for (size_t i = 0; i < 4; ++i)
+    system->cell(0).StopWorker(i);
+  checker.NoteFault();
+  checker.NoteEndOfLoad();
+  checker.Run(seconds(30));
+  INFO(checker.Describe());
+  CHECK(checker.found().empty());
+  CHECK(system->StateOf(job) == JobState::kCompleted);
+}
+
+TEST_CASE("a long-running task waits for its lost worker at a change of owner",
+          "[.known-red]") {
+  const auto system = MakeCells(1, 4);
+  WaitingWorkChecker checker(*system);
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(4, 4)});
+  checker.Run(seconds(2));
+  system->cell(0).StopWorker(*system->cell(0).WorkerOf(Task(job, 0)));
+  checker.NoteFault();
+  SECTION("once") {
+    checker.Run(seconds(5));
+    system->cell(0).ReplaceOwner();
+    checker.NoteFault();
+    checker.Run(seconds(14));
+    INFO(checker.Describe());
+    CHECK(checker.found().empty());
+  }
+  SECTION("several times") {
+    for (int i = 0; i < 3; ++i) {
+      checker.Run(seconds(5));
+      system->cell(0).ReplaceOwner();
+      checker.NoteFault();
+    }
+    checker.Run(seconds(14));
+    INFO(checker.Describe());
+    CHECK(checker.found().empty());
+  }
+}
+
 TEST_CASE("a job that comes back to a cell whose owner was replaced",
           "[sched][lost]") {
   // The only worker of cell 0 is drained, so that the job moves to cell 1, and
@@ -354,5 +402,36 @@
   }
 }
 
+TEST_CASE("a task that has moved alone runs also where its job moves",
+          "[sched][lost]") {
+  // Cells 0 and 2 are full, cell 1 has 8 free cores; work waits in all.
+  const auto system = MakeCells(3, 1);
+  system->load_arrives = [](size_t, size_t) { return false; };
+  system->Run(seconds(1));
+  SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(1, 16)});
+  SubmitTo(*system, 1, "urgent", {MakeLongRunningStep(1, 8)});
+  SubmitTo(*system, 2, "urgent", {MakeLongRunningStep(1, 16)});
+  system->Run(seconds(3));
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(2, 8)});
+  SubmitTo(*system, 1, "urgent", {MakeLongRunningStep(2, 12)});
+  SubmitTo(*system, 2, "urgent", {MakeLongRunningStep(2, 12)});
+  system->Run(milliseconds(1800));
+  system->load_arrives = nullptr;
+  for (int i = 0; i < 100 && system->cell(1).CountRunning(job) == 0; ++i)
+    system->Run(milliseconds(10));
+  REQUIRE(system->cell(1).CountRunning(job) == 1);
+  // The owner of cell 1 tells the others nothing for a time, cell 2 grows, and
+  // no worker of cell 0 may get tasks any more.
+  system->load_arrives = [](size_t from, size_t) { return from != 1; };
+  system->cell(2).worker(0).info.capacity.cpu = MilliCores(160000);
+  system->cell(2).UpdateWorkerInfo(0);
+  system->Run(milliseconds(600));
+  SetDraining(*system, 0, 0, true);
+  system->Run(seconds(8));
+  CHECK(system->Violations().empty());
+  CHECK(system->CountRunning(job) == 2);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
