cells: no transfer of a whole job for a step without waiting tasks

Seen in review: a step that was queued under two keys, an old one that no plan had reached and a new one, was listed twice for a move. The second time no task was left, and a transfer without tasks is one of the whole job. Its target may be another cell, which would run tasks that run elsewhere.

Nothing is sent for a step of which no task moves. There is no test of its own: the reviewer reached it with 1,500 steps only, and there the target already held the tasks and ignored the transfer.

--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -266,6 +266,9 @@
     task.other_cell = static_cast<uint32_t>(target.value());
     moved.push_back(DescribeTask(ref, now - task.ready_since));
   }
+  // A transfer without tasks would be one of the whole job.
+  if (moved.empty())
+    return;
   // The rest of the job must not move as a whole any more.
   iteration.job->has_started = true;
   MarkDirty(state, iteration);
