draining: a running task does not count as overdue

Cause: whether a task is overdue was read from the time at which it last began to wait, also while it runs. As an overdue task now takes any capacity, a search for another worker found the reserve, for each task the same piece.

Only a waiting task can be overdue.

--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -68,7 +68,7 @@
 }
 
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now) {
-  return spec.long_running &&
+  return spec.long_running && task.phase == SchedulingPhase::kReady &&
          now - task.ready_since >= kLongRunningOverdueAfter;
 }
 
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -433,5 +433,20 @@
   CHECK(system->CountRunning(job) == 2);
 }
 
+TEST_CASE("draining stops more long-running tasks than fit elsewhere",
+          "[sched][lost]") {
+  const auto system = MakeCells(1, 2);
+  const std::string job =
+      SubmitTo(*system, 0, "urgent", {MakeLongRunningStep(7, 4)});
+  system->Run(seconds(4));
+  REQUIRE(system->CountRunning(job) == 7);
+  SetDraining(*system, 0, system->cell(0).WorkerOf(Task(job, 0)).value(), true);
+  for (int i = 0; i < 60; ++i) {
+    system->Run(milliseconds(50));
+    // One of the tasks fits on the other worker.
+    CHECK(system->CountRunning(job) >= 6);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
