cells: a task moved here is queued again after a change of owner

Seen in review: a long-running task of a later step that had moved to a cell and waited there stayed without a worker after a change of owner, until something else about its job changed.

Cause: the cell knows only the tasks that were moved to it, so for it the steps before are never done, and the next owner left the task blocked.

A part of a job needs no earlier steps: a task moves only when its turn has come.

--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -159,8 +159,10 @@
     return;
   for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
     StepState& step = iteration.steps[i];
+    // A task that another cell moves here waits for no step any more.
     if (step.unblocked ||
-        !AreDependenciesDone(iteration, iteration.job->spec.steps[i]))
+        (!iteration.job->is_part &&
+         !AreDependenciesDone(iteration, iteration.job->spec.steps[i])))
       continue;
     step.unblocked = true;
     // In reverse, so that the last element of `ready_tasks`, which is placed
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -433,6 +433,32 @@
   CHECK(system->CountRunning(job) == 2);
 }
 
+TEST_CASE("a moved task of a later step is not queued after a change of owner",
+          "[sched][lost]") {
+  for (int owner_ms = 0; owner_ms < 3000; owner_ms += 500) {
+    const auto system = MakeCells(2, 1);
+    StepSpec second = MakeLongRunningStep(2, 8);
+    second.depends_on = {0};
+    const std::string job =
+        SubmitTo(*system, 0, "urgent", {MakeStep(1, 1, 1000, 0.2), second});
+    system->Run(seconds(4));
+    REQUIRE(system->cell(0).CountRunning(job) == 2);
+    // Cell 1 has too little capacity at first.
+    SubmitTo(*system, 1, "urgent", {MakeLongRunningStep(1, 4)});
+    system->Run(seconds(1));
+    SetDraining(*system, 0, 0, true);
+    system->cell(0).StopWorker(0);
+    system->Run(milliseconds(8000 + owner_ms));
+    system->cell(1).ReplaceOwner();
+    system->Run(seconds(2));
+    system->cell(1).worker(0).info.capacity.cpu = MilliCores(64000);
+    system->cell(1).UpdateWorkerInfo(0);
+    system->Run(seconds(14));
+    INFO("owner " << owner_ms);
+    CHECK(system->CountRunning(job) == 2);
+  }
+}
+
 TEST_CASE("draining stops more long-running tasks than fit elsewhere",
           "[sched][lost]") {
   const auto system = MakeCells(1, 2);
