sched: give up tasks that crash the workers that start them

Callers and operators saw one task start 13 times, each time on another worker, which it crashed: a worker every 3.4 s, with all that ran there. A run that vanished with its worker was requeued without being counted; only runs listed as failed were.

Now the ends of worker instances are counted for each task that ran there (crash_suspects.cc). Suspects are spread over the workers; a task is given up when the evidence points at it, and its job is shown as failed once that is stored. The counts, and the start time of the instance that has a task, are part of the stored progress and of moved tasks; records without them are still read. A part of a job in another cell reports the failure to the cell that it came from, which cancels the other parts.

--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -18,6 +18,7 @@
   RunNumber run;  // later starts must have higher ones
   uint32_t failures = 0;
   std::string checkpoint;
+  CrashCount crashes = {};
 
   bool operator==(const MovedTask&) const = default;
 };
--- a/include/cowslipmast/sched/job.h
+++ b/include/cowslipmast/sched/job.h
@@ -73,6 +73,14 @@
   }
 };
 
+/** Worker instances that ended while they ran a task. */
+struct CrashCount {
+  uint32_t total = 0;
+  uint32_t blamed = 0;  // of these, the ones that ended just after its start
+
+  bool operator==(const CrashCount&) const = default;
+};
+
 /** Returns a stable name for logs and messages. */
 std::string_view JobStateName(JobState state);
 
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -92,6 +92,8 @@
   uint64_t lease_expired = 0;  // runs whose lease expired
   uint64_t lost = 0;           // runs that vanished without an outcome
   uint64_t starts_without_capacity = 0;  // starts refused for lack of capacity
+  uint64_t worker_crashes = 0;  // workers that ended while they ran tasks
+  uint64_t jobs_given_up = 0;   // failed because a task crashes its workers
   uint64_t stops = 0;
   uint64_t paces = 0;
   uint64_t unexpected_runs =
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -20,7 +20,10 @@
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
   const StepSpec& spec = SpecOf(ref);
   TaskOf(ref).worker = worker;
+  TaskOf(ref).worker_start_time_ms = worker_state.start_time_ms;
   worker_state.tasks.push_back(ref);
+  if (TaskOf(ref).crashes.total > 0)
+    ++worker_state.suspects;
   worker_state.reserved += ReservedBy(spec);
   if (spec.best_effort)
     worker_state.best_effort_cpu += spec.need.cpu;
@@ -36,6 +39,8 @@
   WorkerState& worker_state = state.workers[static_cast<size_t>(task.worker)];
   const StepSpec& spec = SpecOf(ref);
   std::erase(worker_state.tasks, ref);
+  if (task.crashes.total > 0)
+    --worker_state.suspects;
   worker_state.reserved -= ReservedBy(spec);
   if (spec.best_effort)
     worker_state.best_effort_cpu -= spec.need.cpu;
@@ -48,6 +53,8 @@
   if (task.phase == SchedulingPhase::kStopping)
     state.stopping_tasks.erase(NameOf(ref));
   task.worker = kNoWorker;
+  task.worker_start_time_ms = 0;
+  task.started.reset();
   task.visible_from.reset();
   task.stop_sent.reset();
   task.last_progress.reset();
@@ -59,6 +66,16 @@
   state.needs_plan = true;
 }
 
+void SetCrashes(State& state, const TaskRef& ref, const CrashCount& crashes) {
+  Task& task = TaskOf(ref);
+  if (task.worker != kNoWorker) {
+    WorkerState& worker = state.workers[static_cast<size_t>(task.worker)];
+    worker.suspects -= task.crashes.total > 0 ? 1 : 0;
+    worker.suspects += crashes.total > 0 ? 1 : 0;
+  }
+  task.crashes = crashes;
+}
+
 void StopTask(State& state, const TaskRef& ref) {
   Task& task = TaskOf(ref);
   if (task.worker == kNoWorker || task.phase == SchedulingPhase::kStopping)
--- a/src/sched/assignment.h
+++ b/src/sched/assignment.h
@@ -11,6 +11,9 @@
 /** Removes a task from its worker and releases what it reserved. */
 void UnassignTask(State& state, const TaskRef& ref);
 
+/** Sets the number of workers that ended under a task. */
+void SetCrashes(State& state, const TaskRef& ref, const CrashCount& crashes);
+
 /** Marks a task for being stopped on its worker; the next plan holds the stop.
  */
 void StopTask(State& state, const TaskRef& ref);
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -24,15 +24,21 @@
 
 json EncodeTask(const MovedTask& task) {
   return json::array({task.step, task.index, task.run.value(), task.failures,
-                      task.checkpoint});
+                      task.checkpoint, task.crashes.total,
+                      task.crashes.blamed});
 }
 
 MovedTask DecodeTask(const json& j) {
+  // Earlier versions store no crashes.
+  CrashCount crashes;
+  if (j.size() > 6)
+    crashes = {j.at(5).get<uint32_t>(), j.at(6).get<uint32_t>()};
   return {.step = j.at(0).get<uint32_t>(),
           .index = j.at(1).get<uint32_t>(),
           .run = RunNumber(j.at(2).get<uint64_t>()),
           .failures = j.at(3).get<uint32_t>(),
-          .checkpoint = j.at(4).get<std::string>()};
+          .checkpoint = j.at(4).get<std::string>(),
+          .crashes = crashes};
 }
 
 }  // namespace
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -190,6 +190,8 @@
   job.ended_at = now;
   state.ended_jobs.emplace(now + kEndedJobRetention, job.spec.id);
   PlanEndMessage(state, job);
+  if (end == JobState::kFailed)
+    PlanCancellationOfParts(state, job);
   // The stored record must show the end even if no task ever had a worker.
   GetOrCreateIteration(state, job, 0, now);
   for (auto& [number, iteration] : job.iterations) {
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/sched/assignment.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
@@ -87,7 +88,7 @@
   if (state.workers[index].reachability != Reachability::kUnknown &&
       state.workers[index].start_time_ms != 0 && listing.start_time_ms != 0 &&
       state.workers[index].start_time_ms != listing.start_time_ms) {
-    RequeueAllTasks(state, worker, "worker restarted", now);
+    HandleEndedInstance(state, worker, "worker restarted", now);
     WorkerState& restarted = state.workers[index];
     restarted.clock.reset();
     restarted.latest_lease_end = WorkerClock(0);
@@ -95,6 +96,8 @@
         restarted.outcomes_stored = 0;
     restarted.health = WorkerHealth{};
   }
+  HandleTasksOfEarlierInstance(state, worker, listing.start_time_ms, now);
+  HandleSurvivedPartition(state, worker);
   WorkerState& worker_state = state.workers[index];
   if (worker_state.reachability != Reachability::kReachable)
     state.needs_plan = true;
@@ -121,6 +124,7 @@
       HandleMissingRun(state, ref, now);
   }
   StopStalledTasks(state, worker, now);
+  ClearSurvivors(state, worker, now);
 }
 
 void RequeueTasksOfExpiredLeases(State& state, TimePoint now) {
@@ -128,7 +132,7 @@
     const WorkerState& worker = state.workers[i];
     if (worker.reachability != Reachability::kReachable &&
         !worker.tasks.empty() && now >= worker.lease_expiry)
-      RequeueAllTasks(state, static_cast<int32_t>(i), "lease expired", now);
+      HandleExpiredLease(state, static_cast<int32_t>(i), now);
   }
 }
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -39,6 +39,14 @@
   } else if (elsewhere) {
     fields.push_back(task.other_cell);
   }
+  if (!placed && task.crashes.total == 0)
+    return fields;
+  if (!placed && !elsewhere)
+    fields.push_back(nullptr);
+  fields.push_back(task.crashes.total);
+  fields.push_back(task.crashes.blamed);
+  if (placed)
+    fields.push_back(task.worker_start_time_ms);
   return fields;
 }
 
@@ -57,6 +65,9 @@
   task.run = run;
   task.failures = stored.at(2).get<uint32_t>();
   task.checkpoint = stored.at(3).get<std::string>();
+  // Earlier versions store no crashes.
+  if (stored.size() > 6)
+    task.crashes = {stored.at(5).get<uint32_t>(), stored.at(6).get<uint32_t>()};
   if (task.run > ref.iteration->job->base_run)
     ref.iteration->job->has_started = true;
   const int code = stored.at(0).get<int>();
@@ -69,6 +80,8 @@
   const int32_t worker =
       GetOrCreateWorkerIndex(state, WorkerId(stored.at(4).get<std::string>()));
   AssignToWorker(state, ref, worker);
+  if (stored.size() > 7)
+    task.worker_start_time_ms = stored.at(7).get<int64_t>();
   task.phase = SchedulingPhase::kRunning;
   // Any listing made under this owner's fence shows whether the run is present.
   task.visible_from = state.claimed_at;
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "src/sched/assignment.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 
@@ -75,6 +76,9 @@
   if (!ended.checkpoint.empty())
     task.checkpoint = ended.checkpoint;
   RecordRunOutcome(state, worker, ended.outcome, now);
+  if (ended.outcome == RunOutcome::kDone ||
+      ended.outcome == RunOutcome::kFailed)
+    ClearSuspicion(state, *ref);
   switch (ended.outcome) {
     case RunOutcome::kDone:
       ApplyDone(state, *ref, now);
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -5,6 +5,7 @@
 
 #include "src/sched/assignment.h"
 #include "src/sched/cell_load.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/dump.h"
 #include "src/sched/interference_codec.h"
 #include "src/sched/jobs.h"
@@ -242,12 +243,14 @@
   state.needs_plan = true;
 }
 
-void Scheduler::RemoveWorker(const WorkerId& id, TimePoint) {
-  WorkerState* worker = FindWorkerState(m_impl->state, id);
-  if (worker == nullptr)
+void Scheduler::RemoveWorker(const WorkerId& id, TimePoint now) {
+  State& state = m_impl->state;
+  const int32_t worker = FindWorkerIndex(state, id);
+  if (worker == kNoWorker)
     return;
-  worker->listed = false;
-  m_impl->state.needs_plan = true;
+  state.workers[static_cast<size_t>(worker)].listed = false;
+  state.needs_plan = true;
+  HandleRemovedWorker(state, worker, now);
 }
 
 void Scheduler::OnListing(const WorkerId& id,
@@ -272,10 +275,14 @@
   const int32_t index = FindWorkerIndex(state, id);
   if (index == kNoWorker)
     return;
-  state.workers[static_cast<size_t>(index)].reachability =
-      Reachability::kUnreachable;
-  state.workers[static_cast<size_t>(index)].lease_expiry = now;
-  RequeueAllTasks(state, index, "worker instance is gone", now);
+  WorkerState& worker = state.workers[static_cast<size_t>(index)];
+  worker.reachability = Reachability::kUnreachable;
+  worker.lease_expiry = now;
+  // It is reported again as long as the platform lists the worker.
+  if (worker.start_time_ms == 0 && worker.tasks.empty())
+    return;
+  worker.start_time_ms = 0;
+  HandleEndedInstance(state, index, "worker instance is gone", now);
 }
 
 void Scheduler::OnStarted(const StartRunCommand& command, TimePoint now) {
@@ -287,6 +294,7 @@
   Task& task = TaskOf(*ref);
   task.phase = SchedulingPhase::kRunning;
   task.visible_from = now;
+  task.started = now;
   task.last_progress = now;
 }
 
@@ -331,6 +339,7 @@
     return;
   LogDecision(state, "start_unknown", *ref);
   TaskOf(*ref).phase = SchedulingPhase::kUncertain;
+  TaskOf(*ref).started = now;
   TaskOf(*ref).visible_from = now;
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -2,6 +2,7 @@
 #define COWSLIPMAST_SRC_SCHED_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,11 +40,28 @@
  * is always sent. */
 inline constexpr uint32_t kUnknownPacePercent = 101;
 
+/** What the end of a worker says of a run that it had. */
+struct CrashEvidence {
+  RunNumber run;
+  bool blamed = false;     // the run had just started
+  bool alone = false;      // no other run had just started
+  bool in_common = false;  // more workers had ended under it than under others
+  /** Workers that ended in the last seconds though nothing had just started
+   * there. */
+  size_t unexplained_ends = 0;
+};
+
 struct Task {
   SchedulingPhase phase = SchedulingPhase::kBlocked;
   int32_t worker = kNoWorker;  // index into `State::workers`
   RunNumber run;               // of the latest start; 0 before the first
   uint32_t failures = 0;
+  CrashCount crashes;  // since it was last cleared; set by `SetCrashes`
+  RunNumber last_crashed_run;
+  /** Start time of the worker's instance that has the task; 0 if unknown. */
+  int64_t worker_start_time_ms = 0;
+  /** When this owner saw the run start. */
+  std::optional<TimePoint> started;
   uint32_t other_cell = kThisCell;  // that runs the task
   TimePoint ready_since;            // while the task waits for a worker
   std::string checkpoint;
@@ -147,6 +165,10 @@
   MilliCores best_effort_cpu;   // declared by best-effort tasks
   MilliCores long_running_cpu;  // of long-running tasks, part of `reserved`
   std::vector<TaskRef> tasks;
+  uint32_t suspects = 0;  // tasks under which workers have ended before
+  /** Tasks that the worker had when its lease expired, until it is known
+   * whether its instance has ended. */
+  std::map<TaskName, CrashEvidence> silent_tasks;
   /** Number of the last listed run outcome that was applied, that was part of a
    * plan, and whose plan was stored. */
   uint64_t outcomes_applied = 0;
@@ -216,6 +238,8 @@
   std::vector<JobId> jobs_to_publish;
   /** Ended jobs by the time at which they are deleted. */
   std::multimap<TimePoint, JobId> ended_jobs;
+  /** Recent ends of workers on which no run had just started. */
+  std::deque<TimePoint> unexplained_ends;
   uint64_t next_sequence = 1;
   bool needs_plan = true;
   SchedulerCounters counters;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/sched/assignment.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
@@ -120,7 +121,8 @@
   // worker on that rack is better than the best one elsewhere.
   const bool is_far_from_data =
       !spec.data_rack.empty() && worker.info.rack != spec.data_rack;
-  const double penalty = is_far_from_data ? -1000.0 : 0.0;
+  const double penalty = (is_far_from_data ? -1000.0 : 0.0) -
+                         IsolationPenalty(worker, TaskOf(ref));
   if (spec.best_effort) {
     const auto score = BestEffortScore(state, worker, ref);
     return score ? std::optional(penalty + *score) : std::nullopt;
@@ -261,6 +263,7 @@
 struct WorkerHeap {
   bool last_attempt = false;
   bool is_overdue = false;
+  bool is_suspect = false;
   std::vector<ScoredWorker> workers;
 };
 
@@ -287,6 +290,7 @@
                           TimePoint now) {
   WorkerHeap heap{.last_attempt = query.last_attempt,
                   .is_overdue = query.is_overdue,
+                  .is_suspect = IsSuspect(TaskOf(query.ref)),
                   .workers = {}};
   for (size_t i = 0; i < state.workers.size(); ++i)
     PushIfSuitable(state, query, static_cast<int32_t>(i), now, heap);
@@ -307,7 +311,8 @@
     if (query.must_wait)
       return false;
     if (!heap || heap->last_attempt != query.last_attempt ||
-        heap->is_overdue != query.is_overdue)
+        heap->is_overdue != query.is_overdue ||
+        heap->is_suspect != IsSuspect(TaskOf(ref)))
       heap = MakeWorkerHeap(state, query, now);
     if (heap->workers.empty())
       return false;
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -157,7 +157,8 @@
           .index = ref.index,
           .run = task.run,
           .failures = task.failures,
-          .checkpoint = task.checkpoint};
+          .checkpoint = task.checkpoint,
+          .crashes = task.crashes};
 }
 
 void SendTasks(State& state,
@@ -223,6 +224,7 @@
     task.run = moved.run;
     task.failures = moved.failures;
     task.checkpoint = moved.checkpoint;
+    SetCrashes(state, ref, moved.crashes);
     task.other_cell = kThisCell;
     task.phase = SchedulingPhase::kBlocked;
     MarkDirty(state, iteration);
@@ -405,8 +407,12 @@
                     JobState end,
                     TimePoint now) {
   const auto found = state.jobs.find(id);
-  if (found == state.jobs.end() || !found->second->moved_to ||
-      found->second->ended_at)
+  if (found == state.jobs.end() || found->second->ended_at)
+    return;
+  const Job& job = *found->second;
+  const bool part_failed =
+      end == JobState::kFailed && !CellsOfParts(job).empty();
+  if (!job.moved_to && !part_failed)
     return;
   // Tasks of the job may have come back here alone.
   EndJob(state, *found->second, end, now);
@@ -418,6 +424,13 @@
                               EncodeEnd(job.state), job.spec.id});
 }
 
+void PlanCancellationOfParts(State& state, const Job& job) {
+  for (const CellId cell : CellsOfParts(job)) {
+    if (cell != job.moved_to)
+      state.messages.push_back({cell, CancellationKey(job.spec.id), "1", {}});
+  }
+}
+
 void RepeatMessages(State& state, const Job& job) {
   if (job.ended_at) {
     PlanEndMessage(state, job);
--- a/src/sched/transfers.h
+++ b/src/sched/transfers.h
@@ -6,6 +6,10 @@
 
 namespace cowslipmast::sched {
 
+/** Cancels the tasks of a failed job in other cells once the failure is stored.
+ */
+void PlanCancellationOfParts(State& state, const Job& job);
+
 /** Moves waiting jobs, of which no task has started, to cells that suit them
  * better. Must be called before tasks are placed. */
 void PlanJobTransfers(State& state, TimePoint now);
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -325,6 +325,10 @@
           [](const Cell& c) { return c.counters().lease_expired; });
   counter("cowslipmast_runs_lost",
           [](const Cell& c) { return c.counters().lost; });
+  counter("cowslipmast_worker_crashes",
+          [](const Cell& c) { return c.counters().worker_crashes; });
+  counter("cowslipmast_jobs_given_up",
+          [](const Cell& c) { return c.counters().jobs_given_up; });
   counter("cowslipmast_starts_without_room",
           [](const Cell& c) { return c.counters().starts_without_capacity; });
   counter("cowslipmast_listings",
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -142,6 +142,47 @@
   worker.lease_end_ms = 0;
   ++worker.start_time_ms;
   worker.up = true;
+  worker.restarts_at.reset();
+}
+
+void SimulatedCell::CrashWorker(size_t index) {
+  m_workers[index].up = false;
+  m_workers[index].restarts_at = m_now + restart_delay;
+  EndOtherMembers(m_workers[index]);
+}
+
+// The members of a gang on other workers end when one of them is gone.
+void SimulatedCell::EndOtherMembers(const SimulatedWorker& crashed) {
+  for (const auto& [gone, gone_run] : crashed.running) {
+    if (!SpecOf(gone).gang)
+      continue;
+    for (SimulatedWorker& worker : m_workers) {
+      if (!worker.up)
+        continue;
+      for (uint32_t i = 0; i < SpecOf(gone).count; ++i) {
+        const TaskName member{gone.job, gone.iteration, gone.step, i};
+        if (worker.running.count(member) > 0)
+          EndRun(worker, member, RunOutcome::kGangMemberEnded);
+      }
+    }
+  }
+}
+
+void SimulatedCell::CrashWorkers() {
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    SimulatedWorker& worker = m_workers[i];
+    if (!worker.up && worker.restarts_at && m_now >= *worker.restarts_at)
+      RestartWorker(i);
+    if (!worker.up || !crashes_worker)
+      continue;
+    for (const auto& [task, run] : worker.running) {
+      if (m_now - run.started < crash_delay || !crashes_worker(task))
+        continue;
+      ++m_observations.crashes[task];
+      CrashWorker(i);
+      break;
+    }
+  }
 }
 
 void SimulatedCell::ReplaceOwner() {
@@ -160,8 +201,10 @@
     }
   };
   replay(JobRecordKind::kTransfer);
-  for (const auto& [key, value] : m_stored_records)
-    m_scheduler->RestoreProgress({key, value});
+  for (const auto& [key, value] : m_stored_records) {
+    m_scheduler->RestoreProgress(
+        {key, rewrite_stored_value ? rewrite_stored_value(value) : value});
+  }
   for (const JobId& id : m_cancelled)
     m_scheduler->CancelJob(id, m_now);
   replay(JobRecordKind::kEnd);
@@ -188,6 +231,7 @@
   m_now += kTimeStep;
   for (SimulatedWorker& worker : m_workers)
     AdvanceWorker(worker);
+  CrashWorkers();
   ApplyStoredPlan();
   for (SimulatedWorker& worker : m_workers) {
     if (m_now >= worker.next_listing)
@@ -387,7 +431,10 @@
   Resources need = SpecOf(command.task).need;
   if (SpecOf(command.task).best_effort)
     need.cpu = MilliCores(0);
-  if (!Fits(need, worker->info.capacity - used)) {
+  const bool fits = Fits(need, worker->info.capacity - used);
+  if (!fits && !worker->guards_capacity)
+    AddViolation("started beyond the capacity", command.task);
+  if (!fits && worker->guards_capacity) {
     ++m_observations.starts_without_capacity;
     m_scheduler->OnStartRefused(command, StartRefusal::kNoCapacity, m_now);
     return;
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -33,6 +33,10 @@
   bool reachable = true;
   bool fails_all = false;
   bool stalls_all_runs = false;
+  /** Refuses starts beyond its capacity; else it starts whatever it is told. */
+  bool guards_capacity = true;
+  /** When it is back after a crash, as another instance. */
+  std::optional<TimePoint> restarts_at;
   double clock_rate = 1.0;
   int64_t start_time_ms = 1;
   double clock_ms = 1000;
@@ -51,6 +55,8 @@
   std::vector<std::string> violations;
   std::map<TaskName, int> starts;
   std::set<TaskName> done;
+  /** Worker instances that the task has crashed. */
+  std::map<TaskName, int> crashes;
   uint64_t starts_without_capacity = 0;
   /** Time that latency-critical tasks were over their targets while best-effort
    * tasks interfered: in total, and the longest period of one task. */
@@ -80,6 +86,10 @@
   std::function<double(const std::string& best_effort,
                        const std::string& latency_critical)>
       interference_of;
+  /** Tasks that crash each worker that starts them. */
+  std::function<bool(const TaskName&)> crashes_worker;
+  Duration crash_delay = std::chrono::milliseconds(50);
+  Duration restart_delay = std::chrono::seconds(2);
   /** Own utilisation of a latency-critical task at a time in seconds. */
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
@@ -96,10 +106,14 @@
   void UpdateWorkerInfo(size_t worker);
   /** Replaces the worker's instance by a new one without runs. */
   void RestartWorker(size_t worker);
+  /** The worker is down until it restarts after `restart_delay`. */
+  void CrashWorker(size_t worker);
   /** While false nothing is stored, and no plan is carried out. */
   bool store_is_up = true;
   /** Time between a plan and the response of the store to its records. */
   Duration append_latency{0};
+  /** Changes the records that the next owner reads. */
+  std::function<std::string(const std::string&)> rewrite_stored_value;
   /** Another process takes over the cell: a new scheduler starts from what is
    * stored. */
   void ReplaceOwner();
@@ -121,6 +135,8 @@
   void MakeScheduler();
   void ApplyRecord(const std::string& key, const std::string& value);
   void AdvanceWorker(SimulatedWorker& worker);
+  void CrashWorkers();
+  void EndOtherMembers(const SimulatedWorker& crashed);
   void UpdateTails(SimulatedWorker& worker);
   void SendListing(SimulatedWorker& worker);
   void MakeNextPlan();
