sched: send no start that a shrunk worker has no capacity for

A plan waits for the store before its starts are sent. A worker whose reported capacity shrank in between got all of them, and one that does not guard its capacity ran them all.

IsStillWanted now also checks that what is reserved on the worker, including runs that are being stopped, fits the capacity last reported. A start that does not is skipped and its task waits for a worker again. Work that runs above a shrunk capacity goes on: stopping it would lose it, and no start is made there until it has ended.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -384,7 +384,9 @@
     return false;
   const WorkerState& worker =
       state.workers[static_cast<size_t>(TaskOf(*ref).worker)];
-  return !worker.info.draining &&
+  // The worker may have become smaller since the start was planned.
+  return Fits(worker.reserved, worker.info.capacity) &&
+         !worker.info.draining &&
          worker.reachability == Reachability::kReachable &&
          state.policy.evacuated.count(worker.info.data_centre) == 0;
 }
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -68,6 +68,7 @@
     worker.info.data_centre = DataCentreId("cebu");
     worker.info.capacity.cpu = MilliCores(cores * 1000);
     worker.info.capacity.memory = Mebibytes(memory_mb);
+    worker.info.start_time_ms = worker.start_time_ms;
     worker.next_listing = m_now;
     m_scheduler->UpsertWorker(worker.info, m_now);
     m_workers.push_back(std::move(worker));
@@ -141,6 +142,8 @@
   worker.clock_ms = 0;
   worker.lease_end_ms = 0;
   ++worker.start_time_ms;
+  worker.info.start_time_ms = worker.start_time_ms;
+  worker.listed_at = m_now + listing_delay;
   worker.up = true;
   worker.restarts_at.reset();
 }
@@ -171,6 +174,10 @@
 void SimulatedCell::CrashWorkers() {
   for (size_t i = 0; i < m_workers.size(); ++i) {
     SimulatedWorker& worker = m_workers[i];
+    if (worker.listed_at && m_now >= *worker.listed_at) {
+      worker.listed_at.reset();
+      UpdateWorkerInfo(i);
+    }
     if (!worker.up && worker.restarts_at && m_now >= *worker.restarts_at)
       RestartWorker(i);
     if (!worker.up || !crashes_worker)
@@ -277,6 +284,10 @@
       ended_runs.emplace_back(task, RunOutcome::kLeaseExpired);
       continue;
     }
+    if (run.stops_at && m_now >= *run.stops_at) {
+      ended_runs.emplace_back(task, RunOutcome::kStopped);
+      continue;
+    }
     if (worker.stalls_all_runs || SpecOf(task).long_running)
       continue;
     run.remaining_work_s -= kTimeStepS * run.pace_percent / 100.0;
@@ -462,7 +473,10 @@
   if (worker == nullptr || !worker->up || !worker->reachable)
     return;
   const auto run = worker->running.find(command.task);
-  if (run != worker->running.end() && run->second.run == command.run)
+  if (run != worker->running.end() && run->second.run == command.run &&
+      stop_delay.count() > 0)
+    run->second.stops_at = run->second.stops_at.value_or(m_now + stop_delay);
+  else if (run != worker->running.end() && run->second.run == command.run)
     EndRun(*worker, command.task, RunOutcome::kStopped);
   else
     worker->highest_run[command.task] =
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -21,6 +21,7 @@
   uint32_t pace_percent = 100;
   bool fails = false;
   TimePoint started;
+  std::optional<TimePoint> stops_at;  // set while it is being stopped
 };
 
 inline constexpr Duration kTimeStep = std::chrono::milliseconds(10);
@@ -37,6 +38,8 @@
   bool guards_capacity = true;
   /** When it is back after a crash, as another instance. */
   std::optional<TimePoint> restarts_at;
+  /** When the platform lists its new instance. */
+  std::optional<TimePoint> listed_at;
   double clock_rate = 1.0;
   int64_t start_time_ms = 1;
   double clock_ms = 1000;
@@ -90,6 +93,10 @@
   std::function<bool(const TaskName&)> crashes_worker;
   Duration crash_delay = std::chrono::milliseconds(50);
   Duration restart_delay = std::chrono::seconds(2);
+  /** Time from a stop command to the end of the run. */
+  Duration stop_delay{0};
+  /** Time from the start of an instance until the platform lists it. */
+  Duration listing_delay = std::chrono::milliseconds(500);
   /** Own utilisation of a latency-critical task at a time in seconds. */
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
