sched: blame no crash on a start that the worker did not confirm

Evidence: `build/tests/sched_test "workers that end without a task's fault"` failed before in "just before a start reaches them: no job fails": StateOf("a") != kFailed.

--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -34,8 +34,8 @@
 // any kind if the tasks beside it have fewer. The platform tolerates five
 // starts of a task that crashes its workers.
 constexpr uint32_t kMaxCrashes = 5;
-// A task that crashes each worker is blamed each time, unless the owner that
-// saw it start was replaced.
+// A task that crashes each worker is blamed each time, unless the response to
+// its start was lost or the owner that saw it start was replaced.
 constexpr uint32_t kMaxNotBlamed = 1;
 // Smaller than the penalty for another rack than that of the data, larger than
 // differences between equally suitable workers.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -339,7 +339,6 @@
     return;
   LogDecision(state, "start_unknown", *ref);
   TaskOf(*ref).phase = SchedulingPhase::kUncertain;
-  TaskOf(*ref).started = now;
   TaskOf(*ref).visible_from = now;
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -60,7 +60,8 @@
   RunNumber last_crashed_run;
   /** Start time of the worker's instance that has the task; 0 if unknown. */
   int64_t worker_start_time_ms = 0;
-  /** When this owner saw the run start. */
+  /** When the worker confirmed the start to this owner. Without a response the
+   * worker may have ended before the start reached it. */
   std::optional<TimePoint> started;
   uint32_t other_cell = kThisCell;  // that runs the task
   TimePoint ready_since;            // while the task waits for a worker
--- a/tests/sched/worker_crash_test.cc
+++ b/tests/sched/worker_crash_test.cc
@@ -220,6 +220,22 @@
     CHECK(cell.StateOf("b0") == JobState::kCompleted);
     CHECK(cell.observations().violations.empty());
   }
+  SECTION("just before a start reaches them: no job fails") {
+    SimulatedCell small = MakeCell(1);
+    small.Submit(MakeJob("a", "batch", {MakeStep(1, 2, 1000, 1)}));
+    for (int crashes = 0; crashes < 4;) {
+      small.Run(kTimeStep);
+      for (const Decision& decision : small.scheduler().TakeDecisions()) {
+        if (decision.event != "run_planned")
+          continue;
+        small.CrashWorker(0);
+        ++crashes;
+      }
+      REQUIRE(small.StateOf("a") != JobState::kFailed);
+    }
+    small.Run(seconds(20));
+    CHECK(small.StateOf("a") == JobState::kCompleted);
+  }
   SECTION("but the starts do not reach them: no job fails") {
     submit_batch(0, 2);
     for (int i = 0; i < 8; ++i) {
