sched: start nothing on a new instance before its capacity is known

A worker may start again under its id with another capacity. Its own listing shows the new instance at once, its entry at the platform up to a beat later; in between tasks were placed by the capacity of the previous instance, which brings a worker that does not guard its capacity over it.

A worker whose entry names another start time than its listing is now not eligible.

Evidence: without the check, "as a new instance, before its new size is known, gets nothing" in shrinking_capacity_test.cc fails: CountRunning 4 == 0, and "started beyond the capacity". With it all tests pass.

--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -67,6 +67,9 @@
     return WorkerEligibility::kDraining;
   if (state.policy.evacuated.count(worker.info.data_centre) > 0)
     return WorkerEligibility::kEvacuated;
+  if (worker.info.start_time_ms != 0 && worker.start_time_ms != 0 &&
+      worker.info.start_time_ms != worker.start_time_ms)
+    return WorkerEligibility::kOtherInstance;
   if (worker.full_until && now < *worker.full_until)
     return WorkerEligibility::kFull;
   return WorkerEligibility::kEligible;
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -30,6 +30,7 @@
   kNotReachable,
   kDraining,
   kEvacuated,
+  kOtherInstance,  // the platform lists another instance than the one it is
   kFull,  // it refused a start for lack of capacity a moment ago
 };
 
--- a/tests/sched/shrinking_capacity_test.cc
+++ b/tests/sched/shrinking_capacity_test.cc
@@ -91,6 +91,19 @@
     CHECK(cell.StateOf("b") == JobState::kCompleted);
     CHECK(cell.observations().violations.empty());
   }
+  SECTION("as a new instance, before its new size is known, gets nothing") {
+    SetCores(cell, 0, 4);
+    cell.listing_delay = seconds(3);
+    cell.RestartWorker(0);
+    // By then its own listing shows the new instance.
+    cell.Run(seconds(1));
+    cell.Submit(MakeJob("a", "urgent", {MakeStep(4, 4, 1000, 1)}));
+    cell.Run(milliseconds(500));
+    CHECK(cell.CountRunning("a") == 0);
+    cell.Run(seconds(12));
+    CHECK(cell.StateOf("a") == JobState::kCompleted);
+    CHECK(cell.observations().violations.empty());
+  }
   SECTION("when the owner changes, gets what fits beside its runs") {
     cell.Submit(MakeJob("a", "urgent", {MakeStep(2, 4, 1000, 6)}));
     cell.Run(seconds(1));
