sched: count listed runs that no task accounts for against the capacity

A run that the owner does not expect, for example one of an ended job, is stopped, but until it has ended it uses its worker. Nothing was reserved for it, so a start could bring a worker that does not guard its capacity over it.

The needs of such runs are now taken from each listing and counted; a run of a job that is no longer known counts as the whole worker.

Evidence: before, "a worker with a run that no task accounts for" in shrinking_capacity_test.cc failed: CountRunning("a") 1 == 0, and "started beyond the capacity". With it all tests pass.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -21,8 +21,11 @@
 constexpr Duration kStallTimeout = std::chrono::milliseconds(2500);
 
 void StopUnexpectedRun(State& state,
-                       const WorkerState& worker,
+                       WorkerState& worker,
+                       const std::optional<TaskRef>& ref,
                        const ActiveRun& running) {
+  // A run of a deleted job needs an unknown part of the capacity.
+  worker.unexpected += ref ? ReservedBy(SpecOf(*ref)) : worker.info.capacity;
   ++state.counters.unexpected_runs;
   state.pending_stops.push_back({worker.info.id, running.task, running.run});
   state.needs_plan = true;
@@ -46,7 +49,7 @@
   const auto ref = FindTask(state, running.task);
   if (!ref || TaskOf(*ref).worker != worker ||
       TaskOf(*ref).run != running.run) {
-    StopUnexpectedRun(state, worker_state, running);
+    StopUnexpectedRun(state, worker_state, ref, running);
     return;
   }
   Task& task = TaskOf(*ref);
@@ -113,6 +116,7 @@
     worker_state.outcomes_applied = ended.number;
     state.needs_plan = true;
   }
+  worker_state.unexpected = Resources{};
   for (const ActiveRun& running : listing.running)
     ApplyActiveRun(state, worker, running, now);
   const std::vector<TaskRef> tasks = worker_state.tasks;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -163,6 +163,7 @@
   /** From this time on nothing runs there unless a lease is extended. */
   TimePoint lease_expiry;
   Resources reserved;           // by tasks that count against capacity
+  Resources unexpected;         // used by listed runs that no task accounts for
   MilliCores best_effort_cpu;   // declared by best-effort tasks
   MilliCores long_running_cpu;  // of long-running tasks, part of `reserved`
   std::vector<TaskRef> tasks;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -48,7 +48,7 @@
 }
 
 bool HasCapacity(const WorkerState& worker, const StepSpec& spec) {
-  return Fits(ReservedBy(spec), worker.info.capacity - worker.reserved);
+  return Fits(ReservedBy(spec), FreeCapacity(worker));
 }
 
 // True if the long-running tasks of the service, with one more of this step,
@@ -195,7 +195,7 @@
     if (worker.info.service != service || !HasCapacity(worker, spec) ||
         EligibilityOf(state, worker, now) != WorkerEligibility::kEligible)
       continue;
-    const Resources free = worker.info.capacity - worker.reserved;
+    const Resources free = FreeCapacity(worker);
     fitting_tasks += Fits(spec.need + spec.need, free) ? 2 : 1;
     if (fitting_tasks >= 2)
       return true;
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -38,6 +38,10 @@
   return index;
 }
 
+Resources FreeCapacity(const WorkerState& worker) {
+  return worker.info.capacity - worker.reserved - worker.unexpected;
+}
+
 double IdleMillicores(const WorkerState& worker) {
   double long_running_millicores = 0;
   for (const TaskRef& ref : worker.tasks) {
--- a/tests/sched/shrinking_capacity_test.cc
+++ b/tests/sched/shrinking_capacity_test.cc
@@ -116,5 +116,27 @@
   }
 }
 
+TEST_CASE("a worker with a run that no task accounts for", "[sched]") {
+  SimulatedCell cell = MakeCell(1);
+  cell.stop_delay = seconds(2);
+  cell.Submit(MakeJob("old", "urgent", {MakeStep(1, 10, 1000, 0.2)}));
+  cell.RunUntilEnd("old", seconds(5));
+  SimulatedRun run;
+  run.run = RunNumber(9);
+  run.total_work_s = run.remaining_work_s = 100;
+  cell.worker(0).running[{JobId("old"), 0, 0, 0}] = run;
+  cell.Run(seconds(1));
+
+  SECTION("gets only what fits beside it until it has ended") {
+    cell.Submit(MakeJob("a", "urgent", {MakeStep(1, 8, 1000, 0.5)}));
+    cell.Run(milliseconds(500));
+    CHECK(cell.CountRunning("old") == 1);
+    CHECK(cell.CountRunning("a") == 0);
+    cell.Run(seconds(10));
+    CHECK(cell.StateOf("a") == JobState::kCompleted);
+    CHECK(cell.observations().violations.empty());
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
