sched: spare jobs whose workers end together with others

Two crashes now suffice only if no other worker ended within 1 s, and a task that only has more crashes than its neighbours must have been blamed for each.

--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -24,6 +24,8 @@
 // started, have another cause in common.
 constexpr size_t kUnexplainedEndsOfMassFailure = 2;
 constexpr Duration kMassFailurePeriod = seconds(8);
+// Workers that end within this time may have a cause in common.
+constexpr Duration kSimultaneousEndsPeriod = seconds(1);
 // Blamed crashes after which a task is given up that stands out among the tasks
 // beside it. A long-running one gets one more: some workers end in its life
 // anyway.
@@ -110,6 +112,9 @@
   if (just_started == 0 && all_known)
     state.unexplained_ends.push_back(now);
   const size_t unexplained_ends = CountUnexplainedEnds(state, now);
+  const bool lone_end = !state.last_worker_end ||
+                        now - *state.last_worker_end > kSimultaneousEndsPeriod;
+  state.last_worker_end = now;
   std::vector<Suspect> suspects;
   for (const TaskRef& ref : tasks) {
     const bool blamed = HasJustStarted(worker, TaskOf(ref));
@@ -117,6 +122,7 @@
                         {.run = TaskOf(ref).run,
                          .blamed = blamed,
                          .alone = blamed && just_started == 1,
+                         .lone_end = lone_end,
                          .in_common = one_has_most && has_most_crashes(ref),
                          .unexplained_ends = unexplained_ends}});
   }
@@ -136,13 +142,15 @@
   const bool is_mass_failure =
       last.unexplained_ends >= kUnexplainedEndsOfMassFailure;
   const uint32_t max_blamed = MaxBlamed(spec, is_mass_failure);
-  const bool stands_out = last.alone || (last.in_common && !is_mass_failure);
+  const bool stands_out =
+      last.alone || (last.in_common && not_blamed == 0 && !is_mass_failure);
   if (not_blamed <= kMaxNotBlamed &&
       (crashes.blamed >= kMaxCrashes ||
        (crashes.blamed >= max_blamed && stands_out)))
     return true;
   // One crash less suffices if nothing else can be the cause.
-  if (last.alone && last.unexplained_ends == 0 && not_blamed == 0 &&
+  if (last.alone && last.lone_end && last.unexplained_ends == 0 &&
+      not_blamed == 0 &&
       crashes.blamed + 1 >= max_blamed)
     return true;
   // Its own crashes are among the unexplained ones if they come late.
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -45,6 +45,7 @@
   RunNumber run;
   bool blamed = false;     // the run had just started
   bool alone = false;      // no other run had just started
+  bool lone_end = false;   // no other worker had ended at about that time
   bool in_common = false;  // more workers had ended under it than under others
   /** Workers that ended in the last seconds though nothing had just started
    * there. */
@@ -242,6 +243,7 @@
   std::multimap<TimePoint, JobId> ended_jobs;
   /** Recent ends of workers on which no run had just started. */
   std::deque<TimePoint> unexplained_ends;
+  std::optional<TimePoint> last_worker_end;
   uint64_t next_sequence = 1;
   bool needs_plan = true;
   SchedulerCounters counters;
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -172,6 +172,8 @@
   std::vector<CellMessage> m_sent_messages;
   std::optional<Plan> m_pending_plan;
   TimePoint m_pending_since;
+  /** Completed tasks whose worker crashed before the end was acknowledged. */
+  std::set<TaskName> m_lost_ends;
   Policy m_policy;
   Observations m_observations;
   std::map<JobId, TimePoint> m_end_times;
