--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -150,8 +150,7 @@
     return true;
   // One crash less suffices if nothing else can be the cause.
   if (last.alone && last.lone_end && last.unexplained_ends == 0 &&
-      not_blamed == 0 &&
-      crashes.blamed + 1 >= max_blamed)
+      not_blamed == 0 && crashes.blamed + 1 >= max_blamed)
     return true;
   // Its own crashes are among the unexplained ones if they come late.
   return last.in_common && crashes.total >= kMaxCrashes &&
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -384,8 +384,7 @@
   const WorkerState& worker =
       state.workers[static_cast<size_t>(TaskOf(*ref).worker)];
   // The worker may have become smaller since the start was planned.
-  return Fits(Resources{}, FreeCapacity(worker)) &&
-         !worker.info.draining &&
+  return Fits(Resources{}, FreeCapacity(worker)) && !worker.info.draining &&
          worker.reachability == Reachability::kReachable &&
          state.policy.evacuated.count(worker.info.data_centre) == 0;
 }
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -35,7 +35,7 @@
   kDraining,
   kEvacuated,
   kOtherInstance,  // the platform lists another instance than the one it is
-  kFull,  // it refused a start for lack of capacity a moment ago
+  kFull,           // it refused a start for lack of capacity a moment ago
 };
 
 WorkerEligibility EligibilityOf(const State& state,
