Merge the counting of crashed workers and the checks of capacity

Conflicts were only neighbouring lines: a moved task carries both its wait and its crashes, the free pieces that a cell tells count unexpected runs as used, and a step's workers are scored again for a suspect.

--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -19,6 +19,7 @@
   uint32_t failures = 0;
   std::string checkpoint;
   Duration waited{0};  // for a worker, in all cells so far
+  CrashCount crashes = {};
 
   bool operator==(const MovedTask&) const = default;
 };
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -18,7 +18,7 @@
   load.long_running += worker.long_running_cpu;
   load.idle += MilliCores(
       std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
-  const Resources free = worker.info.capacity - worker.reserved;
+  const Resources free = FreeCapacity(worker);
   if (free.cpu.count() > 0)
     load.free_pieces.push_back(free);
   for (const std::string& label : worker.info.labels) {
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -24,17 +24,22 @@
 
 json EncodeTask(const MovedTask& task) {
   return json::array({task.step, task.index, task.run.value(), task.failures,
-                      task.checkpoint, task.waited.count()});
+                      task.checkpoint, task.waited.count(), task.crashes.total,
+                      task.crashes.blamed});
 }
 
 MovedTask DecodeTask(const json& j) {
+  // Earlier versions store neither the wait nor crashes.
+  CrashCount crashes;
+  if (j.size() > 7)
+    crashes = {j.at(6).get<uint32_t>(), j.at(7).get<uint32_t>()};
   return {.step = j.at(0).get<uint32_t>(),
           .index = j.at(1).get<uint32_t>(),
           .run = RunNumber(j.at(2).get<uint64_t>()),
           .failures = j.at(3).get<uint32_t>(),
           .checkpoint = j.at(4).get<std::string>(),
-          // Records of an earlier version do not have it.
-          .waited = Duration(j.size() > 5 ? j.at(5).get<int64_t>() : 0)};
+          .waited = Duration(j.size() > 5 ? j.at(5).get<int64_t>() : 0),
+          .crashes = crashes};
 }
 
 }  // namespace
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/sched/assignment.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
@@ -20,8 +21,11 @@
 constexpr Duration kStallTimeout = std::chrono::milliseconds(2500);
 
 void StopUnexpectedRun(State& state,
-                       const WorkerState& worker,
+                       WorkerState& worker,
+                       const std::optional<TaskRef>& ref,
                        const ActiveRun& running) {
+  // A run of a deleted job needs an unknown part of the capacity.
+  worker.unexpected += ref ? ReservedBy(SpecOf(*ref)) : worker.info.capacity;
   ++state.counters.unexpected_runs;
   state.pending_stops.push_back({worker.info.id, running.task, running.run});
   state.needs_plan = true;
@@ -45,7 +49,7 @@
   const auto ref = FindTask(state, running.task);
   if (!ref || TaskOf(*ref).worker != worker ||
       TaskOf(*ref).run != running.run) {
-    StopUnexpectedRun(state, worker_state, running);
+    StopUnexpectedRun(state, worker_state, ref, running);
     return;
   }
   Task& task = TaskOf(*ref);
@@ -87,7 +91,7 @@
   if (state.workers[index].reachability != Reachability::kUnknown &&
       state.workers[index].start_time_ms != 0 && listing.start_time_ms != 0 &&
       state.workers[index].start_time_ms != listing.start_time_ms) {
-    RequeueAllTasks(state, worker, "worker restarted", now);
+    HandleEndedInstance(state, worker, "worker restarted", now);
     WorkerState& restarted = state.workers[index];
     restarted.clock.reset();
     restarted.latest_lease_end = WorkerClock(0);
@@ -95,6 +99,8 @@
         restarted.outcomes_stored = 0;
     restarted.health = WorkerHealth{};
   }
+  HandleTasksOfEarlierInstance(state, worker, listing.start_time_ms, now);
+  HandleSurvivedPartition(state, worker);
   WorkerState& worker_state = state.workers[index];
   if (worker_state.reachability != Reachability::kReachable)
     state.needs_plan = true;
@@ -110,6 +116,7 @@
     worker_state.outcomes_applied = ended.number;
     state.needs_plan = true;
   }
+  worker_state.unexpected = Resources{};
   for (const ActiveRun& running : listing.running)
     ApplyActiveRun(state, worker, running, now);
   const std::vector<TaskRef> tasks = worker_state.tasks;
@@ -121,6 +128,7 @@
       HandleMissingRun(state, ref, now);
   }
   StopStalledTasks(state, worker, now);
+  ClearSurvivors(state, worker, now);
 }
 
 void RequeueTasksOfExpiredLeases(State& state, TimePoint now) {
@@ -128,7 +136,7 @@
     const WorkerState& worker = state.workers[i];
     if (worker.reachability != Reachability::kReachable &&
         !worker.tasks.empty() && now >= worker.lease_expiry)
-      RequeueAllTasks(state, static_cast<int32_t>(i), "lease expired", now);
+      HandleExpiredLease(state, static_cast<int32_t>(i), now);
   }
 }
 
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -21,6 +21,7 @@
   uint32_t pace_percent = 100;
   bool fails = false;
   TimePoint started;
+  std::optional<TimePoint> stops_at;  // set while it is being stopped
 };
 
 inline constexpr Duration kTimeStep = std::chrono::milliseconds(10);
@@ -33,6 +34,12 @@
   bool reachable = true;
   bool fails_all = false;
   bool stalls_all_runs = false;
+  /** Refuses starts beyond its capacity; else it starts whatever it is told. */
+  bool guards_capacity = true;
+  /** When it is back after a crash, as another instance. */
+  std::optional<TimePoint> restarts_at;
+  /** When the platform lists its new instance. */
+  std::optional<TimePoint> listed_at;
   double clock_rate = 1.0;
   int64_t start_time_ms = 1;
   double clock_ms = 1000;
@@ -53,6 +60,8 @@
   std::set<TaskName> done;
   /** Ended on workers that are gone, perhaps before their outcome was read. */
   std::set<TaskName> possibly_done;
+  /** Worker instances that the task has crashed. */
+  std::map<TaskName, int> crashes;
   uint64_t starts_without_capacity = 0;
   /** Time that latency-critical tasks were over their targets while best-effort
    * tasks interfered: in total, and the longest period of one task. */
@@ -82,6 +91,14 @@
   std::function<double(const std::string& best_effort,
                        const std::string& latency_critical)>
       interference_of;
+  /** Tasks that crash each worker that starts them. */
+  std::function<bool(const TaskName&)> crashes_worker;
+  Duration crash_delay = std::chrono::milliseconds(50);
+  Duration restart_delay = std::chrono::seconds(2);
+  /** Time from a stop command to the end of the run. */
+  Duration stop_delay{0};
+  /** Time from the start of an instance until the platform lists it. */
+  Duration listing_delay = std::chrono::milliseconds(500);
   /** Own utilisation of a latency-critical task at a time in seconds. */
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
@@ -105,10 +122,14 @@
   void StopWorker(size_t worker);
   /** A run ends; a long-running task's only ends in this way. */
   void EndRunOf(const TaskName& task, RunOutcome outcome);
+  /** The worker is down until it restarts after `restart_delay`. */
+  void CrashWorker(size_t worker);
   /** While false nothing is stored, and no plan is carried out. */
   bool store_is_up = true;
   /** Time between a plan and the response of the store to its records. */
   Duration append_latency{0};
+  /** Changes the records that the next owner reads. */
+  std::function<std::string(const std::string&)> rewrite_stored_value;
   /** Another process takes over the cell: a new scheduler starts from what is
    * stored. */
   void ReplaceOwner();
@@ -137,6 +158,8 @@
   void AdvanceOwner();
   void ApplyRecord(const std::string& key, const std::string& value);
   void AdvanceWorker(SimulatedWorker& worker);
+  void CrashWorkers();
+  void EndOtherMembers(const SimulatedWorker& crashed);
   void UpdateTails(SimulatedWorker& worker);
   void SendListing(SimulatedWorker& worker);
   void MakeNextPlan();
@@ -165,6 +188,8 @@
   std::vector<CellMessage> m_sent_messages;
   std::optional<Plan> m_pending_plan;
   TimePoint m_pending_since;
+  /** Completed tasks whose worker crashed before the end was acknowledged. */
+  std::set<TaskName> m_lost_ends;
   Policy m_policy;
   Observations m_observations;
   std::map<JobId, TimePoint> m_end_times;
