tests: one place for the builders of jobs, and for outcomes lost with a worker

Six test files had the same policy and step builders, and the simulated cell had two ways to note the outcomes that are lost with a worker. The stricter one stays: an outcome that an owner has acknowledged is not lost.

--- a/tests/sched/cells_replay_test.cc
+++ b/tests/sched/cells_replay_test.cc
@@ -15,26 +15,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-QueuePolicy MakePolicy(uint32_t priority) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = 4;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
-StepSpec MakeLongRunningStep(uint32_t count, int64_t cores) {
-  StepSpec step = MakeStep(count, cores, 1000, 0);
-  step.long_running = true;
-  return step;
-}
-
 std::unique_ptr<SimulatedCells> MakeCells(uint32_t cells, int workers) {
   auto system = std::make_unique<SimulatedCells>(cells, workers, 16);
-  system->SetQueue("urgent", MakePolicy(0));
-  system->SetQueue("batch", MakePolicy(2));
+  system->SetQueue("urgent", MakePolicy(0, 4));
+  system->SetQueue("batch", MakePolicy(2, 4));
   system->Run(milliseconds(200));
   return system;
 }
@@ -227,7 +211,7 @@
   const auto make = [&] {
     auto scheduler = Scheduler::Make(options, now);
     Policy policy;
-    policy.queues[QueueId("urgent")] = MakePolicy(0);
+    policy.queues[QueueId("urgent")] = MakePolicy(0, 4);
     scheduler->SetPolicy(policy, now);
     return scheduler;
   };
--- a/tests/sched/scheduler_test.cc
+++ b/tests/sched/scheduler_test.cc
@@ -8,16 +8,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = max_attempts;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
 SimulatedCell MakeCell(int workers) {
   SimulatedCell cell;
   cell.AddWorkers(workers, 16, 64000);
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -20,28 +20,6 @@
 
 }  // namespace
 
-StepSpec MakeStep(uint32_t count,
-                  int64_t cores,
-                  int64_t memory_mb,
-                  double seconds) {
-  StepSpec step;
-  step.count = count;
-  step.need.cpu = MilliCores(cores * 1000);
-  step.need.memory = Mebibytes(memory_mb);
-  step.estimate = Duration(static_cast<int64_t>(seconds * 1e6));
-  return step;
-}
-
-JobDefinition MakeJob(const std::string& id,
-                      const std::string& queue,
-                      std::vector<StepSpec> steps) {
-  JobDefinition spec;
-  spec.id = JobId(id);
-  spec.queue = QueueId(queue);
-  spec.steps = std::move(steps);
-  return spec;
-}
-
 SimulatedCell::SimulatedCell(const SchedulerOptions& options)
     : m_options(options), m_now(TimePoint(std::chrono::seconds(100))) {
   MakeScheduler();
@@ -139,9 +117,12 @@
 }
 
 void SimulatedCell::StopWorker(size_t index) {
-  SimulatedWorker& worker = m_workers[index];
-  worker.up = false;
-  // These tasks have to run again, unless an owner has read their outcome.
+  m_workers[index].up = false;
+  LoseOutcomes(m_workers[index]);
+}
+
+// These tasks have to run again, unless an owner has read their outcome.
+void SimulatedCell::LoseOutcomes(const SimulatedWorker& worker) {
   const uint64_t seen =
       m_has_owner ? m_scheduler->AcknowledgedEnds(worker.info.id) : 0;
   for (const EndedRun& ended : worker.ended) {
@@ -175,8 +156,7 @@
 void SimulatedCell::CrashWorker(size_t index) {
   m_workers[index].up = false;
   m_workers[index].restarts_at = m_now + restart_delay;
-  for (const EndedRun& ended : m_workers[index].ended)
-    m_lost_ends.insert(ended.task);
+  LoseOutcomes(m_workers[index]);
   EndOtherMembers(m_workers[index]);
 }
 
@@ -554,8 +534,7 @@
     if (other.up && other.running.count(task) > 0)
       AddViolation("has two runs at once", task);
   }
-  if (m_observations.done.count(task) > 0 && m_lost_ends.count(task) == 0 &&
-      !SpecOf(task).long_running)
+  if (m_observations.done.count(task) > 0 && !SpecOf(task).long_running)
     AddViolation("started after it was done", task);
   if (m_cancelled.count(task.job) > 0)
     AddViolation("started after its job was cancelled", task);
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cowslipmast/sched/scheduler.h"
+#include "tests/sched/job_builders.h"
 
 namespace cowslipmast::sched {
 
@@ -159,6 +160,7 @@
   void ApplyRecord(const std::string& key, const std::string& value);
   void AdvanceWorker(SimulatedWorker& worker);
   void CrashWorkers();
+  void LoseOutcomes(const SimulatedWorker& worker);
   void EndOtherMembers(const SimulatedWorker& crashed);
   void UpdateTails(SimulatedWorker& worker);
   void SendListing(SimulatedWorker& worker);
@@ -189,7 +191,6 @@
   std::optional<Plan> m_pending_plan;
   TimePoint m_pending_since;
   /** Completed tasks whose worker crashed before the end was acknowledged. */
-  std::set<TaskName> m_lost_ends;
   Policy m_policy;
   Observations m_observations;
   std::map<JobId, TimePoint> m_end_times;
@@ -198,16 +199,6 @@
   bool m_has_owner = true;
 };
 
-/** A step with `count` tasks that need `cores` and `memory_mb` and run for
- * `seconds`. */
-StepSpec MakeStep(uint32_t count,
-                  int64_t cores,
-                  int64_t memory_mb,
-                  double seconds);
-JobDefinition MakeJob(const std::string& id,
-                      const std::string& queue,
-                      std::vector<StepSpec> steps);
-
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_TESTS_SCHED_SIMULATED_CELL_H_
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -12,22 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = max_attempts;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
-StepSpec MakeLongRunningStep(uint32_t count, int64_t cores) {
-  StepSpec step = MakeStep(count, cores, 1000, 0);
-  step.long_running = true;
-  return step;
-}
-
 // Cells of eight workers with 16 cores each.
 std::unique_ptr<SimulatedCells> MakeCells(uint32_t cells) {
   auto system = std::make_unique<SimulatedCells>(cells, 8, 16);
--- a/tests/sched/waiting_work_hunt_test.cc
+++ b/tests/sched/waiting_work_hunt_test.cc
@@ -36,16 +36,6 @@
   kCount
 };
 
-QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = max_attempts;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
 /** A system under a random load with random faults. */
 class Hunt {
  public:
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -15,16 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = max_attempts;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
 // Workers have 16 cores.
 std::unique_ptr<SimulatedCells> MakeCells(uint32_t cells, int workers) {
   auto system = std::make_unique<SimulatedCells>(cells, workers, 16);
@@ -34,12 +24,6 @@
   return system;
 }
 
-StepSpec MakeLongRunningStep(uint32_t count, int64_t cores) {
-  StepSpec step = MakeStep(count, cores, 1000, 0);
-  step.long_running = true;
-  return step;
-}
-
 std::string SubmitTo(SimulatedCells& system,
                      size_t cell,
                      const std::string& queue,
--- a/tests/sched/worker_crash_test.cc
+++ b/tests/sched/worker_crash_test.cc
@@ -18,21 +18,11 @@
 // three workers have crashed.
 constexpr int kMaxCrashesOfTask = 5;
 
-QueuePolicy MakePolicy(uint32_t priority) {
-  QueuePolicy policy;
-  policy.service = ServiceId("pool");
-  policy.priority = priority;
-  policy.max_attempts = 4;
-  policy.critical_path_factor = 2;
-  policy.objective_offset = seconds(1);
-  return policy;
-}
-
 SimulatedCell MakeCell(int workers) {
   SimulatedCell cell;
   cell.AddWorkers(workers, 16, 64000);
-  cell.SetQueue("urgent", MakePolicy(0));
-  cell.SetQueue("batch", MakePolicy(2));
+  cell.SetQueue("urgent", MakePolicy(0, 4));
+  cell.SetQueue("batch", MakePolicy(2, 4));
   cell.crashes_worker = [](const TaskName& task) {
     return task.job.value().starts_with("deadly");
   };
@@ -40,12 +30,6 @@
   return cell;
 }
 
-StepSpec MakeLongRunningStep(uint32_t count, int64_t cores) {
-  StepSpec step = MakeStep(count, cores, 1000, 0);
-  step.long_running = true;
-  return step;
-}
-
 int MaxCrashes(const SimulatedCell& cell) {
   int crashes = 0;
   for (const auto& [task, count] : cell.observations().crashes)
@@ -250,7 +234,7 @@
 
 TEST_CASE("a deadly task whose cell moved it", "[sched]") {
   SimulatedCells system(2, 8, 16);
-  system.SetQueue("urgent", MakePolicy(0));
+  system.SetQueue("urgent", MakePolicy(0, 4));
   system.Run(milliseconds(200));
   const std::string id = system.MakeIdFor(0, "deadly");
   for (size_t i = 0; i < system.size(); ++i) {
