cells: a task that no cell can place moves less and less often

Each move is an append to another cell's stream with the whole job, kept until the job is deleted.

Cause: since a move takes a task along that is overdue already, only the 0.5 s in which loads are read again kept it in a cell.

A moved task now stays for a quarter of the time that it has waited in all, 0.5 s at least and 2 s at most: a task must not miss capacity for 3 s.

--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -31,8 +31,11 @@
 // move takes 0.1 s.
 constexpr Duration kMinWaitToMoveTask = milliseconds(1700);
 // A task that has come from another cell waits here until the loads of the
-// other cells have been read again.
+// other cells have been read again. The longer it has waited in all, the less
+// another move helps; still it must not miss capacity for 3 s.
 constexpr Duration kMinStayOfMovedTask = milliseconds(500);
+constexpr Duration kMaxStayOfMovedTask = milliseconds(2000);
+constexpr int kStayShareOfWait = 4;
 
 bool HasFreshLoads(const State& state, TimePoint now) {
   return !state.cell_loads.empty() && now - state.cell_loads_at < kMaxLoadAge;
@@ -126,8 +129,10 @@
       step.ready_tasks.empty())
     return false;
   const Task& oldest = step.tasks[step.ready_tasks.back()];
-  return now - oldest.ready_since >= kMinWaitToMoveTask &&
-         now - oldest.ready_here_since >= kMinStayOfMovedTask;
+  const Duration waited = now - oldest.ready_since;
+  const Duration stay = std::clamp(waited / kStayShareOfWait,
+                                   kMinStayOfMovedTask, kMaxStayOfMovedTask);
+  return waited >= kMinWaitToMoveTask && now - oldest.ready_here_since >= stay;
 }
 
 // Moves no more tasks than the other cell has pieces of capacity for, unless no
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -259,6 +259,21 @@
   CHECK(system->CountRunning(job) == 21);
 }
 
+TEST_CASE("tasks for which no cell has a worker move on and on",
+          "[sched][lost]") {
+  // Four of twelve tasks find no worker that runs none of them.
+  const auto system = MakeCells(2, 4);
+  StepSpec step = MakeLongRunningStep(12, 1);
+  step.max_per_worker = 1;
+  SubmitTo(*system, 0, "urgent", {step});
+  system->Run(seconds(60));
+  uint64_t moves = 0;
+  for (size_t cell = 0; cell < system->size(); ++cell)
+    moves += system->cell(cell).scheduler().counters().moved_tasks;
+  // Each of the four may move every 2 s, and every 0.5 s in its first 8 s.
+  CHECK(moves <= 4 * (60 / 2 + 8 * 2));
+}
+
 TEST_CASE("steps wait for more workers in two cells that could help each other",
           "[sched][lost]") {
   // In each cell more work waits than is free, but no worker there may run a
