--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -26,7 +26,7 @@
                               size_t cell,
                               uint32_t count,
                               int64_t cores = 4) {
-  const std::string job = system.MakeIdFor(cell, "s");
+  std::string job = system.MakeIdFor(cell, "s");
   system.Submit(MakeJob(job, "urgent", {MakeLongRunningStep(count, cores)}));
   return job;
 }
