sched: a short task is given up after five crashes, two of them blamed

Cause: a crash is not blamed on a task whose start the owner has not seen confirmed. With two of these, for example around changes of owner, the limit on blamed crashes no longer held, and the limit on all crashes asked that the task stand out among its neighbours, which two deadly tasks on one worker do not.

A short task is now given up after five crashes of any kind if two of them are blamed on it. Trials of four with two blamed, and of five in any case, made jobs fail in the tests of workers that end without a task's fault.

The new test fails without the change (2 starts instead of none).

--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -32,10 +32,11 @@
 constexpr uint32_t kMaxBlamed = 3;
 // During a mass failure runs that have just started are hit by chance.
 constexpr uint32_t kMaxBlamedInMassFailure = 4;
-// Blamed crashes after which a task is given up in any case, and crashes of
-// any kind if the tasks beside it have fewer. The platform tolerates five
-// starts of a task that crashes its workers.
+// Crashes of any kind after which a task is given up: a short one with some of
+// them blamed on it, another one if the tasks beside it have fewer. The
+// platform tolerates five starts of a task that crashes its workers.
 constexpr uint32_t kMaxCrashes = 5;
+constexpr uint32_t kMinBlamedAtLimit = 2;
 // A task that crashes each worker is blamed each time, unless the response to
 // its start was lost or the owner that saw it start was replaced.
 constexpr uint32_t kMaxNotBlamed = 1;
@@ -138,6 +139,9 @@
 bool IsGuilty(const StepSpec& spec,
               const CrashCount& crashes,
               const CrashEvidence& last) {
+  if (!spec.long_running && crashes.total >= kMaxCrashes &&
+      crashes.blamed >= kMinBlamedAtLimit)
+    return true;
   const uint32_t not_blamed = crashes.total - crashes.blamed;
   const bool is_mass_failure =
       last.unexplained_ends >= kUnexplainedEndsOfMassFailure;
--- a/tests/sched/worker_crash_test.cc
+++ b/tests/sched/worker_crash_test.cc
@@ -322,5 +322,52 @@
   }
 }
 
+TEST_CASE("two tasks under which as many workers have crashed", "[sched]") {
+  // Neither stands out, and an earlier owner has not seen two of their starts
+  // confirmed.
+  const TimePoint now{seconds(100)};
+  const WallTime wall{seconds(100)};
+  auto scheduler = Scheduler::Make(SchedulerOptions(), now);
+  Policy policy;
+  policy.queues[QueueId("urgent")] = MakePolicy(0, 4);
+  scheduler->SetPolicy(policy, now);
+  scheduler->AddJob(MakeJob("deadly", "urgent", {MakeStep(2, 2, 1000, 0.8)}),
+                    now, wall);
+  // Placed, run 4, no failure; crashes and blamed ones before this run; start
+  // time of the worker's instance.
+  const nlohmann::json task = {1, 4, 0, "", "w0", 3, 1, 1};
+  const std::vector<uint8_t> bytes =
+      nlohmann::json::to_cbor({{"s", 1}, {"t", {{task, task}}}});
+  REQUIRE(scheduler->RestoreProgress(
+      {"deadly.0", std::string(bytes.begin(), bytes.end())}));
+  scheduler->FinishRestore(now);
+  WorkerInfo info;
+  info.id = WorkerId("w0");
+  info.service = ServiceId("pool");
+  info.capacity = MakeStep(1, 16, 64000, 0).need;
+  const auto restart = [&](int64_t start_time_ms) {
+    info.start_time_ms = start_time_ms;
+    scheduler->UpsertWorker(info, now);
+    scheduler->OnListing(info.id,
+                         {.clock = WorkerClock(5),
+                          .start_time_ms = start_time_ms,
+                          .running = {},
+                          .ended = {}},
+                         now, now);
+    const Plan plan = scheduler->MakePlan(now, wall);
+    scheduler->OnStored(now);
+    for (const StartRunCommand& start : plan.starts)
+      scheduler->OnStarted(start, now);
+    return plan.starts.size();
+  };
+
+  SECTION("are given up before a sixth start") {
+    // The fourth crash, and the fifth.
+    restart(2);
+    CHECK(restart(3) == 0);
+    CHECK(scheduler->StateOf(JobId("deadly")) == JobState::kFailed);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
