--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -11,8 +11,8 @@
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
-#include "src/sched/pacing.h"
 #include "src/sched/unplaced_steps.h"
+#include "src/sched/worker_score.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -23,14 +23,8 @@
 // urgent work needs about 5% of the capacity of the first deployments, in large
 // pieces.
 constexpr double kMaxLongRunningShare = 0.92;
-// A best-effort task starts where at least this share of its CPU need is idle.
-constexpr double kMinIdleShareOfNeed = 0.6;
 // Larger than any score.
 constexpr double kUntrustedPenalty = 10000.0;
-// Headroom, as utilisation, that a best-effort task must leave to the
-// latency-critical tasks on its worker; below 0 it would be slowed down at
-// once.
-constexpr double kMinHeadroom = 0.0;
 // Number of steps of one priority and rank that may fail to be placed before
 // the plan goes on with the steps that earlier plans left out, and of these
 // before the rest is left out; bounds the time to make a plan while many steps
@@ -75,66 +69,6 @@
       }));
 }
 
-// Score of a worker for a best-effort task; nothing if the task should wait
-// instead. Headroom of the latency-critical tasks counts most.
-std::optional<double> BestEffortScore(const State& state,
-                                      const WorkerState& worker,
-                                      const TaskRef& ref) {
-  const StepSpec& spec = SpecOf(ref);
-  const double idle = IdleMillicores(worker);
-  if (idle < Millicores(spec.need.cpu) * kMinIdleShareOfNeed)
-    return std::nullopt;
-  const double headroom =
-      HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
-  if (headroom < kMinHeadroom)
-    return std::nullopt;
-  return headroom + 0.5 * CpuShare(worker, idle);
-}
-
-// Score of a worker for a latency-critical task. Tasks of one image are
-// colocated and packed on few workers: a best-effort image interferes with some
-// latency-critical images only, so it then finds workers where it interferes
-// with none.
-double ColocationScore(const WorkerState& worker, const TaskRef& ref) {
-  double same = 0;
-  double other = 0;
-  for (const TaskRef& neighbour : worker.tasks) {
-    const StepSpec& spec = SpecOf(neighbour);
-    if (!spec.long_running || spec.best_effort)
-      continue;
-    if (StepOf(neighbour).image == StepOf(ref).image)
-      same += 1;
-    else
-      other += 1;
-  }
-  const double colocation =
-      same + other > 0 ? (same - other) / (same + other) : 0.0;
-  return colocation + CpuShare(worker, Millicores(worker.long_running_cpu));
-}
-
-// Score of a worker for a task, larger is better; nothing if the task should
-// not go there now.
-std::optional<double> ScoreOf(const State& state,
-                              const WorkerState& worker,
-                              const TaskRef& ref) {
-  const StepSpec& spec = SpecOf(ref);
-  // Away from the rack of its data a task takes twice as long, so any suitable
-  // worker on that rack is better than the best one elsewhere.
-  const bool is_far_from_data =
-      !spec.data_rack.empty() && worker.info.rack != spec.data_rack;
-  const double penalty = (is_far_from_data ? -1000.0 : 0.0) -
-                         IsolationPenalty(worker, TaskOf(ref));
-  if (spec.best_effort) {
-    const auto score = BestEffortScore(state, worker, ref);
-    return score ? std::optional(penalty + *score) : std::nullopt;
-  }
-  if (spec.long_running && spec.latency_target.count() > 0)
-    return penalty + ColocationScore(worker, ref);
-  // The fullest worker with enough capacity: the free capacity of the others
-  // stays in pieces that are large enough for long-running tasks.
-  return penalty + CpuShare(worker, Millicores(worker.reserved.cpu));
-}
-
 struct PlacementQuery {
   const StepSpec& spec;
   const QueuePolicy& policy;
