observability: what keeps a best-effort task waiting, and jobs without any run

It now prints both; two gauges tell how many jobs have nothing running for over 3 s, and for how long. The search for the oldest task of a step is gone, since the last ready task is the oldest.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -103,10 +103,15 @@
   uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
 };
 
-/** Long-running tasks that wait for a worker longer than they may. */
+/** Work that waits for a worker longer than it should. */
 struct WaitingSummary {
+  /** Long-running tasks that are overdue, and their longest wait. */
   size_t overdue_tasks = 0;
   Duration longest_wait{0};
+  /** Jobs without any run that have had a task ready for over 3 s, and their
+   * longest wait. */
+  size_t starved_jobs = 0;
+  Duration longest_starvation{0};
 };
 
 /** What a cell knows of a job. */
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -512,7 +512,7 @@
 }
 
 WaitingSummary Scheduler::Waiting(TimePoint now) const {
-  return SummarizeOverdueTasks(m_impl->state, now);
+  return SummarizeWaitingWork(m_impl->state, now);
 }
 
 std::vector<Decision> Scheduler::TakeDecisions() {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -98,6 +98,10 @@
   uint32_t unfinished_tasks = 0;
   ImageIndex image = 0;  // among latency-critical or best-effort images
   bool unblocked = false;
+  /** The last plan that did not leave the step out, and whether it took the
+   * step for one that cannot be placed without looking at workers. */
+  std::optional<TimePoint> examined_at;
+  bool is_ruled_out = false;
 };
 
 struct Job;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -369,6 +369,19 @@
   });
 }
 
+void CountBestEffortConditions(const State& state,
+                               const WorkerState& worker,
+                               const TaskRef& ref,
+                               PlacementConditions& passed) {
+  const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
+  if (!conditions.has_idle_time)
+    return;
+  ++passed.with_idle_time;
+  passed.with_headroom += conditions.has_headroom ? 1 : 0;
+  passed.best_headroom = std::max(
+      passed.best_headroom.value_or(conditions.headroom), conditions.headroom);
+}
+
 }  // namespace
 
 int32_t FindWorkerForTask(const State& state,
@@ -381,7 +394,8 @@
                                    const TaskRef& ref,
                                    TimePoint now) {
   const PlacementQuery query = MakeQuery(state, ref, now);
-  PlacementConditions passed{.waits_for_reserve = query.must_wait};
+  PlacementConditions passed;
+  passed.waits_for_reserve = query.must_wait;
   for (const WorkerState& worker : state.workers) {
     if (!worker.listed || worker.info.service != query.policy.service)
       continue;
@@ -395,7 +409,11 @@
     if (!HasCapacity(worker, query.spec))
       continue;
     ++passed.with_capacity;
-    passed.trusted += IsTrusted(worker, query.last_attempt, now) ? 1 : 0;
+    if (!IsTrusted(worker, query.last_attempt, now))
+      continue;
+    ++passed.trusted;
+    if (query.spec.best_effort)
+      CountBestEffortConditions(state, worker, ref, passed);
   }
   return passed;
 }
@@ -418,7 +436,10 @@
       next = state.ready_steps.erase(next);
       continue;
     }
-    if (unplaced_steps.RulesOut(state, key, now)) {
+    StepState& step = key.iteration->steps[key.step];
+    step.examined_at = now;
+    step.is_ruled_out = unplaced_steps.RulesOut(state, key, now);
+    if (step.is_ruled_out) {
       ++next;
       continue;
     }
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPMAST_SRC_SCHED_TASK_PLACEMENT_H_
 #define COWSLIPMAST_SRC_SCHED_TASK_PLACEMENT_H_
 
+#include <optional>
+
 #include "src/sched/state.h"
 
 namespace cowslipmast::sched {
@@ -24,6 +26,10 @@
   uint32_t suitable = 0;  // by label and by tasks of the step that run there
   uint32_t with_capacity = 0;
   uint32_t trusted = 0;
+  uint32_t with_idle_time = 0;  // of best-effort tasks only
+  uint32_t with_headroom = 0;   // of best-effort tasks only
+  /** Of a best-effort task, on the workers with idle time. */
+  std::optional<double> best_headroom;
   /** The task leaves the remaining capacity to short work. */
   bool waits_for_reserve = false;
 };
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -1,6 +1,8 @@
 #include "src/sched/waiting_tasks.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -12,7 +14,7 @@
 namespace {
 
 constexpr Duration kLogInterval = std::chrono::seconds(1);
-// Within this time a long-running task must have a worker.
+// Within this time a long-running task must have a worker, and a job a run.
 constexpr Duration kMinLoggedWait = std::chrono::seconds(3);
 // Lines for one interval; the tasks that have waited longest come first.
 constexpr size_t kMaxLoggedTasks = 4;
@@ -25,51 +27,90 @@
 // The task of the step that has waited longest.
 std::optional<WaitingTask> OldestOf(const ReadyKey& key) {
   const StepState& step = key.iteration->steps[key.step];
-  std::optional<WaitingTask> oldest;
-  for (const uint32_t index : step.ready_tasks) {
-    const Task& task = step.tasks[index];
-    if (task.phase == SchedulingPhase::kReady &&
-        (!oldest || task.ready_since < oldest->since))
-      oldest = {task.ready_since, TaskRef{key.iteration, key.step, index}};
-  }
-  return oldest;
+  if (step.ready_tasks.empty())
+    return std::nullopt;
+  const uint32_t index = step.ready_tasks.back();
+  return WaitingTask{step.tasks[index].ready_since,
+                     TaskRef{key.iteration, key.step, index}};
+}
+
+int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+// What the last plan did with the task's step, and what a best-effort task
+// finds on the trusted workers.
+std::string DescribeExamination(const WaitingTask& waiting,
+                                const PlacementConditions& passed,
+                                TimePoint now) {
+  const StepState& step = StepOf(waiting.ref);
+  std::string text = " ruled_out=" + std::to_string(step.is_ruled_out ? 1 : 0);
+  if (step.examined_at)
+    text += " examined_ms_ago=" +
+            std::to_string(ToMilliseconds(now - *step.examined_at));
+  if (!SpecOf(waiting.ref).best_effort)
+    return text;
+  text += " with_idle_time=" + std::to_string(passed.with_idle_time) +
+          " with_headroom=" + std::to_string(passed.with_headroom);
+  if (passed.best_headroom)
+    text += " best_headroom_percent=" +
+            std::to_string(std::lround(*passed.best_headroom * 100));
+  return text;
 }
 
 std::string Describe(const State& state,
                      const WaitingTask& waiting,
                      TimePoint now) {
   const PlacementConditions passed = CheckPlacement(state, waiting.ref, now);
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                            waiting.since);
-  return "waited_ms=" + std::to_string(milliseconds.count()) +
+  return "waited_ms=" + std::to_string(ToMilliseconds(now - waiting.since)) +
          " need=" + std::to_string(SpecOf(waiting.ref).need.cpu.count()) +
          " listed=" + std::to_string(passed.listed) +
          " eligible=" + std::to_string(passed.eligible) +
          " suitable=" + std::to_string(passed.suitable) +
          " with_capacity=" + std::to_string(passed.with_capacity) +
          " trusted=" + std::to_string(passed.trusted) + " waits_for_reserve=" +
-         std::to_string(passed.waits_for_reserve ? 1 : 0);
+         std::to_string(passed.waits_for_reserve ? 1 : 0) +
+         DescribeExamination(waiting, passed, now);
+}
+
+void AddOverdueTasks(const ReadyKey& key,
+                     TimePoint now,
+                     WaitingSummary& summary) {
+  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+  const StepState& step = key.iteration->steps[key.step];
+  if (!spec.long_running)
+    return;
+  for (const uint32_t index : step.ready_tasks) {
+    const Task& task = step.tasks[index];
+    if (!IsOverdue(spec, task, now))
+      continue;
+    ++summary.overdue_tasks;
+    summary.longest_wait =
+        std::max(summary.longest_wait, now - task.ready_since);
+  }
 }
 
 }  // namespace
 
-WaitingSummary SummarizeOverdueTasks(const State& state, TimePoint now) {
+WaitingSummary SummarizeWaitingWork(const State& state, TimePoint now) {
   WaitingSummary summary;
+  // By job, since several of its steps may wait.
+  std::map<const Job*, TimePoint> starved_since;
   for (const ReadyKey& key : state.ready_steps) {
-    const StepSpec& spec = key.iteration->job->spec.steps[key.step];
-    const StepState& step = key.iteration->steps[key.step];
-    if (!spec.long_running)
+    AddOverdueTasks(key, now, summary);
+    const auto oldest = OldestOf(key);
+    const Job* job = key.iteration->job;
+    if (!oldest || job->placed_tasks > 0 ||
+        now - oldest->since < kMinLoggedWait)
       continue;
-    for (const uint32_t index : step.ready_tasks) {
-      const Task& task = step.tasks[index];
-      if (task.phase != SchedulingPhase::kReady || !IsOverdue(spec, task, now))
-        continue;
-      ++summary.overdue_tasks;
-      summary.longest_wait =
-          std::max(summary.longest_wait, now - task.ready_since);
-    }
+    const auto [entry, added] = starved_since.emplace(job, oldest->since);
+    entry->second = std::min(entry->second, oldest->since);
   }
+  summary.starved_jobs = starved_since.size();
+  for (const auto& [job, since] : starved_since)
+    summary.longest_starvation =
+        std::max(summary.longest_starvation, now - since);
   return summary;
 }
 
--- a/src/sched/waiting_tasks.h
+++ b/src/sched/waiting_tasks.h
@@ -5,8 +5,8 @@
 
 namespace cowslipmast::sched {
 
-/** Long-running tasks that have waited for a worker longer than they may. */
-WaitingSummary SummarizeOverdueTasks(const State& state, TimePoint now);
+/** Work that has waited for a worker longer than it should. */
+WaitingSummary SummarizeWaitingWork(const State& state, TimePoint now);
 
 /** Logs, once a second, the tasks that have waited longest, each with the
  * workers that pass each condition for its placement. To be called after a
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -24,15 +24,10 @@
 std::optional<double> BestEffortScore(const State& state,
                                       const WorkerState& worker,
                                       const TaskRef& ref) {
-  const StepSpec& spec = SpecOf(ref);
-  const double idle = IdleMillicores(worker);
-  if (idle < Millicores(spec.need.cpu) * kMinIdleShareOfNeed)
-    return std::nullopt;
-  const double headroom =
-      HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
-  if (headroom < kMinHeadroom)
+  const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
+  if (!conditions.has_idle_time || !conditions.has_headroom)
     return std::nullopt;
-  return headroom + 0.5 * CpuShare(worker, idle);
+  return conditions.headroom + 0.5 * CpuShare(worker, IdleMillicores(worker));
 }
 
 // Score of a worker for a latency-critical task. Tasks of one image are
@@ -58,6 +53,21 @@
 
 }  // namespace
 
+BestEffortConditions CheckBestEffort(const State& state,
+                                     const WorkerState& worker,
+                                     const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
+  BestEffortConditions conditions;
+  conditions.has_idle_time =
+      IdleMillicores(worker) >= Millicores(spec.need.cpu) * kMinIdleShareOfNeed;
+  if (!conditions.has_idle_time)
+    return conditions;
+  conditions.headroom =
+      HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
+  conditions.has_headroom = conditions.headroom >= kMinHeadroom;
+  return conditions;
+}
+
 std::optional<double> ScoreOf(const State& state,
                               const WorkerState& worker,
                               const TaskRef& ref) {
--- a/src/sched/worker_score.h
+++ b/src/sched/worker_score.h
@@ -13,6 +13,18 @@
                               const WorkerState& worker,
                               const TaskRef& ref);
 
+/** Conditions for a best-effort task on a worker that has memory for it. The
+ * headroom is not calculated without idle time. */
+struct BestEffortConditions {
+  bool has_idle_time = false;
+  double headroom = 0;  // see `HeadroomBeside`
+  bool has_headroom = false;
+};
+
+BestEffortConditions CheckBestEffort(const State& state,
+                                     const WorkerState& worker,
+                                     const TaskRef& ref);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_WORKER_SCORE_H_
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -341,12 +341,20 @@
           [](const Cell& c) { return c.counters().moved_tasks; });
   counter("cowslipmast_overdue_tasks",
           [](const Cell& c) { return c.Waiting().overdue_tasks; });
-  metrics->Gauge("cowslipmast_longest_overdue_wait_seconds", {}, [this] {
-    Duration longest{0};
-    for (const auto& [id, entry] : cells)
-      longest = std::max(longest, entry.cell->Waiting().longest_wait);
-    return static_cast<double>(longest.count()) / 1e6;
-  });
+  counter("cowslipmast_starved_jobs",
+          [](const Cell& c) { return c.Waiting().starved_jobs; });
+  const auto longest = [this](const std::string& name, const auto read) {
+    metrics->Gauge(name, {}, [this, read] {
+      Duration longest_wait{0};
+      for (const auto& [id, entry] : cells)
+        longest_wait = std::max(longest_wait, read(entry.cell->Waiting()));
+      return static_cast<double>(longest_wait.count()) / 1e6;
+    });
+  };
+  longest("cowslipmast_longest_overdue_wait_seconds",
+          [](const WaitingSummary& w) { return w.longest_wait; });
+  longest("cowslipmast_longest_starvation_seconds",
+          [](const WaitingSummary& w) { return w.longest_starvation; });
   metrics->Gauge("cowslipmast_owned_cells", {},
                  [this] { return static_cast<double>(cells.size()); });
   metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
--- a/tests/sched/waiting_tasks_test.cc
+++ b/tests/sched/waiting_tasks_test.cc
@@ -176,5 +176,27 @@
   }
 }
 
+TEST_CASE("a job without any run is not seen in logs and metrics", "[sched]") {
+  const auto system = MakeCells(1);
+  StepSpec step = MakeStep(2, 1, 1000, 1);
+  step.best_effort = true;
+  step.label = "unknown";
+  system->Submit(MakeJob("starved", "batch", {step}));
+  SimulatedCell& cell = system->cell(0);
+  cell.Run(seconds(2));
+  CHECK(cell.scheduler().Waiting(cell.now()).starved_jobs == 0);
+  cell.Run(seconds(3));
+  const WaitingSummary waiting = cell.scheduler().Waiting(cell.now());
+  CHECK(waiting.starved_jobs == 1);
+  CHECK(waiting.longest_starvation > seconds(4));
+  std::string last_line;
+  for (const Decision& decision : cell.scheduler().TakeDecisions()) {
+    if (decision.event == "run_waits")
+      last_line = decision.detail;
+  }
+  CHECK_THAT(last_line, Catch::Contains("ruled_out=0 examined_ms_ago=0"));
+  CHECK_THAT(last_line, Catch::Contains("with_idle_time=0 with_headroom=0"));
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
