--- /dev/null
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -0,0 +1,160 @@
+// Guards against accepted best-effort work that never gets a worker although
+// most of the capacity is free: once every worker has latency-critical tasks,
+// a task that interferes with all of them fits beside none at full pace.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kMaxTimeWithoutRun = seconds(3);
+constexpr double kMaxTimeOverTargetS = 4;
+
+StepSpec MakeLatencyCriticalStep(uint32_t count, const char* image) {
+  StepSpec step = MakeLongRunningStep(count, 3);
+  step.image = ImageId(image);
+  step.latency_target = milliseconds(18);
+  return step;
+}
+
+StepSpec MakeBestEffortStep(uint32_t count, const char* image) {
+  StepSpec step = MakeStep(count, 3, 2000, 2);
+  step.best_effort = true;
+  step.checkpointing = true;
+  step.image = ImageId(image);
+  return step;
+}
+
+// Twelve workers of 16 cores. Latency-critical tasks reserve 45% of the
+// processors, use less than half of that, and leave no worker free.
+class Desk {
+ public:
+  Desk() {
+    m_cell.AddWorkers(12, 16, 64000);
+    m_cell.SetQueue("critical", MakePolicy(0, 2));
+    m_cell.SetQueue("batch", MakePolicy(2, 3));
+    m_cell.interference_of = [](const std::string& best_effort,
+                                const std::string&) {
+      return best_effort == "heavy" ? 3.0 : 0.1;
+    };
+    m_cell.own_utilisation_of = [](const TaskName& task, double t) {
+      return 0.42 + 0.2 * std::sin(t * 2 * 3.14159 / 14 + task.index * 1.3);
+    };
+    m_cell.Run(milliseconds(200));
+    StepSpec spread = MakeLatencyCriticalStep(12, "seats");
+    spread.max_per_worker = 1;
+    m_cell.Submit(MakeJob("seats", "critical", {spread}));
+    spread.image = ImageId("quotes");
+    m_cell.Submit(MakeJob("quotes", "critical", {spread}));
+    m_cell.Submit(
+        MakeJob("more", "critical", {MakeLatencyCriticalStep(4, "seats")}));
+    m_cell.Run(seconds(2));
+  }
+
+  SimulatedCell& cell() { return m_cell; }
+
+  void Submit(const char* image, uint32_t tasks) {
+    const std::string id = image + std::to_string(m_submitted.size());
+    m_submitted.push_back(id);
+    m_cell.Submit(MakeJob(id, "batch", {MakeBestEffortStep(tasks, image)}));
+  }
+
+  // A job a second, every second one heavy.
+  void RunLoad(Duration duration) {
+    const TimePoint end = m_cell.now() + duration;
+    while (m_cell.now() < end) {
+      Submit(m_submitted.size() % 2 == 0 ? "heavy" : "light", 4);
+      Run(seconds(1));
+    }
+  }
+
+  void Run(Duration duration) {
+    const TimePoint end = m_cell.now() + duration;
+    while (m_cell.now() < end) {
+      m_cell.Run(milliseconds(50));
+      for (const std::string& id : m_submitted)
+        Observe(id);
+    }
+  }
+
+  // Forgets what was observed before.
+  void StartObservation() { m_longest_without_run = Duration(0); }
+  Duration longest_without_run() const { return m_longest_without_run; }
+
+  size_t CountUnfinished() const {
+    return static_cast<size_t>(std::count_if(
+        m_submitted.begin(), m_submitted.end(), [this](const std::string& id) {
+          return m_cell.StateOf(id) != JobState::kCompleted;
+        }));
+  }
+
+ private:
+  void Observe(const std::string& id) {
+    TimePoint& since = m_last_run.try_emplace(id, m_cell.now()).first->second;
+    if (m_cell.CountRunning(id) > 0 ||
+        m_cell.StateOf(id) == JobState::kCompleted)
+      since = m_cell.now();
+    m_longest_without_run =
+        std::max(m_longest_without_run, m_cell.now() - since);
+  }
+
+  SimulatedCell m_cell;
+  std::vector<std::string> m_submitted;
+  std::map<std::string, TimePoint> m_last_run;
+  Duration m_longest_without_run{0};
+};
+
+TEST_CASE(
+    "best-effort work starves beside latency-critical tasks on every worker",
+    "[.known-red]") {
+  Desk desk;
+  // The scheduler learns how much the heavy image interferes.
+  desk.RunLoad(seconds(40));
+
+  SECTION("after the load, with most of the capacity free") {
+    desk.Run(seconds(14));
+    desk.StartObservation();
+    desk.Run(seconds(30));
+    CHECK(desk.longest_without_run() < kMaxTimeWithoutRun);
+    CHECK(desk.CountUnfinished() == 0);
+  }
+  SECTION("when its worker drains") {
+    desk.Run(seconds(30));
+    desk.Submit("heavy", 1);
+    desk.Run(milliseconds(500));
+    const auto worker = desk.cell().WorkerOf({JobId("heavy40"), 0, 0, 0});
+    REQUIRE(worker);
+    desk.cell().worker(*worker).info.draining = true;
+    desk.cell().UpdateWorkerInfo(*worker);
+    desk.Run(seconds(1));
+    desk.cell().StopWorker(*worker);
+    desk.cell().RemoveFromList(*worker);
+    desk.Run(seconds(30));
+    CHECK(desk.CountUnfinished() == 0);
+  }
+  SECTION("under the next owner") {
+    desk.cell().ReplaceOwner();
+    desk.Run(seconds(14));
+    desk.StartObservation();
+    desk.Run(seconds(30));
+    CHECK(desk.longest_without_run() < kMaxTimeWithoutRun);
+    CHECK(desk.CountUnfinished() == 0);
+  }
+  // Best-effort work may not keep a task over its target for this long.
+  CHECK(desk.cell().observations().longest_over_target_s < kMaxTimeOverTargetS);
+  CHECK(desk.cell().observations().violations.empty());
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
