pacing: a lost command that ended a slowdown is sent again

Best-effort tasks stayed slow, with nothing beside them, when the command that set them to full pace was lost: an unknown pace is 101, which differs from 100 by less than the smallest change that is sent. An unknown pace is now always set anew. The test fails without the change: a task of 20 s is not done after 23 s beside no other task.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -193,6 +193,8 @@
 }
 
 bool NeedsPaceCommand(const Task& task) {
+  if (task.pace_percent == kUnknownPacePercent)
+    return true;
   if (task.pace_percent == task.target_pace_percent)
     return false;
   const uint32_t change = task.pace_percent > task.target_pace_percent
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -127,6 +127,8 @@
   void CrashWorker(size_t worker);
   /** While false nothing is stored, and no plan is carried out. */
   bool store_is_up = true;
+  /** While true pace commands neither arrive nor get a response. */
+  bool loses_paces = false;
   /** Time between a plan and the response of the store to its records. */
   Duration append_latency{0};
   /** Changes the records that the next owner reads. */
