pacing: an owner does not know the paces that the previous one has set

After a change of owner a slowed best-effort task stayed slow: workers keep the pace, and the new owner took it for full. It also learned too little interference from it. The pace of a restored run is unknown until its first listing, and is then set.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -275,8 +275,10 @@
       continue;
     for (const TaskRef& ref : worker.tasks) {
       Task& task = TaskOf(ref);
+      // The pace of a restored run follows from its first listing.
+      const bool awaits_listing = !task.started && task.last_listing == 0;
       if (!SpecOf(ref).best_effort || task.phase != SchedulingPhase::kRunning ||
-          !NeedsPaceCommand(task))
+          awaits_listing || !NeedsPaceCommand(task))
         continue;
       task.pace_percent = task.target_pace_percent;
       ++state.counters.paces;
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -83,6 +83,8 @@
   if (stored.size() > 7)
     task.worker_start_time_ms = stored.at(7).get<int64_t>();
   task.phase = SchedulingPhase::kRunning;
+  // The worker keeps the pace that the previous owner has set.
+  task.pace_percent = kUnknownPacePercent;
   // Any listing made under this owner's fence shows whether the run is present.
   task.visible_from = state.claimed_at;
 }
--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -184,6 +184,14 @@
   REQUIRE(cell.WorkerOf(task));
   REQUIRE(cell.worker(0).running.at(task).pace_percent < 50);
 
+  SECTION("since the next owner takes it for one at full pace") {
+    cell.RemoveOwner(true);
+    cell.Cancel("seats");
+    for (uint32_t index = 0; index < 2; ++index)
+      cell.EndRunOf({JobId("seats"), 0, 0, index}, RunOutcome::kFailed);
+    cell.Run(milliseconds(500));
+    cell.ReplaceOwner();
+  }
   SECTION("since the command that ended it was lost") {
     cell.Cancel("seats");
     cell.loses_paces = true;
