pacing: a run that goes on after a pause is not taken for a stalled one

Progress is now expected from the change of the pace on. The test fails without the change: the run starts twice.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -329,7 +329,7 @@
   return least_headroom;
 }
 
-void PlanPaces(State& state, Plan& plan) {
+void PlanPaces(State& state, TimePoint now, Plan& plan) {
   for (WorkerState& worker : state.workers) {
     if (worker.reachability != Reachability::kReachable)
       continue;
@@ -341,6 +341,8 @@
           awaits_listing || !NeedsPaceCommand(task))
         continue;
       task.pace_percent = task.target_pace_percent;
+      // At its old pace it may have made no progress.
+      task.last_progress = now;
       ++state.counters.paces;
       LogDecision(state, "run_paced", ref,
                   "percent=" + std::to_string(task.pace_percent));
--- a/src/sched/pacing.h
+++ b/src/sched/pacing.h
@@ -24,7 +24,7 @@
 bool NeedsPaceCommand(const Task& task);
 
 /** Adds a command for each run whose pace is too far from its target pace. */
-void PlanPaces(State& state, Plan& plan);
+void PlanPaces(State& state, TimePoint now, Plan& plan);
 
 /** True if the worker has both latency-critical and best-effort tasks. */
 bool RunsBothTaskClasses(const WorkerState& worker);
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -421,7 +421,7 @@
   PlaceReadyTasks(state, now, plan);
   LogWaitingTasks(state, now);
   PlanTaskTransfers(state, now);
-  PlanPaces(state, plan);
+  PlanPaces(state, now, plan);
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
   DeleteEndedJobs(state, now, plan);
--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -203,5 +203,22 @@
   CHECK(cell.observations().starts.at(task) == 1);
 }
 
+TEST_CASE("a run that goes on after a pause is taken for a stalled one",
+          "[sched]") {
+  SimulatedCell cell = MakeCellWithSlowedRun();
+  const TaskName task{JobId("heavy"), 0, 0, 0};
+  cell.own_utilisation_of = [](const TaskName&, double) { return 0.8; };
+  cell.Run(seconds(6));
+  REQUIRE(cell.WorkerOf(task));
+  REQUIRE(cell.worker(0).running.at(task).pace_percent == 0);
+  cell.Cancel("seats");
+  // Each task that ends brings a listing, also just after the pace command.
+  cell.run_time_s_of = [](const TaskName&) { return 0.03; };
+  cell.Submit(MakeJob("short", "critical", {MakeStep(200, 2, 1000, 0.03)}));
+  cell.RunUntilEnd("heavy", seconds(30));
+  CHECK(cell.StateOf("heavy") == JobState::kCompleted);
+  CHECK(cell.observations().starts.at(task) == 1);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
