tests: simulate workers that are removed, and deleted jobs

The simulation could not take a worker away for good: the next owner was told of it again. The records of jobs that the scheduler deletes 150 s after their end stayed, so that a later owner would have run these jobs again. The worker driver's rule for workers that are no longer listed is followed: they are asked until they have no tasks. Only jobs that have not ended are examined in each step of time.

--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -9,14 +9,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kTimeStepS = 0.01;
-constexpr double kIdleTailMs = 4;
 constexpr Duration kListingInterval = milliseconds(700);
-constexpr Duration kListingDelayAfterEnd = milliseconds(60);
-
-double Seconds(TimePoint time) {
-  return static_cast<double>(time.time_since_epoch().count()) / 1e6;
-}
 
 }  // namespace
 
@@ -62,6 +55,7 @@
 void SimulatedCell::Submit(JobDefinition spec) {
   spec.accepted = WallTime(m_now.time_since_epoch());
   m_jobs.emplace(spec.id, spec);
+  m_open_jobs.insert(spec.id);
   m_submitted.insert(spec.id);
   if (m_has_owner)
     m_scheduler->AddJob(spec, m_now, spec.accepted);
@@ -73,7 +67,8 @@
   const WallTime wall(m_now.time_since_epoch());
   if (parsed->kind == JobRecordKind::kTransfer) {
     const auto transfer = DecodeTransfer(value);
-    m_jobs.emplace(transfer->job.id, transfer->job);
+    if (m_jobs.emplace(transfer->job.id, transfer->job).second)
+      m_open_jobs.insert(transfer->job.id);
     m_scheduler->AddTransfer(*transfer, m_now, wall);
   } else if (parsed->kind == JobRecordKind::kCancellation) {
     m_cancelled.insert(parsed->job);
@@ -111,8 +106,21 @@
   m_scheduler->RemoveWorker(m_workers[index].info.id, m_now);
 }
 
-void SimulatedCell::UpdateWorkerInfo(size_t index) {
+void SimulatedCell::RemoveWorker(size_t index) {
+  StopWorker(index);
+  SimulatedWorker& worker = m_workers[index];
+  worker.removed = true;
+  worker.restarts_at.reset();
+  worker.listed_at.reset();
+  worker.running.clear();
+  worker.ended.clear();
+  worker.tail_ms.clear();
   if (m_has_owner)
+    RemoveFromList(index);
+}
+
+void SimulatedCell::UpdateWorkerInfo(size_t index) {
+  if (m_has_owner && !m_workers[index].removed)
     m_scheduler->UpsertWorker(m_workers[index].info, m_now);
 }
 
@@ -232,6 +240,8 @@
   replay(JobRecordKind::kEnd);
   m_scheduler->FinishRestore(m_now);
   for (SimulatedWorker& worker : m_workers) {
+    if (worker.removed)
+      continue;
     m_scheduler->UpsertWorker(worker.info, m_now);
     worker.next_listing = m_now;
   }
@@ -261,96 +271,21 @@
 void SimulatedCell::AdvanceOwner() {
   ApplyStoredPlan();
   for (SimulatedWorker& worker : m_workers) {
-    if (m_now >= worker.next_listing)
+    // As the worker driver does, until the leases have expired.
+    const bool is_followed =
+        !worker.removed || m_scheduler->HasTasks(worker.info.id);
+    if (is_followed && m_now >= worker.next_listing)
       SendListing(worker);
   }
   if (!m_pending_plan)
     MakeNextPlan();
   for (const StopRunCommand& stop : m_scheduler->TakeStops(m_now))
     Stop(stop);
-  for (const auto& [id, spec] : m_jobs) {
+  std::erase_if(m_open_jobs, [this](const JobId& id) {
     const auto state = m_scheduler->StateOf(id);
-    if (state && *state != JobState::kQueued && *state != JobState::kActive)
-      m_end_times.emplace(id, m_now);
-  }
-}
-
-void SimulatedCell::EndRun(SimulatedWorker& worker,
-                           const TaskName& task,
-                           RunOutcome outcome) {
-  const SimulatedRun run = worker.running.at(task);
-  worker.running.erase(task);
-  worker.highest_run[task] = std::max(worker.highest_run[task], run.run);
-  const std::string saved_checkpoint =
-      SpecOf(task).checkpointing
-          ? std::to_string(static_cast<int>(
-                (run.total_work_s - run.remaining_work_s) * 1000))
-          : "";
-  worker.ended.push_back(
-      {++worker.last_outcome_number, task, run.run, outcome, saved_checkpoint});
-  worker.next_listing =
-      std::min(worker.next_listing, m_now + kListingDelayAfterEnd);
-  if (outcome == RunOutcome::kDone)
-    m_observations.done.insert(task);
-}
-
-void SimulatedCell::AdvanceWorker(SimulatedWorker& worker) {
-  if (!worker.up)
-    return;
-  worker.clock_ms += kTimeStepS * 1000 * worker.clock_rate;
-  std::vector<std::pair<TaskName, RunOutcome>> ended_runs;
-  for (auto& [task, run] : worker.running) {
-    if (worker.clock_ms >= worker.lease_end_ms) {
-      ended_runs.emplace_back(task, RunOutcome::kLeaseExpired);
-      continue;
-    }
-    if (run.stops_at && m_now >= *run.stops_at) {
-      ended_runs.emplace_back(task, RunOutcome::kStopped);
-      continue;
-    }
-    if (worker.stalls_all_runs || SpecOf(task).long_running)
-      continue;
-    run.remaining_work_s -= kTimeStepS * run.pace_percent / 100.0;
-    if (run.remaining_work_s <= 0)
-      ended_runs.emplace_back(
-          task, run.fails ? RunOutcome::kFailed : RunOutcome::kDone);
-  }
-  for (const auto& [task, outcome] : ended_runs)
-    EndRun(worker, task, outcome);
-  UpdateTails(worker);
-}
-
-void SimulatedCell::UpdateTails(SimulatedWorker& worker) {
-  worker.tail_ms.clear();
-  if (!own_utilisation_of)
-    return;
-  for (const auto& [task, run] : worker.running) {
-    const StepSpec& spec = SpecOf(task);
-    if (spec.latency_target.count() == 0)
-      continue;
-    double load = own_utilisation_of(task, Seconds(m_now));
-    double interference = 0;
-    for (const auto& [other, best_effort] : worker.running) {
-      if (!SpecOf(other).best_effort)
-        continue;
-      const double share =
-          static_cast<double>(SpecOf(other).need.cpu.count()) /
-          static_cast<double>(worker.info.capacity.cpu.count());
-      interference +=
-          interference_of(SpecOf(other).image.value(), spec.image.value()) *
-          share * best_effort.pace_percent / 100.0;
-    }
-    const double target =
-        static_cast<double>(spec.latency_target.count()) / 1000.0;
-    const double tail = kIdleTailMs / (1 - std::min(0.98, load + interference));
-    worker.tail_ms[task] = tail;
-    double& over = m_over_target_s[task];
-    over = tail > target && interference > 0 ? over + kTimeStepS : 0;
-    if (over > 0)
-      m_observations.total_over_target_s += kTimeStepS;
-    m_observations.longest_over_target_s =
-        std::max(m_observations.longest_over_target_s, over);
-  }
+    return state && *state != JobState::kQueued &&
+           *state != JobState::kActive && m_end_times.emplace(id, m_now).second;
+  });
 }
 
 void SimulatedCell::SendListing(SimulatedWorker& worker) {
@@ -408,6 +343,8 @@
 }
 
 void SimulatedCell::StorePendingRecords() {
+  for (const JobId& id : m_pending_plan->deleted_jobs)
+    DeleteJob(id);
   for (const ProgressRecord& record : m_pending_plan->records) {
     if (record.value.empty())
       m_stored_records.erase(record.key);
@@ -431,6 +368,14 @@
     Start(start);
 }
 
+// The next owner does not read its records.
+void SimulatedCell::DeleteJob(const JobId& id) {
+  m_submitted.erase(id);
+  std::erase_if(m_received_records, [&id](const auto& record) {
+    return ParseJobRecordKey(record.first)->job == id;
+  });
+}
+
 SimulatedWorker* SimulatedCell::Find(const WorkerId& id) {
   for (SimulatedWorker& worker : m_workers) {
     if (worker.info.id == id)
@@ -439,116 +384,6 @@
   return nullptr;
 }
 
-void SimulatedCell::Start(const StartRunCommand& command) {
-  if (!m_scheduler->IsStillWanted(command)) {
-    m_scheduler->OnStartSkipped(command, m_now);
-    return;
-  }
-  SimulatedWorker* worker = Find(command.worker);
-  const auto lease = m_scheduler->LeaseEnd(command.worker, m_now);
-  if (worker == nullptr || !worker->up || !worker->reachable || !lease) {
-    m_scheduler->OnStartUnknown(command, m_now);
-    return;
-  }
-  const auto highest_run = worker->highest_run.find(command.task);
-  if (highest_run != worker->highest_run.end() &&
-      command.run <= highest_run->second) {
-    m_scheduler->OnStartRefused(command, StartRefusal::kOldRun, m_now);
-    return;
-  }
-  Resources used;
-  for (const auto& [task, run] : worker->running) {
-    Resources need = SpecOf(task).need;
-    if (SpecOf(task).best_effort)
-      need.cpu = MilliCores(0);
-    used += need;
-  }
-  Resources need = SpecOf(command.task).need;
-  if (SpecOf(command.task).best_effort)
-    need.cpu = MilliCores(0);
-  const bool fits = Fits(need, worker->info.capacity - used);
-  if (!fits && !worker->guards_capacity)
-    AddViolation("started beyond the capacity", command.task);
-  if (!fits && worker->guards_capacity) {
-    ++m_observations.starts_without_capacity;
-    m_scheduler->OnStartRefused(command, StartRefusal::kNoCapacity, m_now);
-    return;
-  }
-  CheckStart(*worker, command);
-  worker->lease_end_ms =
-      std::max(worker->lease_end_ms, static_cast<double>(lease->count()));
-  SimulatedRun run;
-  run.run = command.run;
-  run.total_work_s =
-      run_time_s_of
-          ? run_time_s_of(command.task)
-          : static_cast<double>(SpecOf(command.task).estimate.count()) / 1e6;
-  run.remaining_work_s = run.total_work_s;
-  if (!command.checkpoint.empty())
-    run.remaining_work_s -= std::stod(command.checkpoint) / 1000.0;
-  run.fails = worker->fails_all || (run_fails && run_fails(command.task));
-  run.started = m_now;
-  worker->running[command.task] = run;
-  m_scheduler->OnStarted(command, m_now);
-}
-
-void SimulatedCell::Stop(const StopRunCommand& command) {
-  SimulatedWorker* worker = Find(command.worker);
-  if (worker == nullptr || !worker->up || !worker->reachable)
-    return;
-  const auto run = worker->running.find(command.task);
-  if (run != worker->running.end() && run->second.run == command.run &&
-      stop_delay.count() > 0)
-    run->second.stops_at = run->second.stops_at.value_or(m_now + stop_delay);
-  else if (run != worker->running.end() && run->second.run == command.run)
-    EndRun(*worker, command.task, RunOutcome::kStopped);
-  else
-    worker->highest_run[command.task] =
-        std::max(worker->highest_run[command.task], command.run);
-  m_scheduler->OnStopped(command, m_now);
-}
-
-void SimulatedCell::Pace(const PaceCommand& command) {
-  SimulatedWorker* worker = Find(command.worker);
-  if (worker == nullptr || !worker->up || !worker->reachable) {
-    m_scheduler->OnPaceUnknown(command);
-    return;
-  }
-  const auto run = worker->running.find(command.task);
-  if (run != worker->running.end())
-    run->second.pace_percent = command.percent;
-}
-
-void SimulatedCell::AddViolation(const std::string& rule,
-                                 const TaskName& task) {
-  m_observations.violations.push_back(rule + " " + task.job.value() + "." +
-                                      std::to_string(task.step) + "." +
-                                      std::to_string(task.index));
-}
-
-void SimulatedCell::CheckStart(const SimulatedWorker& worker,
-                               const StartRunCommand& command) {
-  const TaskName& task = command.task;
-  ++m_observations.starts[task];
-  for (const SimulatedWorker& other : m_workers) {
-    if (other.up && other.running.count(task) > 0)
-      AddViolation("has two runs at once", task);
-  }
-  if (m_observations.done.count(task) > 0 && !SpecOf(task).long_running)
-    AddViolation("started after it was done", task);
-  if (m_cancelled.count(task.job) > 0)
-    AddViolation("started after its job was cancelled", task);
-  if (worker.info.draining)
-    AddViolation("started on a draining worker", task);
-  for (const uint32_t earlier : SpecOf(task).depends_on) {
-    for (uint32_t i = 0; i < m_jobs.at(task.job).steps[earlier].count; ++i) {
-      if (m_observations.done.count({task.job, task.iteration, earlier, i}) ==
-          0)
-        AddViolation("started before a step that it depends on was done", task);
-    }
-  }
-}
-
 const StepSpec& SimulatedCell::SpecOf(const TaskName& task) const {
   return m_jobs.at(task.job).steps[task.step];
 }
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -32,6 +32,7 @@
 struct SimulatedWorker {
   WorkerInfo info;
   bool up = true;
+  bool removed = false;  // for ever; see `RemoveWorker`
   bool reachable = true;
   bool fails_all = false;
   bool stalls_all_runs = false;
@@ -115,6 +116,8 @@
   void Advance();
   void Cancel(const std::string& job);
   void RemoveFromList(size_t worker);
+  /** The worker is gone, and the platform does not list it any more. */
+  void RemoveWorker(size_t worker);
   /** The platform lists the worker's changed `info`. */
   void UpdateWorkerInfo(size_t worker);
   /** Replaces the worker's instance by a new one without runs. */
@@ -166,6 +169,7 @@
   void SendListing(SimulatedWorker& worker);
   void MakeNextPlan();
   void ApplyStoredPlan();
+  void DeleteJob(const JobId& id);
   void Start(const StartRunCommand& command);
   void Stop(const StopRunCommand& command);
   void Pace(const PaceCommand& command);
@@ -184,6 +188,7 @@
   std::vector<SimulatedWorker> m_workers;
   std::map<JobId, JobDefinition> m_jobs;
   std::set<JobId> m_submitted;  // here, and not in another cell
+  std::set<JobId> m_open_jobs;  // of `m_jobs`, without an end time
   std::set<JobId> m_cancelled;
   std::map<std::string, std::string> m_stored_records;
   std::map<std::string, std::string> m_received_records;  // by key
