tests: the checker of waiting work sees iterations, deleted jobs and tails

It looked at the first iteration of a job only, would have taken a job that is deleted after its end for one that waits, and did not look at tail latencies. A task over its target for 4 s without a fault is now found. What is found is shown with the last run_waits of its step.

--- a/tests/sched/waiting_work_checker.cc
+++ b/tests/sched/waiting_work_checker.cc
@@ -15,6 +15,7 @@
 constexpr Duration kCalmBeforeWait = seconds(4);
 constexpr Duration kWaitAfterLastRun = seconds(6);
 constexpr Duration kWaitAfterLoad = seconds(14);
+constexpr Duration kMaxOverTarget = seconds(4);
 
 Resources ReservedBy(const StepSpec& spec) {
   Resources need = spec.need;
@@ -35,6 +36,10 @@
   return text;
 }
 
+TaskName FirstOfStep(const TaskName& task) {
+  return {task.job, task.iteration, task.step, 0};
+}
+
 bool HasLabel(const WorkerInfo& info, const std::string& label) {
   return label.empty() || std::find(info.labels.begin(), info.labels.end(),
                                     label) != info.labels.end();
@@ -48,6 +53,22 @@
   return 0;
 }
 
+bool HasLongRunningStep(const JobDefinition& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(),
+                     [](const StepSpec& spec) { return spec.long_running; });
+}
+
+// Iterations whose time has come.
+uint32_t CountDueIterations(const JobDefinition& job, TimePoint now) {
+  if (job.iterations == 0)
+    return 1;
+  const WallTime wall(now.time_since_epoch());
+  uint32_t due = 0;
+  while (due < job.iterations && job.first_due + due * job.interval <= wall)
+    ++due;
+  return due;
+}
+
 bool IsUsable(const SimulatedWorker& worker) {
   return worker.up && worker.reachable && !worker.info.draining;
 }
@@ -65,21 +86,27 @@
 void WaitingWorkChecker::Observe() {
   ObserveDecisions();
   ObserveRuns();
+  const bool load_is_over =
+      m_end_of_load && m_system.now() - *m_end_of_load >= kWaitAfterLoad;
   for (const auto& [id, job] : m_system.jobs()) {
-    if (IsOwed(job))
-      ObserveJob(job);
+    if ((load_is_over || HasLongRunningStep(job)) && IsOwed(job))
+      ObserveJob(job, load_is_over);
   }
 }
 
 void WaitingWorkChecker::ObserveDecisions() {
   for (size_t i = 0; i < m_system.size(); ++i) {
     for (const Decision& decision :
-         m_system.cell(i).scheduler().TakeDecisions())
-      m_decisions[decision.task].push_back(
-          Format(m_system.now()) + " cell " + std::to_string(i) + " " +
-          std::string(decision.event) + " run " +
-          std::to_string(decision.run.value()) + " " + decision.worker.value() +
-          " " + decision.detail);
+         m_system.cell(i).scheduler().TakeDecisions()) {
+      const std::string line = Format(m_system.now()) + " cell " +
+                               std::to_string(i) + " " +
+                               std::string(decision.event) + " run " +
+                               std::to_string(decision.run.value()) + " " +
+                               decision.worker.value() + " " + decision.detail;
+      m_decisions[decision.task].push_back(line);
+      if (decision.event == "run_waits")
+        m_last_wait[FirstOfStep(decision.task)] = line;
+    }
   }
 }
 
@@ -92,6 +119,7 @@
       const SimulatedWorker& worker = m_system.cell(i).worker(k);
       if (!worker.up)
         continue;
+      ObserveTails(worker);
       for (const auto& [task, run] : worker.running) {
         m_last_run[task] = m_system.now();
         ++m_running[task.job];
@@ -104,21 +132,54 @@
   if (m_system.cancelled_jobs().count(job.id) > 0)
     return false;
   const auto state = m_system.StateOf(job.id.value());
+  // Ended jobs are deleted after some time.
+  const SimulatedCell& home = m_system.cell(m_system.HomeOf(job.id.value()));
+  if (!state && home.EndTimeOf(job.id.value()))
+    return false;
   return state != JobState::kCompleted && state != JobState::kFailed;
 }
 
-void WaitingWorkChecker::ObserveJob(const JobDefinition& job) {
-  const bool load_is_over =
-      m_end_of_load && m_system.now() - *m_end_of_load >= kWaitAfterLoad;
-  const bool is_calm =
-      !m_last_fault || m_system.now() - *m_last_fault >= kCalmBeforeWait;
+void WaitingWorkChecker::ObserveJob(const JobDefinition& job,
+                                    bool load_is_over) {
+  const uint32_t iterations = CountDueIterations(job, m_system.now());
+  for (uint32_t iteration = 0; iteration < iterations; ++iteration)
+    ObserveIteration(job, iteration, load_is_over);
+}
+
+bool WaitingWorkChecker::IsCalmFor(Duration duration) const {
+  return !m_last_fault || m_system.now() - *m_last_fault >= duration;
+}
+
+// Without best-effort tasks beside it a task stays within its target.
+void WaitingWorkChecker::ObserveTails(const SimulatedWorker& worker) {
+  for (const auto& [task, run] : worker.running) {
+    const auto tail = worker.tail_ms.find(task);
+    const Duration target =
+        m_system.jobs().at(task.job).steps[task.step].latency_target;
+    if (tail == worker.tail_ms.end() ||
+        tail->second * 1000 <= static_cast<double>(target.count())) {
+      m_over_target_since.erase(task);
+      continue;
+    }
+    const TimePoint since =
+        m_over_target_since.emplace(task, m_system.now()).first->second;
+    const Duration over = m_system.now() - since;
+    if (over >= kMaxOverTarget && IsCalmFor(over + kCalmBeforeWait))
+      Add(task, since, "over its target");
+  }
+}
+
+void WaitingWorkChecker::ObserveIteration(const JobDefinition& job,
+                                          uint32_t iteration,
+                                          bool load_is_over) {
+  const bool is_calm = IsCalmFor(kCalmBeforeWait);
   for (uint32_t step = 0; step < job.steps.size(); ++step) {
     const StepSpec& spec = job.steps[step];
     if (!spec.long_running && !load_is_over)
       continue;
     std::optional<bool> can_run;
     for (uint32_t index = 0; index < spec.count; ++index) {
-      const TaskName task{job.id, 0, step, index};
+      const TaskName task{job.id, iteration, step, index};
       const auto last_run = m_last_run.find(task);
       const bool waits =
           (last_run == m_last_run.end() ||
@@ -126,8 +187,8 @@
           (spec.long_running ||
            (!m_system.IsDone(task) && !m_system.IsPossiblyDone(task)));
       if (waits && !can_run)
-        can_run =
-            AreEarlierStepsDone(job, step) && HasCapacityForTwo(job, step);
+        can_run = AreEarlierStepsDone(job, iteration, step) &&
+                  HasCapacityForTwo(job, step);
       const bool rests = last_run != m_last_run.end() &&
                          m_system.now() - last_run->second < kWaitAfterLastRun;
       if (spec.long_running &&
@@ -161,7 +222,7 @@
     return;
   const auto of_step = std::find_if(
       m_found.begin(), m_found.end(), [&](const WaitingWork& known) {
-        return known.task.job == task.job && known.task.step == task.step &&
+        return FirstOfStep(known.task) == FirstOfStep(task) &&
                known.rule == rule;
       });
   if (of_step == m_found.end())
@@ -174,10 +235,11 @@
 }
 
 bool WaitingWorkChecker::AreEarlierStepsDone(const JobDefinition& job,
+                                             uint32_t iteration,
                                              uint32_t step) const {
   for (const uint32_t earlier : job.steps[step].depends_on) {
     for (uint32_t index = 0; index < job.steps[earlier].count; ++index) {
-      if (!m_system.IsDone({job.id, 0, earlier, index}))
+      if (!m_system.IsDone({job.id, iteration, earlier, index}))
         return false;
     }
   }
@@ -282,6 +344,9 @@
     text += Format(work.task) + ": " + work.rule + " from " +
             Format(work.since) + ", " + std::to_string(work.tasks) +
             " tasks of the step\n    " + work.capacity + "\n";
+    if (const auto wait = m_last_wait.find(FirstOfStep(work.task));
+        wait != m_last_wait.end())
+      text += "    step: " + wait->second + "\n";
     const auto decisions = m_decisions.find(work.task);
     if (decisions == m_decisions.end())
       continue;
--- a/tests/sched/waiting_work_checker.h
+++ b/tests/sched/waiting_work_checker.h
@@ -44,9 +44,16 @@
   void Observe();
   void ObserveRuns();
   void ObserveDecisions();
-  void ObserveJob(const JobDefinition& job);
+  void ObserveJob(const JobDefinition& job, bool load_is_over);
+  void ObserveIteration(const JobDefinition& job,
+                        uint32_t iteration,
+                        bool load_is_over);
+  void ObserveTails(const SimulatedWorker& worker);
   bool IsOwed(const JobDefinition& job) const;
-  bool AreEarlierStepsDone(const JobDefinition& job, uint32_t step) const;
+  bool IsCalmFor(Duration duration) const;
+  bool AreEarlierStepsDone(const JobDefinition& job,
+                           uint32_t iteration,
+                           uint32_t step) const;
   bool HasCapacityForTwo(const JobDefinition& job, uint32_t step) const;
   /** Number of such tasks that the worker could run now, up to `limit`. */
   uint32_t CountFitting(const SimulatedWorker& worker,
@@ -68,9 +75,12 @@
   std::map<TaskName, TimePoint> m_last_run;  // when it was last seen
   std::map<JobId, size_t> m_running;         // in this observation
   std::map<TaskName, TimePoint> m_long_running_since;
+  std::map<TaskName, TimePoint> m_over_target_since;
   std::map<TaskName, TimePoint> m_job_since;           // by a task of the job
   std::set<std::pair<std::string, TaskName>> m_known;  // by rule
   std::map<TaskName, std::vector<std::string>> m_decisions;
+  /** Last `run_waits` of a step's tasks, by the first one. */
+  std::map<TaskName, std::string> m_last_wait;
   std::vector<WaitingWork> m_found;
 };
 
