--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -44,20 +44,18 @@
 
 double IdleMillicores(const WorkerState& worker) {
   double long_running_millicores = 0;
-  double left_by_opportunistic = 0;
+  double best_effort_millicores = 0;
   for (const TaskRef& ref : worker.tasks) {
     const double need = Millicores(SpecOf(ref).need.cpu);
-    if (SpecOf(ref).long_running && !SpecOf(ref).best_effort)
+    if (SpecOf(ref).best_effort)
+      best_effort_millicores += need * TaskOf(ref).target_pace_percent / 100;
+    else if (SpecOf(ref).long_running)
       long_running_millicores += need * TaskOf(ref).own_utilisation;
-    if (TaskOf(ref).is_opportunistic)
-      left_by_opportunistic +=
-          need * (1 - TaskOf(ref).target_pace_percent / 100.0);
   }
   const double short_work =
       Millicores(worker.reserved.cpu) - Millicores(worker.long_running_cpu);
   return Millicores(worker.info.capacity.cpu) - short_work -
-         long_running_millicores - Millicores(worker.best_effort_cpu) +
-         left_by_opportunistic;
+         long_running_millicores - best_effort_millicores;
 }
 
 double CpuShare(const WorkerState& worker, double millicores) {
