placement: slowed-down tasks count with all of their need, but for opportunistic starts

Only an opportunistic start now looks at the time that is unused at the current paces, so that a job has a run also where slowed-down tasks fill the workers.

--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -76,8 +76,8 @@
   /** When the stop command was last sent. */
   std::optional<TimePoint> stop_sent;
   uint32_t progress_percent = 0;
-  /** When the listed progress or the commanded pace last changed, or the run was
-   * first listed. */
+  /** When the listed progress or the commanded pace last changed, or the run
+   * was first listed. */
   std::optional<TimePoint> last_progress;
   std::optional<int64_t> load;         // as in the listing
   uint32_t pace_percent = 100;         // as last commanded
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -41,11 +41,11 @@
                                          const WorkerState& worker,
                                          const TaskRef& ref) {
   const StepSpec& spec = SpecOf(ref);
-  const double idle = IdleMillicores(worker);
   const auto memory = static_cast<double>(worker.info.capacity.memory.count());
   const auto left =
       static_cast<double>((FreeCapacity(worker) - spec.need).memory.count());
-  if (idle < Millicores(spec.need.cpu) * kMinIdleShareOfNeed ||
+  if (UnusedMillicores(worker) <
+          Millicores(spec.need.cpu) * kMinIdleShareOfNeed ||
       left < memory * kMemoryLeftByOpportunistic)
     return std::nullopt;
   return HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu,
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -13,6 +13,25 @@
   return static_cast<double>(cpu.count());
 }
 
+// What a best-effort task uses at its pace.
+double BestEffortUse(const TaskRef& ref) {
+  return Millicores(SpecOf(ref).need.cpu) * TaskOf(ref).target_pace_percent /
+         100;
+}
+
+// Processor time that is left to best-effort tasks.
+double MillicoresWithoutBestEffort(const WorkerState& worker) {
+  double long_running_use = 0;
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).long_running && !SpecOf(ref).best_effort)
+      long_running_use +=
+          Millicores(SpecOf(ref).need.cpu) * TaskOf(ref).own_utilisation;
+  }
+  const double short_work =
+      Millicores(worker.reserved.cpu) - Millicores(worker.long_running_cpu);
+  return Millicores(worker.info.capacity.cpu) - short_work - long_running_use;
+}
+
 }  // namespace
 
 int32_t FindWorkerIndex(const State& state, const WorkerId& id) {
@@ -43,19 +62,26 @@
 }
 
 double IdleMillicores(const WorkerState& worker) {
-  double long_running_millicores = 0;
-  double best_effort_millicores = 0;
+  double opportunistic_need = 0;
+  double opportunistic_use = 0;
+  for (const TaskRef& ref : worker.tasks) {
+    if (!TaskOf(ref).is_opportunistic)
+      continue;
+    opportunistic_need += Millicores(SpecOf(ref).need.cpu);
+    opportunistic_use += BestEffortUse(ref);
+  }
+  return MillicoresWithoutBestEffort(worker) -
+         (Millicores(worker.best_effort_cpu) - opportunistic_need) -
+         opportunistic_use;
+}
+
+double UnusedMillicores(const WorkerState& worker) {
+  double best_effort_use = 0;
   for (const TaskRef& ref : worker.tasks) {
-    const double need = Millicores(SpecOf(ref).need.cpu);
     if (SpecOf(ref).best_effort)
-      best_effort_millicores += need * TaskOf(ref).target_pace_percent / 100;
-    else if (SpecOf(ref).long_running)
-      long_running_millicores += need * TaskOf(ref).own_utilisation;
+      best_effort_use += BestEffortUse(ref);
   }
-  const double short_work =
-      Millicores(worker.reserved.cpu) - Millicores(worker.long_running_cpu);
-  return Millicores(worker.info.capacity.cpu) - short_work -
-         long_running_millicores - best_effort_millicores;
+  return MillicoresWithoutBestEffort(worker) - best_effort_use;
 }
 
 double CpuShare(const WorkerState& worker, double millicores) {
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -24,10 +24,13 @@
 
 /** Processor time in millicores that neither reserving nor best-effort tasks
  * are expected to use. Long-running tasks use the part of their reservation
- * that their current utilisation gives, and best-effort tasks the part of their
- * need that their pace gives. */
+ * that their current utilisation gives. A slowed-down task counts with all of
+ * its need, which it uses again once it may; an opportunistic one does not. */
 double IdleMillicores(const WorkerState& worker);
 
+/** Processor time in millicores that is unused at the current paces. */
+double UnusedMillicores(const WorkerState& worker);
+
 /** Whether a worker may get new tasks, or why not. */
 enum class WorkerEligibility {
   kEligible,
