--- /dev/null
+++ b/tests/sched/deleted_job_test.cc
@@ -0,0 +1,64 @@
+// A job is deleted some time after its end. Its records may still be read then:
+// the pages of a stream's newest records are no snapshot, and a follower whose
+// position has expired reads them again.
+
+#include <catch2/catch.hpp>
+
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+SimulatedCell MakeCell() {
+  SimulatedCell cell;
+  cell.AddWorkers(4, 16, 64000);
+  cell.SetQueue("urgent", MakePolicy(0, 2));
+  cell.Run(milliseconds(100));
+  return cell;
+}
+
+void RunUntilDeleted(SimulatedCell& cell, const std::string& job) {
+  cell.RunUntilEnd(job, seconds(10));
+  REQUIRE(cell.StateOf(job) == JobState::kCompleted);
+  for (int i = 0; i < 300 && cell.StateOf(job); ++i)
+    cell.Run(seconds(1));
+  REQUIRE_FALSE(cell.StateOf(job));
+}
+
+TEST_CASE("a deleted job runs again when its submission is read again",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCell();
+  const JobDefinition job = MakeJob("a", "urgent", {MakeStep(4, 2, 1000, 0.5)});
+  cell.Submit(job);
+  RunUntilDeleted(cell, "a");
+  cell.Submit(job);
+  cell.Run(seconds(5));
+  CHECK(cell.scheduler().counters().starts == 4);
+  CHECK(cell.observations().violations.empty());
+}
+
+TEST_CASE("a deleted job runs again when its transfer is read again",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCell();
+  const JobTransfer transfer{
+      .job = MakeJob("a", "urgent", {MakeStep(4, 2, 1000, 0.5)}),
+      .from = CellId(1),
+      .hop = 1,
+      .tasks = {}};
+  const CellMessage message{
+      CellId(0), TransferKey(JobId("a"), "h1"), EncodeTransfer(transfer), {}};
+  cell.Deliver(message);
+  cell.Run(milliseconds(100));
+  cell.scheduler().OnEndMessageStored(JobId("a"));
+  RunUntilDeleted(cell, "a");
+  cell.Deliver(message);
+  cell.Run(seconds(5));
+  CHECK(cell.scheduler().counters().starts == 4);
+  CHECK(cell.observations().violations.empty());
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
