sched: a test of the state of a job that ended during an outage, known red

The 150 s for which an ended job is kept begin with its end, which callers are told of only once it is stored. After an outage of the store of 60 s the job is unknown 90 s after that.

--- a/tests/sched/deleted_job_test.cc
+++ b/tests/sched/deleted_job_test.cc
@@ -53,5 +53,22 @@
   CHECK(cell.observations().violations.empty());
 }
 
+TEST_CASE("an ended job is forgotten too early after an outage of the store",
+          "[.known-red]") {
+  // Callers learn of the end once it is stored, and may ask for it for 120 s
+  // after that.
+  SimulatedCell cell = MakeCell();
+  cell.Submit(MakeJob("a", "urgent", {MakeStep(4, 2, 1000, 0.5)}));
+  cell.Run(milliseconds(300));
+  cell.store_is_up = false;
+  cell.Run(seconds(60));
+  REQUIRE(cell.StateOf("a") == JobState::kActive);
+  cell.store_is_up = true;
+  cell.Run(seconds(1));
+  REQUIRE(cell.StateOf("a") == JobState::kCompleted);
+  cell.Run(seconds(120));
+  CHECK(cell.StateOf("a") == JobState::kCompleted);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
