sched: a test of a completion that is told before it is stored, known red

With an append of 2 s under way, the last outcome of a job arrives. Once the append is stored, the job is shown as completed, although the record of that outcome is not stored before the next one.

--- a/tests/sched/deleted_job_test.cc
+++ b/tests/sched/deleted_job_test.cc
@@ -69,5 +69,24 @@
   CHECK(cell.StateOf("a") == JobState::kCompleted);
 }
 
+TEST_CASE("a job is completed for callers before its last outcome is stored",
+          "[.known-red]") {
+  // The outcome arrives while the append of an earlier one is under way.
+  SimulatedCell cell = MakeCell();
+  cell.run_time_s_of = [](const TaskName& task) {
+    return task.index == 0 ? 0.5 : 1.0;
+  };
+  cell.Submit(MakeJob("a", "urgent", {MakeStep(2, 2, 1000, 1)}));
+  for (int i = 0; i < 200 && cell.scheduler().counters().done == 0; ++i)
+    cell.Advance();
+  REQUIRE(cell.CountRunning("a") == 1);
+  cell.append_latency = seconds(2);
+  cell.Run(milliseconds(2500));
+  REQUIRE(cell.scheduler().counters().done == 2);
+  CHECK(cell.StateOf("a") == JobState::kActive);
+  cell.Run(seconds(3));
+  CHECK(cell.StateOf("a") == JobState::kCompleted);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
