sched: a test of a job whose queue was removed before a change of owner, known red

An owner keeps the policies of removed queues, but a later owner knows only the queues that are configured. It finds no worker for the job, whose second step never starts.

--- /dev/null
+++ b/tests/sched/removed_queue_test.cc
@@ -0,0 +1,35 @@
+// Jobs of a queue that the operators have removed.
+
+#include <catch2/catch.hpp>
+
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a job of a removed queue is not placed after a change of owner",
+          "[.known-red]") {
+  SimulatedCell cell;
+  cell.AddWorkers(2, 16, 64000);
+  cell.SetQueue("q", MakePolicy(0, 2));
+  cell.SetQueue("other", MakePolicy(0, 2));
+  cell.Run(milliseconds(100));
+  std::vector<StepSpec> steps = {MakeStep(2, 2, 1000, 1),
+                                 MakeStep(2, 2, 1000, 1)};
+  steps[1].depends_on = {0};
+  cell.Submit(MakeJob("a", "q", steps));
+  cell.Run(milliseconds(300));
+  cell.RemoveQueue("q");
+  SECTION("with the same owner") {}
+  SECTION("with another owner") {
+    cell.ReplaceOwner();
+  }
+  cell.Run(seconds(20));
+  CHECK(cell.StateOf("a") == JobState::kCompleted);
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -59,6 +59,11 @@
   m_scheduler->SetPolicy(m_policy, m_now);
 }
 
+void SimulatedCell::RemoveQueue(const std::string& queue) {
+  m_policy.queues.erase(QueueId(queue));
+  m_scheduler->SetPolicy(m_policy, m_now);
+}
+
 void SimulatedCell::Submit(JobDefinition spec) {
   spec.accepted = WallTime(m_now.time_since_epoch());
   m_jobs.emplace(spec.id, spec);
