sched, platform: tests of records that the store refuses, known red

The store takes records of up to 256 KB. The owner repeats an append that is refused for ever, and so does each later owner.

The progress of 4,000 placed tasks, with checkpoints and crashes, fits.

--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -53,6 +53,18 @@
   CHECK_FALSE(decode(R"("depends-on":[0])"));
 }
 
+TEST_CASE("a job with more tasks than a record can hold is accepted",
+          "[.known-red]") {
+  // The store refuses its progress for good, and its owner stores nothing else
+  // before that.
+  const auto decode = [](int tasks) {
+    return DecodeSubmission(R"({"spec":"s","steps":[{"count":)" +
+                            std::to_string(tasks) + "}]}");
+  };
+  CHECK(decode(4000));
+  CHECK_FALSE(decode(4001));
+}
+
 TEST_CASE("decoding a listing with fields of other types", "[platform]") {
   // Guards against an exception or an undefined conversion on a response that
   // is not what the protocol says.
--- /dev/null
+++ b/tests/sched/record_size_test.cc
@@ -0,0 +1,83 @@
+// The store refuses a record of more than 256 KB for good. An owner sends its
+// append again and again, so that one such record stops its cell.
+
+#include <catch2/catch.hpp>
+
+#include "src/sched/interference_codec.h"
+#include "src/sched/jobs.h"
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kMaxRecordBytes = 262144;
+
+// A job whose tasks have all been observed together with all other images.
+State MakeStateWithImages(int latency_critical, int best_effort) {
+  State state;
+  JobDefinition job = MakeJob("a", "q", {});
+  std::vector<BestEffortShare> shares;
+  for (int i = 0; i < best_effort; ++i) {
+    StepSpec step = MakeStep(1, 1, 1000, 1);
+    step.best_effort = true;
+    step.image = ImageId("i-" + std::to_string(100000000 + i));
+    job.steps.push_back(step);
+    shares.push_back({BestEffortImageIndex(state.interference, step.image),
+                      0.01 * (i % 7 + 1)});
+  }
+  for (int i = 0; i < latency_critical; ++i) {
+    StepSpec step = MakeLongRunningStep(1, 1);
+    step.image = ImageId("i-" + std::to_string(200000000 + i));
+    job.steps.push_back(step);
+    const ImageIndex image =
+        LatencyCriticalImageIndex(state.interference, step.image);
+    ObserveUtilisationChange(state.interference, image, 0.31, 0.43, shares);
+  }
+  AddJobWithoutIterations(state, job, TimePoint(), WallTime());
+  return state;
+}
+
+TEST_CASE("the record of what was learned of many images is too large",
+          "[.known-red]") {
+  // The large deployment has 30 best-effort images and 16 latency-critical
+  // ones.
+  const std::string usual = EncodeInterference(MakeStateWithImages(16, 30));
+  CAPTURE(usual.size());
+  CHECK(usual.size() < kMaxRecordBytes);
+  const std::string large = EncodeInterference(MakeStateWithImages(32, 60));
+  CAPTURE(large.size());
+  CHECK(large.size() < kMaxRecordBytes);
+}
+
+TEST_CASE("the progress of the widest job fits into a record", "[sched]") {
+  // `DecodeSubmission` refuses a job with more tasks.
+  constexpr uint32_t tasks = 4000;
+  SimulatedCell cell;
+  cell.AddWorkers(100, 64, 256000, 1000000000);
+  cell.SetQueue("q", MakePolicy(0, 2));
+  cell.Run(milliseconds(100));
+  JobTransfer transfer{
+      .job = MakeJob("5c0e7a21d94b36f8", "q", {MakeLongRunningStep(tasks, 1)}),
+      .from = CellId(1),
+      .hop = 1,
+      .tasks = {}};
+  for (uint32_t i = 0; i < tasks; ++i)
+    transfer.tasks.push_back({.step = 0,
+                              .index = i,
+                              .run = RunNumber(300),
+                              .failures = 300,
+                              .checkpoint = "00000bb87a21d94b",
+                              .waited = Duration(0),
+                              .crashes = {3, 2}});
+  cell.scheduler().AddTransfer(transfer, cell.now(), WallTime());
+  const Plan plan = cell.scheduler().MakePlan(cell.now(), WallTime());
+  CHECK(plan.starts.size() == tasks);
+  for (const ProgressRecord& record : plan.records)
+    CHECK(record.value.size() < kMaxRecordBytes);
+  CHECK(EncodeTransfer(transfer).size() < kMaxRecordBytes);
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
