--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -27,6 +27,10 @@
    * extended have expired: the time for which it may act without the store,
    * plus one lease. */
   Duration previous_owner_lease = std::chrono::seconds(10);
+  /** Ended jobs are kept for this long after their end was stored. Callers may
+   * ask for the state of an ended job for 120 s, and a late duplicate of a
+   * submission may arrive some seconds after the response. */
+  Duration ended_job_retention = std::chrono::seconds(150);
   /** Fraction by which a worker's clock may run slower than the scheduler's. */
   double max_clock_drift = 0.02;
 };
@@ -63,8 +67,9 @@
 
 /** Decisions of one planning step. */
 struct Plan {
-  /** Ended jobs whose submissions must be deleted before `records` are stored.
-   */
+  /** Ended jobs whose submissions can be deleted. Their progress is deleted by
+   * a later plan: in the opposite order a later owner could take such a job for
+   * one that never ran. */
   std::vector<JobId> deleted_jobs;
   /** For other cells; must be sent only after `records` are stored. */
   std::vector<CellMessage> messages;
@@ -136,8 +141,8 @@
   void FinishRestore(TimePoint now);
 
   void SetPolicy(const Policy& policy, TimePoint now);
-  /** Ignores a job whose id is already known. Must be called before the
-   * progress of the job is replayed. */
+  /** Ignores a job whose id is already known, or that was deleted. Must be
+   * called before the progress of the job is replayed. */
   void AddJob(const JobDefinition& spec, TimePoint now, WallTime wall);
   void CancelJob(const JobId& id, TimePoint now);
   /** Takes over a job, or tasks of one, from another cell. Must be called
@@ -204,6 +209,9 @@
   Plan MakePlan(TimePoint now, WallTime wall);
   /** The records of the last plan have been stored. */
   void OnStored(TimePoint now);
+  /** The submissions of a plan's `deleted_jobs` have been deleted from the
+   * store. */
+  void OnSubmissionsDeleted(const std::vector<JobId>& ids, TimePoint now);
   /** True if something has changed since the last plan was made. */
   bool NeedsPlan() const;
   /** Time at which a plan must be made even if nothing changes until then. */
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -1,6 +1,7 @@
 #include "src/sched/jobs.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "src/sched/assignment.h"
@@ -12,6 +13,10 @@
 
 namespace {
 
+// A follower may have read a record this long before it passes it on: it reads
+// the newest records in pages, and a page takes up to a second.
+constexpr Duration kDeletedJobRetention = std::chrono::seconds(60);
+
 bool AreDependenciesDone(const Iteration& iteration, const StepSpec& spec) {
   return std::all_of(spec.depends_on.begin(), spec.depends_on.end(),
                      [&](uint32_t earlier) {
@@ -20,6 +25,11 @@
                      });
 }
 
+bool IsEnd(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
+
 void FinishIteration(State& state, Iteration& iteration, TimePoint now) {
   Job& job = *iteration.job;
   ++job.iterations_done;
@@ -28,7 +38,6 @@
     return;
   job.state = JobState::kCompleted;
   job.ended_at = now;
-  state.ended_jobs.emplace(now + kEndedJobRetention, job.spec.id);
   PlanEndMessage(state, job);
 }
 
@@ -199,7 +208,6 @@
     return;
   job.state = end;
   job.ended_at = now;
-  state.ended_jobs.emplace(now + kEndedJobRetention, job.spec.id);
   PlanEndMessage(state, job);
   if (end == JobState::kFailed)
     PlanCancellationOfParts(state, job);
@@ -222,6 +230,19 @@
   }
 }
 
+void PublishStates(State& state, TimePoint now) {
+  for (const auto& [id, stored_state] : state.jobs_to_publish) {
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end())
+      continue;
+    Job& job = *found->second;
+    job.published_state = stored_state;
+    if (IsEnd(stored_state) && !std::exchange(job.end_stored, true))
+      state.ended_jobs.emplace(now + state.options.ended_job_retention, id);
+  }
+  state.jobs_to_publish.clear();
+}
+
 void DeleteEndedJobs(State& state, TimePoint now, Plan& plan) {
   while (!state.ended_jobs.empty() && state.ended_jobs.begin()->first <= now) {
     const JobId id = state.ended_jobs.begin()->second;
@@ -232,11 +253,12 @@
     Job& job = *found->second;
     if (job.placed_tasks > 0 ||
         (job.received_from && !job.end_message_stored)) {
-      state.ended_jobs.emplace(now + kEndedJobRetention, id);
+      state.ended_jobs.emplace(now + state.options.ended_job_retention, id);
       continue;
     }
+    std::vector<std::string>& progress = state.deleted_jobs[id];
     for (const auto& [number, iteration] : job.iterations) {
-      plan.records.push_back({ProgressKey(id, number), ""});
+      progress.push_back(ProgressKey(id, number));
       std::erase(state.dirty_iterations, iteration.get());
     }
     std::erase_if(state.ready_steps, [&job](const ReadyKey& key) {
@@ -249,4 +271,23 @@
   }
 }
 
+void ForgetDeletedJobs(State& state,
+                       const std::vector<JobId>& ids,
+                       TimePoint now) {
+  std::deque<std::pair<TimePoint, JobId>>& deleted = state.deleted_submissions;
+  while (!deleted.empty() &&
+         now - deleted.front().first > kDeletedJobRetention) {
+    state.deleted_jobs.erase(deleted.front().second);
+    deleted.pop_front();
+  }
+  for (const JobId& id : ids) {
+    deleted.emplace_back(now, id);
+    std::vector<std::string>& progress = state.deleted_jobs[id];
+    std::move(progress.begin(), progress.end(),
+              std::back_inserter(state.deleted_progress));
+    progress.clear();
+  }
+  state.needs_plan = true;
+}
+
 }  // namespace cowslipmast::sched
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -48,17 +48,20 @@
 /** Ends a job, and passes the cancellation on to cells that run parts of it. */
 void CancelKnownJob(State& state, Job& job, TimePoint now);
 
-/** Ended jobs are kept for this long. Callers may ask for the state of an ended
- * job for 120 s, and a late duplicate of a submission may arrive some seconds
- * after the response. */
-inline constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
-
 /** Number of iterations that the job has in all. */
 uint32_t IterationCount(const JobDefinition& spec);
 
+/** The states of the jobs in the last plan are stored. */
+void PublishStates(State& state, TimePoint now);
+
 /** Deletes ended jobs and their records once callers no longer ask for them. */
 void DeleteEndedJobs(State& state, TimePoint now, Plan& plan);
 
+/** The store has deleted the submissions of these jobs. */
+void ForgetDeletedJobs(State& state,
+                       const std::vector<JobId>& ids,
+                       TimePoint now);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_JOBS_H_
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -51,7 +51,8 @@
   for (Iteration* iteration : state.dirty_iterations) {
     iteration->dirty = false;
     plan.records.push_back(EncodeProgress(state, *iteration));
-    state.jobs_to_publish.push_back(iteration->job->spec.id);
+    state.jobs_to_publish.emplace_back(iteration->job->spec.id,
+                                       iteration->job->state);
   }
   state.dirty_iterations.clear();
 }
@@ -176,7 +177,7 @@
                        TimePoint now,
                        WallTime wall) {
   State& state = m_impl->state;
-  if (state.jobs.contains(spec.id))
+  if (state.jobs.contains(spec.id) || state.deleted_jobs.contains(spec.id))
     return;
   Job& job = AddJobWithoutIterations(state, spec, now, wall);
   if (spec.iterations > 0)
@@ -189,6 +190,8 @@
 
 void Scheduler::CancelJob(const JobId& id, TimePoint now) {
   State& state = m_impl->state;
+  if (state.deleted_jobs.contains(id))
+    return;
   const auto found = state.jobs.find(id);
   if (found == state.jobs.end()) {
     state.early_cancellations.insert(id);
@@ -200,7 +203,8 @@
 void Scheduler::AddTransfer(const JobTransfer& transfer,
                             TimePoint now,
                             WallTime wall) {
-  ApplyTransfer(m_impl->state, transfer, now, wall);
+  if (!m_impl->state.deleted_jobs.contains(transfer.job.id))
+    ApplyTransfer(m_impl->state, transfer, now, wall);
 }
 
 void Scheduler::EndMovedJob(const JobId& id, JobState end, TimePoint now) {
@@ -213,6 +217,11 @@
     found->second->end_message_stored = true;
 }
 
+void Scheduler::OnSubmissionsDeleted(const std::vector<JobId>& ids,
+                                     TimePoint now) {
+  ForgetDeletedJobs(m_impl->state, ids, now);
+}
+
 void Scheduler::SetCellLoads(std::vector<CellLoad> loads, TimePoint now) {
   m_impl->state.cell_loads = std::move(loads);
   m_impl->state.cell_loads_at = now;
@@ -425,23 +434,20 @@
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
   DeleteEndedJobs(state, now, plan);
+  for (std::string& key : std::exchange(state.deleted_progress, {}))
+    plan.records.push_back({std::move(key), ""});
   plan.messages = std::exchange(state.messages, {});
   for (WorkerState& worker : state.workers)
     worker.outcomes_planned = worker.outcomes_applied;
   return plan;
 }
 
-void Scheduler::OnStored(TimePoint) {
+void Scheduler::OnStored(TimePoint now) {
   State& state = m_impl->state;
   for (WorkerState& worker : state.workers)
     worker.outcomes_stored =
         std::min(worker.outcomes_planned, worker.outcomes_applied);
-  for (const JobId& id : state.jobs_to_publish) {
-    const auto found = state.jobs.find(id);
-    if (found != state.jobs.end())
-      found->second->published_state = found->second->state;
-  }
-  state.jobs_to_publish.clear();
+  PublishStates(state, now);
 }
 
 bool Scheduler::NeedsPlan() const {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -140,6 +140,7 @@
   RunNumber base_run;  // runs of other cells have this number at most
   bool end_message_stored = false;  // at the cell that moved it here
   std::optional<TimePoint> ended_at;
+  bool end_stored = false;
 };
 
 /** One task of one iteration. */
@@ -254,10 +255,17 @@
   /** Stops of runs that no task accounts for. */
   std::vector<StopRunCommand> pending_stops;
   TimePoint next_waiting_log;
-  /** Jobs whose state is published once the plan is stored. */
-  std::vector<JobId> jobs_to_publish;
+  /** States in the plan's records, which are published once it is stored. */
+  std::vector<std::pair<JobId, JobState>> jobs_to_publish;
   /** Ended jobs by the time at which they are deleted. */
   std::multimap<TimePoint, JobId> ended_jobs;
+  /** Jobs that were deleted: their records may be read again. With the keys of
+   * their progress, until the store has deleted their submissions. */
+  absl::flat_hash_map<JobId, std::vector<std::string>> deleted_jobs;
+  /** Keys of progress that the next plan deletes. */
+  std::vector<std::string> deleted_progress;
+  /** Those of them whose submissions the store has deleted, and when. */
+  std::deque<std::pair<TimePoint, JobId>> deleted_submissions;
   /** Recent ends of workers on which no run had just started. */
   std::deque<TimePoint> unexplained_ends;
   std::optional<TimePoint> last_worker_end;
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -52,6 +52,11 @@
   m_scheduler->SetPolicy(m_policy, m_now);
 }
 
+void SimulatedCell::RemoveQueue(const std::string& queue) {
+  m_policy.queues.erase(QueueId(queue));
+  m_scheduler->SetPolicy(m_policy, m_now);
+}
+
 void SimulatedCell::Submit(JobDefinition spec) {
   spec.accepted = WallTime(m_now.time_since_epoch());
   m_jobs.emplace(spec.id, spec);
@@ -359,6 +364,7 @@
       m_now - m_pending_since < append_latency)
     return;
   StorePendingRecords();
+  m_scheduler->OnSubmissionsDeleted(m_pending_plan->deleted_jobs, m_now);
   m_scheduler->OnStored(m_now);
   for (CellMessage& message : m_pending_plan->messages)
     m_sent_messages.push_back(std::move(message));
