pacing: the first listing of a worker shows no change of utilisation

Cause: a task that no listing has shown has utilisation 0 in listing 0. At the first listing of each worker after a change of owner the model therefore took the task's whole utilisation for a change caused by the best-effort tasks beside it. The coefficients of all images that ran at that time rose, against all latency-critical images.

Change: a change is observed only after an earlier listing of the task on this worker. A released task forgets its listing as well; that part has no test of its own.

--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -64,6 +64,7 @@
   task.target_pace_percent = 100;
   task.is_opportunistic = false;
   task.own_utilisation = kInitialOwnUtilisation;
+  task.utilisation_listing = 0;
   state.needs_plan = true;
 }
 
--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -88,7 +88,8 @@
       model.shortest_tail_ms = tail;
     const double used = UtilisationAt(model, tail, TargetMs(spec));
     ObserveUtilisation(state.interference, image, used, shares);
-    if (task.utilisation_listing + 1 == worker.listing_count)
+    if (task.utilisation_listing > 0 &&
+        task.utilisation_listing + 1 == worker.listing_count)
       ObserveUtilisationChange(state.interference, image, task.utilisation,
                                used, changes);
     task.utilisation = used;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -88,8 +88,8 @@
   /** Utilisation, from 0 to 1, of a latency-critical task without interference;
    * a moving average. */
   double own_utilisation = kInitialOwnUtilisation;
-  /** Total utilisation of a latency-critical task in the listing with the
-   * number `utilisation_listing`. */
+  /** Total utilisation of a latency-critical task in the worker's listing with
+   * the number `utilisation_listing`; 0 if there is none. */
   double utilisation = 0;
   uint64_t utilisation_listing = 0;
   uint64_t last_listing = 0;  // number of the last listing that showed the run
--- /dev/null
+++ b/tests/sched/interference_estimate_test.cc
@@ -0,0 +1,84 @@
+// Estimates of interference that a cell learns from its listings.
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+StepSpec MakeLatencyCriticalStep(uint32_t count, const char* image) {
+  StepSpec step = MakeLongRunningStep(count, 3);
+  step.image = ImageId(image);
+  step.latency_target = milliseconds(18);
+  return step;
+}
+
+StepSpec MakeBestEffortStep(const char* image) {
+  StepSpec step = MakeStep(8, 2, 1000, 2);
+  step.best_effort = true;
+  step.image = ImageId(image);
+  return step;
+}
+
+// Latency-critical tasks of two images on all workers, whose own utilisation
+// changes in waves.
+SimulatedCell MakeCell() {
+  SimulatedCell cell;
+  cell.AddWorkers(8, 16, 64000);
+  cell.SetQueue("critical", MakePolicy(0, 4));
+  cell.SetQueue("best-effort", MakePolicy(2, 4));
+  cell.own_utilisation_of = [](const TaskName& task, double t) {
+    return 0.42 + 0.2 * std::sin(t * 2 * 3.14159 / 14 + task.index * 1.3);
+  };
+  cell.interference_of = [](const std::string&, const std::string&) {
+    return 0.0;
+  };
+  cell.Run(milliseconds(100));
+  cell.Submit(MakeJob("a", "critical", {MakeLatencyCriticalStep(16, "a")}));
+  cell.Submit(MakeJob("b", "critical", {MakeLatencyCriticalStep(16, "b")}));
+  cell.Run(seconds(1));
+  return cell;
+}
+
+double EstimateIn(SimulatedCell& cell,
+                  const std::string& latency_critical,
+                  const std::string& best_effort) {
+  const json state = json::parse(cell.scheduler().Dump(cell.now()));
+  return state.at("pressures").at(latency_critical).at(best_effort);
+}
+
+TEST_CASE("a new owner", "[sched]") {
+  SimulatedCell cell = MakeCell();
+  // Keeps an unfinished job of the image, so that its estimates are stored.
+  const auto submit = [&cell](int i) {
+    cell.Submit(MakeJob("f" + std::to_string(i), "best-effort",
+                        {MakeBestEffortStep("harmless")}));
+    cell.Run(seconds(1));
+  };
+  for (int i = 0; i < 60; ++i)
+    submit(i);
+  REQUIRE(EstimateIn(cell, "a", "harmless") == 0.0);
+  REQUIRE(EstimateIn(cell, "b", "harmless") == 0.0);
+
+  SECTION("takes no utilisation that it finds for a change of it") {
+    // Guards against harmless images that interfere with every
+    // latency-critical image in the estimates after each change of owner, so
+    // that their tasks find no worker.
+    cell.ReplaceOwner();
+    cell.Run(milliseconds(100));
+    CHECK(EstimateIn(cell, "a", "harmless") == 0.0);
+    CHECK(EstimateIn(cell, "b", "harmless") == 0.0);
+  }
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
