interference: a pair of images is never less certain than an unknown one

Cause: the variance of each coefficient grows with each observation of the latency-critical image, of whatever best-effort image, and without limit: in a simulated cell of 66 workers by 0.0033 a second. Part of the standard deviation is added to the estimate, so an image that does not interfere and has not run for some minutes counts as interfering, more than an unknown one.

Change: the variance grows up to the initial one only.

--- a/src/sched/interference_model.cc
+++ b/src/sched/interference_model.cc
@@ -15,8 +15,8 @@
 // Variance of the change of a task's own utilisation between two listings: 0.08
 // a second, plus the rounding of tail latencies to whole milliseconds.
 constexpr double kUtilisationChangeNoise = 0.09 * 0.09;
-// Growth of the variance with each observation, so that the filter follows a
-// coefficient that changes.
+// Growth of the variance with each observation, up to the initial one, so that
+// the filter follows a coefficient that changes.
 constexpr double kVarianceGrowth = 0.00002;
 // At and above this utilisation a tail latency only shows a lower bound.
 constexpr double kSaturatedUtilisation = 0.9;
@@ -61,8 +61,11 @@
                   double noise,
                   const std::vector<BestEffortShare>& shares) {
   const size_t size = model.mean.size();
-  for (size_t i = 0; i < size; ++i)
-    model.covariance[i * size + i] += kVarianceGrowth;
+  for (size_t i = 0; i < size; ++i) {
+    double& variance = model.covariance[i * size + i];
+    if (variance < kInitialVariance)
+      variance += kVarianceGrowth;
+  }
   const std::vector<double> projected = Project(model, shares);
   double variance = noise;
   for (const BestEffortShare& share : shares)
--- a/tests/sched/interference_estimate_test.cc
+++ b/tests/sched/interference_estimate_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "src/sched/interference_model.h"
 #include "tests/sched/simulated_cell.h"
 
 namespace cowslipmast::sched {
@@ -80,5 +81,24 @@
   }
 }
 
+TEST_CASE("a best-effort image that has not run for long", "[sched]") {
+  InterferenceModel model;
+  const ImageIndex serving =
+      LatencyCriticalImageIndex(model, ImageId("serving"));
+  const ImageIndex harmless = BestEffortImageIndex(model, ImageId("harmless"));
+  const ImageIndex other = BestEffortImageIndex(model, ImageId("other"));
+  for (int i = 0; i < 200; ++i)
+    ObserveUtilisationChange(model, serving, 0.3, 0.3, {{harmless, 0.1}});
+  REQUIRE(EstimateInterference(model, serving, harmless) == 0.0);
+
+  SECTION("is no less certain than one that has never run") {
+    // Guards against a harmless image whose tasks find no worker after a pause.
+    for (int i = 0; i < 200'000; ++i)
+      ObserveUtilisationChange(model, serving, 0.3, 0.5, {{other, 0.1}});
+    CHECK(EstimateInterference(model, serving, harmless) == 0.0);
+    CHECK(EstimateInterference(model, serving, other) == Approx(2).margin(0.1));
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
