test: estimates that are too high fall again

The stored estimates of an image that does not interfere are raised to 5 against both latency-critical images.

--- a/tests/sched/interference_estimate_test.cc
+++ b/tests/sched/interference_estimate_test.cc
@@ -81,6 +81,67 @@
   }
 }
 
+// Changes the stored coefficients of all pairs of images to `mean`, with little
+// variance; returns other records as they are.
+std::string SetStoredEstimates(const std::string& record, double mean) {
+  json stored = json::from_cbor(record, true, false);
+  if (!stored.is_object() || !stored.contains("a"))
+    return record;
+  for (auto& [image, model] : stored.items()) {
+    model["m"] = std::vector<double>(model["m"].size(), mean);
+    const size_t size = model["m"].size();
+    model["c"] = std::vector<double>(size * size, 0.0);
+    for (size_t i = 0; i < size; ++i)
+      model["c"][i * size + i] = 0.02;
+  }
+  const std::vector<uint8_t> bytes = json::to_cbor(stored);
+  return {bytes.begin(), bytes.end()};
+}
+
+TEST_CASE("a harmless image whose estimates are too high", "[sched]") {
+  SimulatedCell cell = MakeCell();
+  // No worker has fewer than five latency-critical tasks.
+  cell.Submit(MakeJob("a2", "critical", {MakeLatencyCriticalStep(4, "a")}));
+  cell.Submit(MakeJob("b2", "critical", {MakeLatencyCriticalStep(4, "b")}));
+  cell.Run(seconds(3));
+  int submitted = 0;
+  const auto submit_for = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      cell.Submit(MakeJob("f" + std::to_string(submitted++), "best-effort",
+                          {MakeBestEffortStep("harmless")}));
+      cell.Run(seconds(2));
+    }
+  };
+  submit_for(15);
+  REQUIRE(EstimateIn(cell, "a", "harmless") == 0.0);
+  // Keeps the image in the store while none of its tasks runs.
+  StepSpec without_worker = MakeBestEffortStep("harmless");
+  without_worker.label = "none";
+  cell.Submit(MakeJob("waiting", "best-effort", {without_worker}));
+  cell.Run(seconds(10));
+  cell.rewrite_stored_value = [](const std::string& record) {
+    return SetStoredEstimates(record, 5);
+  };
+  cell.ReplaceOwner();
+  cell.Run(seconds(1));
+  REQUIRE(EstimateIn(cell, "a", "harmless") > 4);
+
+  SECTION("is placed again, so that they fall") {
+    // Guards against estimates that stay too high because the image is never
+    // placed beside latency-critical tasks.
+    const int first = submitted;
+    submit_for(100);
+    int ended = 0;
+    for (int i = first; i < submitted; ++i)
+      ended += cell.EndTimeOf("f" + std::to_string(i)) ? 1 : 0;
+    INFO("ended " << ended << " of 100, over the targets for "
+                  << cell.observations().total_over_target_s << " s");
+    CHECK(EstimateIn(cell, "a", "harmless") == 0.0);
+    CHECK(EstimateIn(cell, "b", "harmless") == 0.0);
+    CHECK(ended >= 95);
+  }
+}
+
 TEST_CASE("a best-effort image that has not run for long", "[sched]") {
   InterferenceModel model;
   const ImageIndex serving =
