sched: a test of a worker with more ends than it lists, known red

A worker lists 500 ends at a time. 700 tasks that end together on one worker are started 900 times: the 200 whose ends it has not listed yet are taken for lost.

--- a/tests/sched/scheduler_test.cc
+++ b/tests/sched/scheduler_test.cc
@@ -302,5 +302,19 @@
   CHECK(cell.observations().starts.size() == 6);
 }
 
+TEST_CASE("tasks that ended run again if a worker has more ends than it lists",
+          "[.known-red]") {
+  // A worker lists 500 ends at a time, and no longer the runs of the others.
+  SimulatedCell cell;
+  cell.AddWorkers(1, 1000, 4000000);
+  cell.SetQueue("urgent", MakePolicy(0, 2));
+  cell.Run(milliseconds(100));
+  cell.Submit(MakeJob("a", "urgent", {MakeStep(700, 1, 1000, 0.5)}));
+  cell.RunUntilEnd("a", seconds(10));
+  CHECK(cell.StateOf("a") == JobState::kCompleted);
+  CHECK(cell.scheduler().counters().starts == 700);
+  CHECK(cell.observations().violations.empty());
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -13,6 +13,7 @@
 constexpr double kIdleTailMs = 4;
 constexpr Duration kListingInterval = milliseconds(700);
 constexpr Duration kListingDelayAfterEnd = milliseconds(60);
+constexpr size_t kMaxListedEnds = 500;
 
 double Seconds(TimePoint time) {
   return static_cast<double>(time.time_since_epoch().count()) / 1e6;
@@ -381,7 +382,10 @@
   WorkerListing listing;
   listing.clock = WorkerClock(static_cast<int64_t>(worker.clock_ms));
   listing.start_time_ms = worker.start_time_ms;
-  listing.ended = worker.ended;
+  listing.ended.assign(
+      worker.ended.begin(),
+      worker.ended.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                 worker.ended.size(), kMaxListedEnds)));
   for (const auto& [task, run] : worker.running) {
     ActiveRun running{.task = task,
                       .run = run.run,
