--- a/tests/scheduler_process/cell_test.cc
+++ b/tests/scheduler_process/cell_test.cc
@@ -40,8 +40,8 @@
       co_return snapshot;
     };
     port.follow = [this](StoreStream stream, uint64_t from, Duration wait,
-                         StoreError&) {
-      return Follow(streams[stream.topic], from, wait);
+                         StoreError& error) {
+      return Follow(stream.topic, from, wait, error);
     };
     return port;
   }
@@ -59,11 +59,20 @@
     co_return true;
   }
 
-  static asio::awaitable<std::optional<TopicSnapshot>>
-  Follow(const StoredStream& stored, uint64_t from, Duration wait) {
+  asio::awaitable<std::optional<TopicSnapshot>> Follow(StoreTopic topic,
+                                                       uint64_t from,
+                                                       Duration wait,
+                                                       StoreError& error) {
+    const StoredStream& stored = streams[topic];
     const TimePoint limit = MonotonicNow() + wait;
-    while (stored.history.size() <= from && MonotonicNow() < limit)
+    while (stored.history.size() <= from && MonotonicNow() < limit &&
+           dropped_history != topic)
       co_await Sleep(milliseconds(5));
+    if (dropped_history == topic) {
+      dropped_history.reset();
+      error.kind = StoreErrorKind::kTrimmed;
+      co_return std::nullopt;
+    }
     TopicSnapshot added;
     added.end = stored.history.size();
     added.records.assign(
@@ -85,6 +94,8 @@
   std::map<StoreTopic, int> appends;
   /** Appends to this topic get no response. */
   std::optional<StoreTopic> refused;
+  /** The next call that follows this topic learns that records were deleted. */
+  std::optional<StoreTopic> dropped_history;
 };
 
 WorkerInfo MakeWorker() {
@@ -124,6 +135,7 @@
       listing.clock = WorkerClock(ToMillis(MonotonicNow().time_since_epoch()));
       listing.start_time_ms = 1;
       listing.running = running;
+      listing.ended = ended;
       co_return listing;
     };
     workers.start = [this](WorkerInfo, StartRunCommand command, uint64_t,
@@ -175,6 +187,15 @@
     io.restart();
     io.run_for(duration);
   }
+  void FinishRuns() {
+    for (const ActiveRun& run : running)
+      ended.push_back({.number = ended.size() + 1,
+                       .task = run.task,
+                       .run = run.run,
+                       .outcome = RunOutcome::kDone,
+                       .checkpoint = ""});
+    running.clear();
+  }
   size_t CountRecords(StoreTopic topic, const std::string& part) {
     size_t count = 0;
     for (const auto& [key, value] : store.streams[topic].newest)
@@ -187,6 +208,7 @@
   Manifest manifest;
   std::shared_ptr<Cell> cell;
   std::vector<ActiveRun> running;
+  std::vector<EndedRun> ended;
   int starts = 0;
   bool lost = false;
 };
@@ -227,5 +249,25 @@
   }
 }
 
+TEST_CASE("a follower reads a job again that is being deleted",
+          "[scheduler-process]") {
+  // Guards against a job that runs a second time: the platform compacts the
+  // history at any time, and the newest records are read again after that.
+  RunningCell cell;
+  cell.Submit(kFirst);
+  cell.RunFor(milliseconds(300));
+  REQUIRE(cell.starts == 1);
+  cell.FinishRuns();
+  cell.store.refused = StoreTopic::kJobs;
+  cell.RunFor(milliseconds(2500));
+  REQUIRE_FALSE(cell.cell->StatusOf(JobId(kFirst)));
+  REQUIRE(cell.CountRecords(StoreTopic::kJobs, kFirst) == 1);
+  cell.store.dropped_history = StoreTopic::kJobs;
+  cell.RunFor(milliseconds(1000));
+  REQUIRE_FALSE(cell.store.dropped_history);
+  CHECK(cell.starts == 1);
+  CHECK_FALSE(cell.cell->StatusOf(JobId(kFirst)));
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
