--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -10,6 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kListingInterval = milliseconds(700);
+constexpr size_t kMaxListedEnds = 500;
 
 }  // namespace
 
@@ -316,7 +317,10 @@
   WorkerListing listing;
   listing.clock = WorkerClock(static_cast<int64_t>(worker.clock_ms));
   listing.start_time_ms = worker.start_time_ms;
-  listing.ended = worker.ended;
+  listing.ended.assign(
+      worker.ended.begin(),
+      worker.ended.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                 worker.ended.size(), kMaxListedEnds)));
   for (const auto& [task, run] : worker.running) {
     ActiveRun running{.task = task,
                       .run = run.run,
