test: conditions that keep opportunistic starts from all workers, known red

All four fail on. The large task is not done after 60 s with four workers that have room; a refused start goes to the same worker for 60 s; 1 of 4 best-effort tasks that last runs; a paused run is not done after 60 s with an empty worker beside it.

--- /dev/null
+++ b/tests/sched/opportunistic_start_test.cc
@@ -0,0 +1,110 @@
+// Guards against jobs that stay without a run because a condition of
+// opportunistic starts is met by no worker, and nothing relaxes it.
+
+#include <catch2/catch.hpp>
+
+#include "tests/sched/simulated_cell.h"
+
+namespace cowslipmast::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kMaxTimeWithoutRun = seconds(3);
+
+StepSpec MakeHeavyStep(uint32_t count, int64_t memory_mb) {
+  StepSpec step = MakeStep(count, 3, memory_mb, 2);
+  step.best_effort = true;
+  step.checkpointing = true;
+  step.image = ImageId("heavy");
+  return step;
+}
+
+// Each worker has a latency-critical task beside which no heavy task runs at
+// full pace, which is learned from the first job.
+SimulatedCell MakeCellWithoutHeadroom(int workers, int64_t memory_mb = 1000) {
+  SimulatedCell cell;
+  cell.AddWorkers(workers, 16, 64000);
+  cell.SetQueue("critical", MakePolicy(0, 2));
+  cell.SetQueue("batch", MakePolicy(2, 3));
+  cell.interference_of = [](const std::string&, const std::string&) {
+    return 3.0;
+  };
+  cell.own_utilisation_of = [](const TaskName& task, double) {
+    return 0.45 + 0.02 * task.index;
+  };
+  cell.Run(milliseconds(200));
+  StepSpec step = MakeLongRunningStep(static_cast<uint32_t>(workers), 4);
+  step.need.memory = Mebibytes(memory_mb);
+  step.image = ImageId("seats");
+  step.latency_target = milliseconds(18);
+  step.max_per_worker = 1;
+  cell.Submit(MakeJob("seats", "critical", {step}));
+  cell.Run(seconds(2));
+  cell.Submit(MakeJob("learned", "batch", {MakeHeavyStep(6, 1000)}));
+  cell.RunUntilEnd("learned", seconds(60));
+  cell.Run(seconds(5));
+  return cell;
+}
+
+TEST_CASE("a large best-effort task waits for memory that others might need",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom(4, 12000);
+  REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
+  cell.Submit(MakeJob("large", "batch", {MakeHeavyStep(1, 40000)}));
+  cell.Run(kMaxTimeWithoutRun);
+  CHECK(cell.CountRunning("large") == 1);
+  cell.RunUntilEnd("large", seconds(60));
+  CHECK(cell.StateOf("large") == JobState::kCompleted);
+}
+
+TEST_CASE("a worker that refuses an opportunistic start is asked for ever",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom(4);
+  REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
+  // The worker on which the task would disturb least.
+  cell.own_utilisation_of = [](const TaskName& task, double) {
+    return task.index == 0 ? 0.42 : 0.5;
+  };
+  cell.Run(seconds(3));
+  const auto best = cell.WorkerOf({JobId("seats"), 0, 0, 0});
+  REQUIRE(best);
+  cell.worker(*best).info.capacity.memory = Mebibytes(1500);
+  cell.Submit(MakeJob("heavy", "batch", {MakeHeavyStep(1, 1000)}));
+  cell.Run(kMaxTimeWithoutRun);
+  REQUIRE(cell.observations().starts_without_capacity > 0);
+  CHECK(cell.CountRunning("heavy") == 1);
+  cell.RunUntilEnd("heavy", seconds(60));
+  CHECK(cell.StateOf("heavy") == JobState::kCompleted);
+}
+
+TEST_CASE("a paused run stays on its worker although another one is free",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom(2);
+  REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
+  cell.own_utilisation_of = [](const TaskName&, double) { return 0.8; };
+  cell.Run(seconds(3));
+  cell.Submit(MakeJob("heavy", "batch", {MakeHeavyStep(1, 1000)}));
+  cell.Run(seconds(4));
+  const auto worker = cell.WorkerOf({JobId("heavy"), 0, 0, 0});
+  REQUIRE(worker);
+  REQUIRE(cell.worker(*worker).running.begin()->second.pace_percent == 0);
+  cell.AddWorkers(1, 16, 64000, 8);
+  cell.RunUntilEnd("heavy", seconds(60));
+  CHECK(cell.StateOf("heavy") == JobState::kCompleted);
+}
+
+TEST_CASE("of a best-effort step that lasts only one task runs",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom(4);
+  REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
+  StepSpec step = MakeHeavyStep(4, 1000);
+  step.long_running = true;
+  cell.Submit(MakeJob("lasting", "batch", {step}));
+  cell.Run(seconds(6));
+  CHECK(cell.CountRunning("lasting") == 4);
+}
+
+}  // namespace
+}  // namespace cowslipmast::sched
