placement: a task whose start was refused goes on waiting

A job without headroom had no run for ever: it starts opportunistically after a wait of 2 s, on the worker where it disturbs least; when that worker refused the start, the wait began anew, and by its end the worker counted as one with capacity again (it does after 250 ms). A start that was refused or skipped no longer begins the wait anew, so the next worker is asked at once. The test failed before (no run in 60 s, three other workers with room) and passes.

--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -88,7 +88,10 @@
   state.needs_plan = true;
 }
 
-void RequeueTask(State& state, const TaskRef& ref, TimePoint now) {
+void RequeueTask(State& state,
+                 const TaskRef& ref,
+                 TimePoint now,
+                 Duration waited) {
   UnassignTask(state, ref);
   Task& task = TaskOf(ref);
   MarkDirty(state, *ref.iteration);
@@ -97,7 +100,11 @@
     return;
   }
   task.phase = SchedulingPhase::kBlocked;
-  MakeReady(state, ref, now);
+  MakeReady(state, ref, now, waited);
+}
+
+void RequeueUnstartedTask(State& state, const TaskRef& ref, TimePoint now) {
+  RequeueTask(state, ref, now, now - TaskOf(ref).ready_since);
 }
 
 void RequeueAllTasks(State& state,
--- a/src/sched/assignment.h
+++ b/src/sched/assignment.h
@@ -19,8 +19,14 @@
 void StopTask(State& state, const TaskRef& ref);
 
 /** Unassigns a task whose run is over but not completed: it waits for a worker
- * again, unless its job has ended. */
-void RequeueTask(State& state, const TaskRef& ref, TimePoint now);
+ * again, unless its job has ended. `waited` counts as part of its wait. */
+void RequeueTask(State& state,
+                 const TaskRef& ref,
+                 TimePoint now,
+                 Duration waited = Duration(0));
+
+/** Requeues a task whose start was not carried out: its wait goes on. */
+void RequeueUnstartedTask(State& state, const TaskRef& ref, TimePoint now);
 
 /** Requeues all tasks of a worker on which nothing can run any more. */
 void RequeueAllTasks(State& state,
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -308,7 +308,7 @@
   if (!ref)
     return;
   LogDecision(state, "start_skipped", *ref);
-  RequeueTask(state, *ref, now);
+  RequeueUnstartedTask(state, *ref, now);
 }
 
 void Scheduler::OnStartRefused(const StartRunCommand& command,
@@ -333,7 +333,7 @@
   if (refusal == StartRefusal::kNoCapacity ||
       refusal == StartRefusal::kUnhealthy)
     worker.full_until = now + kFullWorkerBackOff;
-  RequeueTask(state, *ref, now);
+  RequeueUnstartedTask(state, *ref, now);
 }
 
 void Scheduler::OnStartUnknown(const StartRunCommand& command, TimePoint now) {
--- a/tests/sched/opportunistic_start_test.cc
+++ b/tests/sched/opportunistic_start_test.cc
@@ -60,7 +60,7 @@
 }
 
 TEST_CASE("a worker that refuses an opportunistic start is asked for ever",
-          "[.known-red]") {
+          "[sched][lost]") {
   SimulatedCell cell = MakeCellWithoutHeadroom(4);
   REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
   // The worker on which the task would disturb least.
