placement: each best-effort task that lasts has a run

A job with a run starts no further task opportunistically, so of a best-effort step that is long-running one task ran, and the others had no worker for ever. Each such task must have a run, whether others of its job run or not. The test failed before (1 of 4 tasks runs) and passes.

--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -89,8 +89,9 @@
 
 bool MayStartOpportunistically(const TaskRef& ref, TimePoint now) {
   const Task& task = TaskOf(ref);
-  return SpecOf(ref).best_effort && task.phase == SchedulingPhase::kReady &&
-         ref.iteration->job->placed_tasks == 0 &&
+  const StepSpec& spec = SpecOf(ref);
+  return spec.best_effort && task.phase == SchedulingPhase::kReady &&
+         (spec.long_running || ref.iteration->job->placed_tasks == 0) &&
          now - task.ready_since >= kMaxWaitWithoutRun;
 }
 
--- a/src/sched/worker_score.h
+++ b/src/sched/worker_score.h
@@ -9,7 +9,7 @@
 
 /** True if a best-effort task may start opportunistically: where all workers
  * have latency-critical tasks, it may fit beside none at full pace, and its job
- * would have no run at all. */
+ * would have no run at all. Each task that is long-running must have one. */
 bool MayStartOpportunistically(const TaskRef& ref, TimePoint now);
 
 /** Score of a worker for a task, larger is better; nothing if the task should
--- a/tests/sched/opportunistic_start_test.cc
+++ b/tests/sched/opportunistic_start_test.cc
@@ -96,7 +96,7 @@
 }
 
 TEST_CASE("of a best-effort step that lasts only one task runs",
-          "[.known-red]") {
+          "[sched][lost]") {
   SimulatedCell cell = MakeCellWithoutHeadroom(4);
   REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
   StepSpec step = MakeHeavyStep(4, 1000);
