--- a/tests/sched/opportunistic_start_test.cc
+++ b/tests/sched/opportunistic_start_test.cc
@@ -3,7 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+#include <vector>
+
 #include "tests/sched/simulated_cell.h"
+#include "tests/sched/simulated_cells.h"
 
 namespace cowslipmast::sched {
 namespace {
@@ -21,6 +25,24 @@
   return step;
 }
 
+StepSpec MakeLatencyCriticalStep(uint32_t count, int64_t memory_mb) {
+  StepSpec step = MakeLongRunningStep(count, 4);
+  step.need.memory = Mebibytes(memory_mb);
+  step.image = ImageId("seats");
+  step.latency_target = milliseconds(18);
+  step.max_per_worker = 1;
+  return step;
+}
+
+void AddInterference(SimulatedCell& cell) {
+  cell.interference_of = [](const std::string&, const std::string&) {
+    return 3.0;
+  };
+  cell.own_utilisation_of = [](const TaskName& task, double) {
+    return 0.45 + 0.02 * task.index;
+  };
+}
+
 // Each worker has a latency-critical task beside which no heavy task runs at
 // full pace, which is learned from the first job.
 SimulatedCell MakeCellWithoutHeadroom(int workers, int64_t memory_mb = 1000) {
@@ -28,19 +50,11 @@
   cell.AddWorkers(workers, 16, 64000);
   cell.SetQueue("critical", MakePolicy(0, 2));
   cell.SetQueue("batch", MakePolicy(2, 3));
-  cell.interference_of = [](const std::string&, const std::string&) {
-    return 3.0;
-  };
-  cell.own_utilisation_of = [](const TaskName& task, double) {
-    return 0.45 + 0.02 * task.index;
-  };
+  AddInterference(cell);
   cell.Run(milliseconds(200));
-  StepSpec step = MakeLongRunningStep(static_cast<uint32_t>(workers), 4);
-  step.need.memory = Mebibytes(memory_mb);
-  step.image = ImageId("seats");
-  step.latency_target = milliseconds(18);
-  step.max_per_worker = 1;
-  cell.Submit(MakeJob("seats", "critical", {step}));
+  cell.Submit(MakeJob(
+      "seats", "critical",
+      {MakeLatencyCriticalStep(static_cast<uint32_t>(workers), memory_mb)}));
   cell.Run(seconds(2));
   cell.Submit(MakeJob("learned", "batch", {MakeHeavyStep(6, 1000)}));
   cell.RunUntilEnd("learned", seconds(60));
@@ -106,5 +120,52 @@
   CHECK(cell.CountRunning("lasting") == 4);
 }
 
+TEST_CASE("a slowed run that stands still is never started anew",
+          "[.known-red]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom(4);
+  REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
+  cell.Submit(MakeJob("heavy", "batch", {MakeHeavyStep(1, 1000)}));
+  cell.Run(milliseconds(2300));
+  const TaskName task{JobId("heavy"), 0, 0, 0};
+  const auto worker = cell.WorkerOf(task);
+  REQUIRE(worker);
+  const uint32_t pace = cell.worker(*worker).running.at(task).pace_percent;
+  REQUIRE(pace > 20);
+  REQUIRE(pace < 100);
+  cell.worker(*worker).stalls_all_runs = true;
+  cell.Run(seconds(30));
+  CHECK(cell.observations().starts.at(task) > 1);
+}
+
+TEST_CASE("the wait for an opportunistic start begins anew in each cell",
+          "[.known-red]") {
+  SimulatedCells cells(2, 4, 16);
+  cells.SetQueue("critical", MakePolicy(0, 2));
+  cells.SetQueue("batch", MakePolicy(2, 3));
+  bool loads_arrive = false;
+  cells.load_arrives = [&loads_arrive](size_t, size_t) { return loads_arrive; };
+  for (size_t i = 0; i < 2; ++i) {
+    AddInterference(cells.cell(i));
+    cells.Run(seconds(1));
+    cells.Submit(MakeJob(cells.MakeIdFor(i, "seats"), "critical",
+                         {MakeLatencyCriticalStep(4, 1000)}));
+    cells.Run(seconds(2));
+    cells.Submit(MakeJob(cells.MakeIdFor(i, "learned"), "batch",
+                         {MakeHeavyStep(6, 1000)}));
+  }
+  cells.Run(seconds(60));
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 10; ++i) {
+    jobs.push_back(cells.MakeIdFor(0, "heavy"));
+    cells.Submit(MakeJob(jobs.back(), "batch", {MakeHeavyStep(2, 1000)}));
+  }
+  cells.Run(milliseconds(1500));
+  loads_arrive = true;
+  cells.Run(milliseconds(1500));
+  CHECK(cells.cell(0).scheduler().counters().moved_jobs > 0);
+  for (const std::string& job : jobs)
+    CHECK(cells.CountRunning(job) > 0);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
