--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -306,6 +306,9 @@
   task.visible_from = now;
   task.started = now;
   task.last_progress = now;
+  // Its pace was set when it was placed.
+  if (SpecOf(*ref).best_effort && NeedsPaceCommand(task))
+    state.needs_plan = true;
 }
 
 void Scheduler::OnStartSkipped(const StartRunCommand& command, TimePoint now) {
@@ -427,7 +430,7 @@
   PlaceReadyTasks(state, now, plan);
   LogWaitingTasks(state, now);
   PlanTaskTransfers(state, now);
-  PlanPaces(state, plan);
+  PlanPaces(state, now, plan);
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
   DeleteEndedJobs(state, now, plan);
@@ -518,7 +521,7 @@
 }
 
 WaitingSummary Scheduler::Waiting(TimePoint now) const {
-  return SummarizeOverdueTasks(m_impl->state, now);
+  return SummarizeWaitingWork(m_impl->state, now);
 }
 
 std::vector<Decision> Scheduler::TakeDecisions() {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -76,11 +76,15 @@
   /** When the stop command was last sent. */
   std::optional<TimePoint> stop_sent;
   uint32_t progress_percent = 0;
-  /** When the listed progress last changed, or the run was first listed. */
+  /** When the listed progress or the commanded pace last changed, or the run
+   * was first listed. */
   std::optional<TimePoint> last_progress;
   std::optional<int64_t> load;         // as in the listing
   uint32_t pace_percent = 100;         // as last commanded
   uint32_t target_pace_percent = 100;  // as last calculated
+  /** A best-effort task that runs at the pace that the other tasks of its
+   * worker leave to it, so that its job has a run at all. */
+  bool is_opportunistic = false;
   /** Utilisation, from 0 to 1, of a latency-critical task without interference;
    * a moving average. */
   double own_utilisation = kInitialOwnUtilisation;
@@ -98,6 +102,10 @@
   uint32_t unfinished_tasks = 0;
   ImageIndex image = 0;  // among latency-critical or best-effort images
   bool unblocked = false;
+  /** The last plan that did not leave the step out, and whether it took the
+   * step for one that cannot be placed without looking at workers. */
+  std::optional<TimePoint> examined_at;
+  bool is_ruled_out = false;
 };
 
 struct Job;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -13,6 +13,7 @@
 #include "src/sched/order.h"
 #include "src/sched/pacing.h"
 #include "src/sched/unplaced_steps.h"
+#include "src/sched/worker_score.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -23,14 +24,8 @@
 // urgent work needs about 5% of the capacity of the first deployments, in large
 // pieces.
 constexpr double kMaxLongRunningShare = 0.92;
-// A best-effort task starts where at least this share of its CPU need is idle.
-constexpr double kMinIdleShareOfNeed = 0.6;
 // Larger than any score.
 constexpr double kUntrustedPenalty = 10000.0;
-// Headroom, as utilisation, that a best-effort task must leave to the
-// latency-critical tasks on its worker; below 0 it would be slowed down at
-// once.
-constexpr double kMinHeadroom = 0.0;
 // Number of steps of one priority and rank that may fail to be placed before
 // the plan goes on with the steps that earlier plans left out, and of these
 // before the rest is left out; bounds the time to make a plan while many steps
@@ -75,73 +70,14 @@
       }));
 }
 
-// Score of a worker for a best-effort task; nothing if the task should wait
-// instead. Headroom of the latency-critical tasks counts most.
-std::optional<double> BestEffortScore(const State& state,
-                                      const WorkerState& worker,
-                                      const TaskRef& ref) {
-  const StepSpec& spec = SpecOf(ref);
-  const double idle = IdleMillicores(worker);
-  if (idle < Millicores(spec.need.cpu) * kMinIdleShareOfNeed)
-    return std::nullopt;
-  const double headroom =
-      HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu);
-  if (headroom < kMinHeadroom)
-    return std::nullopt;
-  return headroom + 0.5 * CpuShare(worker, idle);
-}
-
-// Score of a worker for a latency-critical task. Tasks of one image are
-// colocated and packed on few workers: a best-effort image interferes with some
-// latency-critical images only, so it then finds workers where it interferes
-// with none.
-double ColocationScore(const WorkerState& worker, const TaskRef& ref) {
-  double same = 0;
-  double other = 0;
-  for (const TaskRef& neighbour : worker.tasks) {
-    const StepSpec& spec = SpecOf(neighbour);
-    if (!spec.long_running || spec.best_effort)
-      continue;
-    if (StepOf(neighbour).image == StepOf(ref).image)
-      same += 1;
-    else
-      other += 1;
-  }
-  const double colocation =
-      same + other > 0 ? (same - other) / (same + other) : 0.0;
-  return colocation + CpuShare(worker, Millicores(worker.long_running_cpu));
-}
-
-// Score of a worker for a task, larger is better; nothing if the task should
-// not go there now.
-std::optional<double> ScoreOf(const State& state,
-                              const WorkerState& worker,
-                              const TaskRef& ref) {
-  const StepSpec& spec = SpecOf(ref);
-  // Away from the rack of its data a task takes twice as long, so any suitable
-  // worker on that rack is better than the best one elsewhere.
-  const bool is_far_from_data =
-      !spec.data_rack.empty() && worker.info.rack != spec.data_rack;
-  const double penalty = (is_far_from_data ? -1000.0 : 0.0) -
-                         IsolationPenalty(worker, TaskOf(ref));
-  if (spec.best_effort) {
-    const auto score = BestEffortScore(state, worker, ref);
-    return score ? std::optional(penalty + *score) : std::nullopt;
-  }
-  if (spec.long_running && spec.latency_target.count() > 0)
-    return penalty + ColocationScore(worker, ref);
-  // The fullest worker with enough capacity: the free capacity of the others
-  // stays in pieces that are large enough for long-running tasks.
-  return penalty + CpuShare(worker, Millicores(worker.reserved.cpu));
-}
-
 struct PlacementQuery {
   const StepSpec& spec;
   const QueuePolicy& policy;
   const TaskRef& ref;
   bool last_attempt = false;
-  bool is_overdue = false;       // long-running; untrusted workers will do
-  bool must_wait = false;        // leaves the remaining capacity to short work
+  bool is_overdue = false;  // long-running; untrusted workers will do
+  bool must_wait = false;   // leaves the remaining capacity to short work
+  bool may_be_opportunistic = false;
   const RackId* rack = nullptr;  // only this rack, if set
 };
 
@@ -176,7 +112,8 @@
     const WorkerState& worker = state.workers[i];
     if (!IsSuitable(state, worker, query, now))
       continue;
-    const auto score = ScoreOf(state, worker, query.ref);
+    const auto score =
+        ScoreOf(state, worker, query.ref, query.may_be_opportunistic);
     if (score && (best == kNoWorker || *score > best_score)) {
       best = static_cast<int32_t>(i);
       best_score = *score;
@@ -201,7 +138,8 @@
       .last_attempt = IsLastAttempt(policy, spec, task),
       .is_overdue = is_overdue,
       .must_wait = spec.long_running && !spec.best_effort && !is_overdue &&
-                   !StaysWithinLongRunningShare(state, policy.service, spec)};
+                   !StaysWithinLongRunningShare(state, policy.service, spec),
+      .may_be_opportunistic = MayStartOpportunistically(ref, now)};
 }
 
 void PlanStart(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
@@ -212,8 +150,14 @@
   job.has_started = true;
   if (job.state == JobState::kQueued)
     job.state = JobState::kActive;
-  AssignToWorker(state, ref, worker);
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
+  const bool is_opportunistic =
+      SpecOf(ref).best_effort &&
+      !CheckBestEffort(state, worker_state, ref).has_headroom;
+  AssignToWorker(state, ref, worker);
+  task.is_opportunistic = is_opportunistic;
+  if (SpecOf(ref).best_effort)
+    SetTargetPaces(state, worker);
   // A long-running task does not end, so as a probe it would keep all other
   // tasks off the worker for ever.
   if (worker_state.health.avoid_until && !SpecOf(ref).long_running)
@@ -224,7 +168,8 @@
                                         .run = task.run,
                                         .payload = job.spec.payload,
                                         .checkpoint = task.checkpoint});
-  LogDecision(state, "run_planned", ref);
+  LogDecision(state, "run_planned", ref,
+              is_opportunistic ? "opportunistic" : "");
 }
 
 struct ScoredWorker {
@@ -244,6 +189,7 @@
   bool last_attempt = false;
   bool is_overdue = false;
   bool is_suspect = false;
+  bool may_be_opportunistic = false;
   std::vector<ScoredWorker> workers;
 };
 
@@ -255,7 +201,8 @@
   const WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
   if (!IsSuitable(state, worker_state, query, now))
     return;
-  if (const auto score = ScoreOf(state, worker_state, query.ref)) {
+  if (const auto score =
+          ScoreOf(state, worker_state, query.ref, query.may_be_opportunistic)) {
     // An overdue task goes to a worker that fails its runs only if no other one
     // has capacity, and a last attempt to one with an earlier failure.
     const bool trusted =
@@ -273,6 +220,7 @@
   WorkerHeap heap{.last_attempt = query.last_attempt,
                   .is_overdue = query.is_overdue,
                   .is_suspect = IsSuspect(TaskOf(query.ref)),
+                  .may_be_opportunistic = query.may_be_opportunistic,
                   .workers = {}};
   for (size_t i = 0; i < state.workers.size(); ++i)
     PushIfSuitable(state, query, static_cast<int32_t>(i), now, heap);
@@ -291,9 +239,11 @@
     if (TaskOf(ref).phase != SchedulingPhase::kReady)
       continue;
     const PlacementQuery query = MakeQuery(state, ref, now);
-    const bool is_scored = heap && heap->last_attempt == query.last_attempt &&
-                           heap->is_overdue == query.is_overdue &&
-                           heap->is_suspect == IsSuspect(TaskOf(ref));
+    const bool is_scored =
+        heap && heap->last_attempt == query.last_attempt &&
+        heap->is_overdue == query.is_overdue &&
+        heap->is_suspect == IsSuspect(TaskOf(ref)) &&
+        heap->may_be_opportunistic == query.may_be_opportunistic;
     if (!is_scored && !query.must_wait)
       heap = MakeWorkerHeap(state, query, now);
     if (query.must_wait || heap->workers.empty()) {
@@ -324,10 +274,14 @@
   StepState& step = key.iteration->steps[key.step];
   chosen_workers.clear();
   bool complete = true;
+  // With a member assigned, the job no longer counts as one without a run.
+  const bool may_be_opportunistic =
+      MayStartOpportunistically(TaskRef{key.iteration, key.step, 0}, now);
   for (uint32_t index = 0; index < step.tasks.size() && complete; ++index) {
     const TaskRef ref{key.iteration, key.step, index};
     PlacementQuery query = MakeQuery(state, ref, now);
     query.rack = rack;
+    query.may_be_opportunistic = may_be_opportunistic;
     const int32_t worker = BestWorker(state, query, now);
     complete = worker != kNoWorker;
     if (complete) {
@@ -435,6 +389,19 @@
   });
 }
 
+void CountBestEffortConditions(const State& state,
+                               const WorkerState& worker,
+                               const TaskRef& ref,
+                               PlacementConditions& passed) {
+  const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
+  if (!conditions.has_idle_time)
+    return;
+  ++passed.with_idle_time;
+  passed.with_headroom += conditions.has_headroom ? 1 : 0;
+  passed.best_headroom = std::max(
+      passed.best_headroom.value_or(conditions.headroom), conditions.headroom);
+}
+
 }  // namespace
 
 int32_t FindWorkerForTask(const State& state,
@@ -447,7 +414,8 @@
                                    const TaskRef& ref,
                                    TimePoint now) {
   const PlacementQuery query = MakeQuery(state, ref, now);
-  PlacementConditions passed{.waits_for_reserve = query.must_wait};
+  PlacementConditions passed;
+  passed.waits_for_reserve = query.must_wait;
   for (const WorkerState& worker : state.workers) {
     if (!worker.listed || worker.info.service != query.policy.service)
       continue;
@@ -461,7 +429,11 @@
     if (!HasCapacity(worker, query.spec))
       continue;
     ++passed.with_capacity;
-    passed.trusted += IsTrusted(worker, query.last_attempt, now) ? 1 : 0;
+    if (!IsTrusted(worker, query.last_attempt, now))
+      continue;
+    ++passed.trusted;
+    if (query.spec.best_effort)
+      CountBestEffortConditions(state, worker, ref, passed);
   }
   return passed;
 }
@@ -484,7 +456,10 @@
       next = state.ready_steps.erase(next);
       continue;
     }
-    if (unplaced_steps.RulesOut(state, key, now)) {
+    StepState& step = key.iteration->steps[key.step];
+    step.examined_at = now;
+    step.is_ruled_out = unplaced_steps.RulesOut(state, key, now);
+    if (step.is_ruled_out) {
       ++next;
       continue;
     }
--- /dev/null
+++ b/src/sched/worker_score.cc
@@ -0,0 +1,125 @@
+#include "src/sched/worker_score.h"
+
+#include "src/sched/crash_suspects.h"
+#include "src/sched/pacing.h"
+#include "src/sched/workers.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+// A best-effort task starts where at least this share of its CPU need is idle.
+constexpr double kMinIdleShareOfNeed = 0.6;
+// Headroom, as utilisation, that a best-effort task must leave to the
+// latency-critical tasks on its worker; below 0 it would be slowed down at
+// once.
+constexpr double kMinHeadroom = 0.0;
+// A job must have a run after 3 s while most of the capacity is free.
+constexpr Duration kMaxWaitWithoutRun = std::chrono::seconds(2);
+// Memory that opportunistic tasks leave to tasks that need it more.
+constexpr double kMemoryLeftByOpportunistic = 0.25;
+// Larger than any other difference between trusted workers.
+constexpr double kOpportunisticPenalty = 5000.0;
+
+double Millicores(MilliCores cpu) {
+  return static_cast<double>(cpu.count());
+}
+
+// Score of a worker for a best-effort task; nothing if the task should wait
+// instead. Headroom of the latency-critical tasks counts most.
+std::optional<double> BestEffortScore(const State& state,
+                                      const WorkerState& worker,
+                                      const TaskRef& ref) {
+  const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
+  if (!conditions.has_idle_time || !conditions.has_headroom)
+    return std::nullopt;
+  return conditions.headroom + 0.5 * CpuShare(worker, IdleMillicores(worker));
+}
+
+// Score of a worker for a best-effort task that starts opportunistically.
+std::optional<double> OpportunisticScore(const State& state,
+                                         const WorkerState& worker,
+                                         const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
+  const auto memory = static_cast<double>(worker.info.capacity.memory.count());
+  const auto left =
+      static_cast<double>((FreeCapacity(worker) - spec.need).memory.count());
+  if (UnusedMillicores(worker) <
+          Millicores(spec.need.cpu) * kMinIdleShareOfNeed ||
+      left < memory * kMemoryLeftByOpportunistic)
+    return std::nullopt;
+  return HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu,
+                        PacePriority::kOpportunistic) -
+         kOpportunisticPenalty;
+}
+
+// Score of a worker for a latency-critical task. Tasks of one image are
+// colocated and packed on few workers: a best-effort image interferes with some
+// latency-critical images only, so it then finds workers where it interferes
+// with none.
+double ColocationScore(const WorkerState& worker, const TaskRef& ref) {
+  double same = 0;
+  double other = 0;
+  for (const TaskRef& neighbour : worker.tasks) {
+    const StepSpec& spec = SpecOf(neighbour);
+    if (!spec.long_running || spec.best_effort)
+      continue;
+    if (StepOf(neighbour).image == StepOf(ref).image)
+      same += 1;
+    else
+      other += 1;
+  }
+  const double colocation =
+      same + other > 0 ? (same - other) / (same + other) : 0.0;
+  return colocation + CpuShare(worker, Millicores(worker.long_running_cpu));
+}
+
+}  // namespace
+
+bool MayStartOpportunistically(const TaskRef& ref, TimePoint now) {
+  const Task& task = TaskOf(ref);
+  return SpecOf(ref).best_effort && task.phase == SchedulingPhase::kReady &&
+         ref.iteration->job->placed_tasks == 0 &&
+         now - task.ready_since >= kMaxWaitWithoutRun;
+}
+
+BestEffortConditions CheckBestEffort(const State& state,
+                                     const WorkerState& worker,
+                                     const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
+  BestEffortConditions conditions;
+  conditions.has_idle_time =
+      IdleMillicores(worker) >= Millicores(spec.need.cpu) * kMinIdleShareOfNeed;
+  if (!conditions.has_idle_time)
+    return conditions;
+  conditions.headroom = HeadroomBeside(state, worker, StepOf(ref).image,
+                                       spec.need.cpu, PacePriority::kNormal);
+  conditions.has_headroom = conditions.headroom >= kMinHeadroom;
+  return conditions;
+}
+
+std::optional<double> ScoreOf(const State& state,
+                              const WorkerState& worker,
+                              const TaskRef& ref,
+                              bool may_be_opportunistic) {
+  const StepSpec& spec = SpecOf(ref);
+  // Away from the rack of its data a task takes twice as long, so any suitable
+  // worker on that rack is better than the best one elsewhere.
+  const bool is_far_from_data =
+      !spec.data_rack.empty() && worker.info.rack != spec.data_rack;
+  const double penalty = (is_far_from_data ? -1000.0 : 0.0) -
+                         IsolationPenalty(worker, TaskOf(ref));
+  if (spec.best_effort) {
+    auto score = BestEffortScore(state, worker, ref);
+    if (!score && may_be_opportunistic)
+      score = OpportunisticScore(state, worker, ref);
+    return score ? std::optional(penalty + *score) : std::nullopt;
+  }
+  if (spec.long_running && spec.latency_target.count() > 0)
+    return penalty + ColocationScore(worker, ref);
+  // The fullest worker with enough capacity: the free capacity of the others
+  // stays in pieces that are large enough for long-running tasks.
+  return penalty + CpuShare(worker, Millicores(worker.reserved.cpu));
+}
+
+}  // namespace cowslipmast::sched
