pacing: a tail just over its target counts as over it

Tails are listed in whole milliseconds, so a task that stayed at 18.3 ms with a target of 18 ms was listed as 18, taken for one within its target, and the count of listings over it began anew: best-effort work was not slowed down further.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -99,7 +99,8 @@
     const double own = std::clamp(used - interference, 0.0, 0.8);
     task.own_utilisation +=
         kOwnUtilisationWeight * (own - task.own_utilisation);
-    if (tail <= TargetMs(spec) || shares.empty())
+    // A listed tail has whole milliseconds, so an equal one may be over.
+    if (tail < TargetMs(spec) || shares.empty())
       continue;
     if (interference < kUtilisationMargin)
       tail_status = TailStatus::kUnexplained;
