sched: a paused run moves to a worker where it runs at full pace

A job of one task could stay on its first worker at pace 0 while another one had become free: it had a run, and did not end (found in the review of the opportunistic starts). Twice a second up to four paused tasks, in turn, are compared with the other workers after the plan has placed what waits; one that would lose no work by it is stopped and goes there.

The test was known red (not done after 60 s beside an empty worker) and passes.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -428,6 +428,7 @@
   StopTasksOfDrainingWorkers(state, now);
   PlanJobTransfers(state, now);
   PlaceReadyTasks(state, now, plan);
+  StopPausedTasks(state, now);
   LogWaitingTasks(state, now);
   PlanTaskTransfers(state, now);
   PlanPaces(state, now, plan);
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -3,12 +3,18 @@
 #include <algorithm>
 
 #include "src/sched/assignment.h"
+#include "src/sched/pacing.h"
 #include "src/sched/task_placement.h"
 
 namespace cowslipmast::sched {
 
 namespace {
 
+constexpr Duration kMaxPause = std::chrono::seconds(3);
+constexpr Duration kPauseCheckInterval = std::chrono::milliseconds(500);
+// Tasks considered in one check, each at the cost of a look at all workers.
+constexpr size_t kMaxPausedTasksConsidered = 4;
+
 double Millicores(MilliCores cpu) {
   return static_cast<double>(cpu.count());
 }
@@ -32,6 +38,16 @@
   return Millicores(worker.info.capacity.cpu) - short_work - long_running_use;
 }
 
+bool IsPausedForLong(const TaskRef& ref, TimePoint now) {
+  const Task& task = TaskOf(ref);
+  const StepSpec& spec = SpecOf(ref);
+  const bool loses_nothing = spec.checkpointing || task.progress_percent == 0;
+  return task.is_opportunistic && task.phase == SchedulingPhase::kRunning &&
+         !spec.gang && loses_nothing &&
+         task.pace_percent < kMinPaceOfProgress && task.last_progress &&
+         now - *task.last_progress >= kMaxPause;
+}
+
 }  // namespace
 
 int32_t FindWorkerIndex(const State& state, const WorkerId& id) {
@@ -126,4 +142,27 @@
   }
 }
 
+void StopPausedTasks(State& state, TimePoint now) {
+  if (now < state.next_pause_check || state.workers.empty())
+    return;
+  state.next_pause_check = now + kPauseCheckInterval;
+  size_t considered = 0;
+  for (size_t i = 0; i < state.workers.size(); ++i) {
+    state.pause_check_position =
+        (state.pause_check_position + 1) % state.workers.size();
+    const auto own = static_cast<int32_t>(state.pause_check_position);
+    for (const TaskRef& ref : state.workers[state.pause_check_position].tasks) {
+      if (!IsPausedForLong(ref, now))
+        continue;
+      if (++considered > kMaxPausedTasksConsidered)
+        return;
+      const int32_t other = FindWorkerForTask(state, ref, now);
+      if (other == kNoWorker || other == own)
+        continue;
+      LogDecision(state, "run_moved", ref, "paused");
+      StopTask(state, ref);
+    }
+  }
+}
+
 }  // namespace cowslipmast::sched
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -51,6 +51,10 @@
  * checkpoint. */
 void StopTasksOfDrainingWorkers(State& state, TimePoint now);
 
+/** Moves opportunistic tasks that have been paused for seconds to workers where
+ * they run at full pace. To be called after a plan has placed what waits. */
+void StopPausedTasks(State& state, TimePoint now);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_WORKERS_H_
--- a/tests/sched/opportunistic_start_test.cc
+++ b/tests/sched/opportunistic_start_test.cc
@@ -94,7 +94,7 @@
 }
 
 TEST_CASE("a paused run stays on its worker although another one is free",
-          "[.known-red]") {
+          "[sched]") {
   SimulatedCell cell = MakeCellWithoutHeadroom(2);
   REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
   cell.own_utilisation_of = [](const TaskName&, double) { return 0.8; };
