--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -257,6 +257,7 @@
   /** Stops of runs that no task accounts for. */
   std::vector<StopRunCommand> pending_stops;
   TimePoint next_waiting_log;
+  TimePoint next_opportunistic_start;  // under load
   TimePoint next_pause_check;
   size_t pause_check_position = 0;  // the worker that was considered last
   /** States in the plan's records, which are published once it is stored. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -77,7 +77,7 @@
   bool last_attempt = false;
   bool is_overdue = false;  // long-running; untrusted workers will do
   bool must_wait = false;   // leaves the remaining capacity to short work
-  bool may_be_opportunistic = false;
+  uint32_t max_opportunistic = 0;
   const RackId* rack = nullptr;  // only this rack, if set
 };
 
@@ -113,7 +113,7 @@
     if (!IsSuitable(state, worker, query, now))
       continue;
     const auto score =
-        ScoreOf(state, worker, query.ref, query.may_be_opportunistic);
+        ScoreOf(state, worker, query.ref, query.max_opportunistic);
     if (score && (best == kNoWorker || *score > best_score)) {
       best = static_cast<int32_t>(i);
       best_score = *score;
@@ -139,10 +139,14 @@
       .is_overdue = is_overdue,
       .must_wait = spec.long_running && !spec.best_effort && !is_overdue &&
                    !StaysWithinLongRunningShare(state, policy.service, spec),
-      .may_be_opportunistic = MayStartOpportunistically(ref, now)};
+      .max_opportunistic = MaxOpportunisticTasks(state, ref, now)};
 }
 
-void PlanStart(State& state, const TaskRef& ref, int32_t worker, Plan& plan) {
+void PlanStart(State& state,
+               const TaskRef& ref,
+               int32_t worker,
+               TimePoint now,
+               Plan& plan) {
   Task& task = TaskOf(ref);
   Job& job = *ref.iteration->job;
   task.phase = SchedulingPhase::kPlanned;
@@ -156,6 +160,8 @@
       !CheckBestEffort(state, worker_state, ref).has_headroom;
   AssignToWorker(state, ref, worker);
   task.is_opportunistic = is_opportunistic;
+  if (is_opportunistic)
+    NoteOpportunisticStart(state, now);
   if (SpecOf(ref).best_effort)
     SetTargetPaces(state, worker);
   // A long-running task does not end, so as a probe it would keep all other
@@ -189,7 +195,7 @@
   bool last_attempt = false;
   bool is_overdue = false;
   bool is_suspect = false;
-  bool may_be_opportunistic = false;
+  uint32_t max_opportunistic = 0;
   std::vector<ScoredWorker> workers;
 };
 
@@ -202,7 +208,7 @@
   if (!IsSuitable(state, worker_state, query, now))
     return;
   if (const auto score =
-          ScoreOf(state, worker_state, query.ref, query.may_be_opportunistic)) {
+          ScoreOf(state, worker_state, query.ref, query.max_opportunistic)) {
     // An overdue task goes to a worker that fails its runs only if no other one
     // has capacity, and a last attempt to one with an earlier failure.
     const bool trusted =
@@ -220,7 +226,7 @@
   WorkerHeap heap{.last_attempt = query.last_attempt,
                   .is_overdue = query.is_overdue,
                   .is_suspect = IsSuspect(TaskOf(query.ref)),
-                  .may_be_opportunistic = query.may_be_opportunistic,
+                  .max_opportunistic = query.max_opportunistic,
                   .workers = {}};
   for (size_t i = 0; i < state.workers.size(); ++i)
     PushIfSuitable(state, query, static_cast<int32_t>(i), now, heap);
@@ -239,11 +245,10 @@
     if (TaskOf(ref).phase != SchedulingPhase::kReady)
       continue;
     const PlacementQuery query = MakeQuery(state, ref, now);
-    const bool is_scored =
-        heap && heap->last_attempt == query.last_attempt &&
-        heap->is_overdue == query.is_overdue &&
-        heap->is_suspect == IsSuspect(TaskOf(ref)) &&
-        heap->may_be_opportunistic == query.may_be_opportunistic;
+    const bool is_scored = heap && heap->last_attempt == query.last_attempt &&
+                           heap->is_overdue == query.is_overdue &&
+                           heap->is_suspect == IsSuspect(TaskOf(ref)) &&
+                           heap->max_opportunistic == query.max_opportunistic;
     if (!is_scored && !query.must_wait)
       heap = MakeWorkerHeap(state, query, now);
     if (query.must_wait || heap->workers.empty()) {
@@ -256,7 +261,7 @@
     std::pop_heap(heap->workers.begin(), heap->workers.end());
     const int32_t worker = heap->workers.back().worker;
     heap->workers.pop_back();
-    PlanStart(state, ref, worker, plan);
+    PlanStart(state, ref, worker, now, plan);
     PushIfSuitable(state, query, worker, now, *heap);
   }
   step.ready_tasks.insert(step.ready_tasks.end(), unplaced.rbegin(),
@@ -275,13 +280,13 @@
   chosen_workers.clear();
   bool complete = true;
   // With a member assigned, the job no longer counts as one without a run.
-  const bool may_be_opportunistic =
-      MayStartOpportunistically(TaskRef{key.iteration, key.step, 0}, now);
+  const uint32_t max_opportunistic =
+      MaxOpportunisticTasks(state, TaskRef{key.iteration, key.step, 0}, now);
   for (uint32_t index = 0; index < step.tasks.size() && complete; ++index) {
     const TaskRef ref{key.iteration, key.step, index};
     PlacementQuery query = MakeQuery(state, ref, now);
     query.rack = rack;
-    query.may_be_opportunistic = may_be_opportunistic;
+    query.max_opportunistic = max_opportunistic;
     const int32_t worker = BestWorker(state, query, now);
     complete = worker != kNoWorker;
     if (complete) {
@@ -339,7 +344,7 @@
     step.tasks[index].run = run;
     step.tasks[index].checkpoint = checkpoint;
     PlanStart(state, TaskRef{key.iteration, key.step, index},
-              chosen_workers[index], plan);
+              chosen_workers[index], now, plan);
   }
   return true;
 }
--- a/src/sched/unplaced_steps.cc
+++ b/src/sched/unplaced_steps.cc
@@ -41,10 +41,13 @@
       .overdue = overdue,
       .last_attempt = AreAllOnLastAttempt(state, key),
       .leaves_reserve = spec.long_running && !spec.best_effort && !overdue,
-      .may_be_opportunistic =
-          !step.ready_tasks.empty() &&
-          MayStartOpportunistically(
-              TaskRef{key.iteration, key.step, step.ready_tasks.back()}, now)};
+      .max_opportunistic =
+          step.ready_tasks.empty()
+              ? 0
+              : MaxOpportunisticTasks(
+                    state,
+                    TaskRef{key.iteration, key.step, step.ready_tasks.back()},
+                    now)};
 }
 
 void UnplacedSteps::Add(const State& state,
@@ -67,7 +70,7 @@
                unplaced.service == required.service &&
                unplaced.best_effort == required.best_effort &&
                unplaced.image == required.image &&
-               unplaced.may_be_opportunistic == required.may_be_opportunistic &&
+               unplaced.max_opportunistic == required.max_opportunistic &&
                Fits(unplaced.need, required.need);
       });
 }
--- a/src/sched/unplaced_steps.h
+++ b/src/sched/unplaced_steps.h
@@ -25,7 +25,7 @@
     bool overdue = false;         // may go to untrusted workers as well
     bool last_attempt = false;    // needs a worker without failures
     bool leaves_reserve = false;  // leaves capacity to short work
-    bool may_be_opportunistic = false;
+    uint32_t max_opportunistic = 0;
   };
   static Requirements RequirementsOf(const State& state,
                                      const ReadyKey& key,
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -1,8 +1,10 @@
 #include "src/sched/worker_score.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "src/sched/crash_suspects.h"
+#include "src/sched/jobs.h"
 #include "src/sched/pacing.h"
 #include "src/sched/workers.h"
 
@@ -16,6 +18,14 @@
 // latency-critical tasks on its worker; below 0 it would be slowed down at
 // once.
 constexpr double kMinHeadroom = 0.0;
+// Under load some opportunistic tasks keep jobs from starving, and show whether
+// estimates of interference are too high; many of them would make many jobs
+// late for few that are late already.
+constexpr uint32_t kMaxOpportunisticTasksUnderLoad = 1;
+constexpr Duration kOpportunisticIntervalUnderLoad = std::chrono::seconds(2);
+constexpr uint32_t kUnlimited = std::numeric_limits<uint32_t>::max();
+// The rule on jobs without a run holds up to a use of half of the processors.
+constexpr double kMaxUseOfMostlyFree = 0.6;
 // A job must have a run after 3 s while most of the capacity is free.
 constexpr Duration kMaxWaitWithoutRun = std::chrono::seconds(2);
 // Memory that opportunistic tasks leave to tasks that need it more.
@@ -38,6 +48,12 @@
   return conditions.headroom + 0.5 * CpuShare(worker, IdleMillicores(worker));
 }
 
+uint32_t CountOpportunisticTasks(const WorkerState& worker) {
+  return static_cast<uint32_t>(std::count_if(
+      worker.tasks.begin(), worker.tasks.end(),
+      [](const TaskRef& ref) { return TaskOf(ref).is_opportunistic; }));
+}
+
 // True if an opportunistic task leaves enough memory. The first one on a worker
 // may leave less: a large task would else find no worker at all.
 bool LeavesMemory(const WorkerState& worker, const StepSpec& spec) {
@@ -45,16 +61,17 @@
   const auto left =
       static_cast<double>((FreeCapacity(worker) - spec.need).memory.count());
   return left >= memory * kMemoryLeftByOpportunistic ||
-         std::none_of(
-             worker.tasks.begin(), worker.tasks.end(),
-             [](const TaskRef& ref) { return TaskOf(ref).is_opportunistic; });
+         CountOpportunisticTasks(worker) == 0;
 }
 
 // Score of a worker for a best-effort task that starts opportunistically.
 std::optional<double> OpportunisticScore(const State& state,
                                          const WorkerState& worker,
-                                         const TaskRef& ref) {
+                                         const TaskRef& ref,
+                                         uint32_t max_opportunistic) {
   const StepSpec& spec = SpecOf(ref);
+  if (CountOpportunisticTasks(worker) >= max_opportunistic)
+    return std::nullopt;
   if (UnusedMillicores(worker) <
           Millicores(spec.need.cpu) * kMinIdleShareOfNeed ||
       !LeavesMemory(worker, spec))
@@ -85,14 +102,40 @@
   return colocation + CpuShare(worker, Millicores(worker.long_running_cpu));
 }
 
+// True if short and long-running tasks reserve about half of the service's
+// processors at most.
+bool IsMostlyFree(const State& state, const ServiceId& service) {
+  double capacity = 0;
+  double reserved = 0;
+  for (const WorkerState& worker : state.workers) {
+    if (worker.info.service != service || !worker.listed)
+      continue;
+    capacity += Millicores(worker.info.capacity.cpu);
+    reserved += Millicores(worker.reserved.cpu);
+  }
+  return reserved < capacity * kMaxUseOfMostlyFree;
+}
+
 }  // namespace
 
-bool MayStartOpportunistically(const TaskRef& ref, TimePoint now) {
+uint32_t MaxOpportunisticTasks(const State& state,
+                               const TaskRef& ref,
+                               TimePoint now) {
   const Task& task = TaskOf(ref);
+  const Job& job = *ref.iteration->job;
   const StepSpec& spec = SpecOf(ref);
-  return spec.best_effort && task.phase == SchedulingPhase::kReady &&
-         (spec.long_running || ref.iteration->job->placed_tasks == 0) &&
-         now - task.ready_since >= kMaxWaitWithoutRun;
+  if (!spec.best_effort || task.phase != SchedulingPhase::kReady ||
+      (job.placed_tasks > 0 && !spec.long_running) ||
+      now - task.ready_since < kMaxWaitWithoutRun)
+    return 0;
+  if (IsMostlyFree(state, PolicyOf(state, job).service))
+    return kUnlimited;
+  return now < state.next_opportunistic_start ? 0
+                                              : kMaxOpportunisticTasksUnderLoad;
+}
+
+void NoteOpportunisticStart(State& state, TimePoint now) {
+  state.next_opportunistic_start = now + kOpportunisticIntervalUnderLoad;
 }
 
 BestEffortConditions CheckBestEffort(const State& state,
@@ -113,7 +156,7 @@
 std::optional<double> ScoreOf(const State& state,
                               const WorkerState& worker,
                               const TaskRef& ref,
-                              bool may_be_opportunistic) {
+                              uint32_t max_opportunistic) {
   const StepSpec& spec = SpecOf(ref);
   // Away from the rack of its data a task takes twice as long, so any suitable
   // worker on that rack is better than the best one elsewhere.
@@ -123,8 +166,8 @@
                          IsolationPenalty(worker, TaskOf(ref));
   if (spec.best_effort) {
     auto score = BestEffortScore(state, worker, ref);
-    if (!score && may_be_opportunistic)
-      score = OpportunisticScore(state, worker, ref);
+    if (!score)
+      score = OpportunisticScore(state, worker, ref, max_opportunistic);
     return score ? std::optional(penalty + *score) : std::nullopt;
   }
   if (spec.long_running && spec.latency_target.count() > 0)
--- a/src/sched/worker_score.h
+++ b/src/sched/worker_score.h
@@ -7,10 +7,17 @@
 
 namespace cowslipmast::sched {
 
-/** True if a best-effort task may start opportunistically: where all workers
- * have latency-critical tasks, it may fit beside none at full pace, and its job
- * would have no run at all. Each task that is long-running must have one. */
-bool MayStartOpportunistically(const TaskRef& ref, TimePoint now);
+/** Number of opportunistic tasks that a worker may have with this one; 0 if the
+ * task may not start opportunistically. It may when its job has had no run for
+ * seconds: where all workers have latency-critical tasks, it may fit beside
+ * none at full pace. Each task that is long-running must have a run. */
+uint32_t MaxOpportunisticTasks(const State& state,
+                               const TaskRef& ref,
+                               TimePoint now);
+
+/** Under load opportunistic starts have a minimum interval, which begins anew.
+ */
+void NoteOpportunisticStart(State& state, TimePoint now);
 
 /** Score of a worker for a task, larger is better; nothing if the task should
  * not go there now. Any opportunistic start has a lower score than any other.
@@ -18,7 +25,7 @@
 std::optional<double> ScoreOf(const State& state,
                               const WorkerState& worker,
                               const TaskRef& ref,
-                              bool may_be_opportunistic);
+                              uint32_t max_opportunistic);
 
 /** Conditions for a best-effort task on a worker that has memory for it. The
  * headroom is not calculated without idle time. */
