placement: each best-effort task that lasts has a run, also under load

The minimum interval of opportunistic starts under load kept such tasks of one step waiting for seconds, while each of them must have a run after 3 s however full the service is.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -17,8 +17,8 @@
 // Utilisation kept free below the latency target: a task's own utilisation may
 // rise by 0.1 until the next listing.
 constexpr double kUtilisationMargin = 0.06;
-// Kept free besides by opportunistic tasks, which would else keep tasks at
-// their limit all the time.
+// Utilisation that opportunistic tasks leave free in addition: they would
+// otherwise keep latency-critical tasks at their limits all the time.
 constexpr double kOpportunisticMargin = 0.1;
 // Best-effort images that add less than this to a task's utilisation are not
 // slowed down.
@@ -221,8 +221,8 @@
   }
 }
 
-// A run that the previous owner has slowed down far was most likely an
-// opportunistic one; otherwise it is promoted soon.
+// The priority of a restored run is not stored. A run at less than half of its
+// pace was most likely an opportunistic one; otherwise it is promoted soon.
 void AdoptSlowedRuns(WorkerState& worker) {
   for (const TaskRef& ref : worker.tasks) {
     Task& task = TaskOf(ref);
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -128,7 +128,7 @@
       (job.placed_tasks > 0 && !spec.long_running) ||
       now - task.ready_since < kMaxWaitWithoutRun)
     return 0;
-  if (IsMostlyFree(state, PolicyOf(state, job).service))
+  if (spec.long_running || IsMostlyFree(state, PolicyOf(state, job).service))
     return kUnlimited;
   return now < state.next_opportunistic_start ? 0
                                               : kMaxOpportunisticTasksUnderLoad;
--- a/tests/sched/opportunistic_start_test.cc
+++ b/tests/sched/opportunistic_start_test.cc
@@ -115,8 +115,17 @@
   REQUIRE(cell.StateOf("learned") == JobState::kCompleted);
   StepSpec step = MakeHeavyStep(4, 1000);
   step.long_running = true;
+
+  SECTION("in a service that is mostly free") {}
+  SECTION("in a service under load") {
+    cell.Submit(
+        MakeJob("load", "critical",
+                {MakeLongRunningStep(4, 4), MakeLongRunningStep(4, 3)}));
+    cell.Run(seconds(5));
+    REQUIRE(cell.CountRunning("load") == 8);
+  }
   cell.Submit(MakeJob("lasting", "batch", {step}));
-  cell.Run(seconds(6));
+  cell.Run(kMaxTimeWithoutRun);
   CHECK(cell.CountRunning("lasting") == 4);
 }
 
