--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -38,9 +38,9 @@
 
 // Twelve workers of 16 cores. Latency-critical tasks reserve 45% of the
 // processors, use less than half of that, and leave no worker free.
-class Desk {
+class LoadedCell {
  public:
-  Desk() {
+  LoadedCell() {
     m_cell.AddWorkers(12, 16, 64000);
     m_cell.SetQueue("critical", MakePolicy(0, 2));
     m_cell.SetQueue("batch", MakePolicy(2, 3));
@@ -118,42 +118,43 @@
 TEST_CASE(
     "best-effort work starves beside latency-critical tasks on every worker",
     "[sched][lost]") {
-  Desk desk;
+  LoadedCell loaded;
   // The scheduler learns how much the heavy image interferes.
-  desk.RunLoad(seconds(40));
+  loaded.RunLoad(seconds(40));
 
   SECTION("after the load, with most of the capacity free") {
-    desk.Run(seconds(14));
-    desk.StartObservation();
-    desk.Run(seconds(30));
-    CHECK(desk.longest_without_run() < kMaxTimeWithoutRun);
-    CHECK(desk.CountUnfinished() == 0);
+    loaded.Run(seconds(14));
+    loaded.StartObservation();
+    loaded.Run(seconds(30));
+    CHECK(loaded.longest_without_run() < kMaxTimeWithoutRun);
+    CHECK(loaded.CountUnfinished() == 0);
   }
   SECTION("when its worker drains") {
-    desk.Run(seconds(30));
-    desk.Submit("heavy", 1);
-    desk.Run(kMaxTimeWithoutRun);
-    const auto worker = desk.cell().WorkerOf({JobId("heavy40"), 0, 0, 0});
+    loaded.Run(seconds(30));
+    loaded.Submit("heavy", 1);
+    loaded.Run(kMaxTimeWithoutRun);
+    const auto worker = loaded.cell().WorkerOf({JobId("heavy40"), 0, 0, 0});
     REQUIRE(worker);
-    desk.cell().worker(*worker).info.draining = true;
-    desk.cell().UpdateWorkerInfo(*worker);
-    desk.Run(seconds(1));
-    desk.cell().StopWorker(*worker);
-    desk.cell().RemoveFromList(*worker);
-    desk.Run(seconds(30));
-    CHECK(desk.CountUnfinished() == 0);
+    loaded.cell().worker(*worker).info.draining = true;
+    loaded.cell().UpdateWorkerInfo(*worker);
+    loaded.Run(seconds(1));
+    loaded.cell().StopWorker(*worker);
+    loaded.cell().RemoveFromList(*worker);
+    loaded.Run(seconds(30));
+    CHECK(loaded.CountUnfinished() == 0);
   }
   SECTION("under the next owner") {
-    desk.cell().ReplaceOwner();
-    desk.Run(seconds(14));
-    desk.StartObservation();
-    desk.Run(seconds(30));
-    CHECK(desk.longest_without_run() < kMaxTimeWithoutRun);
-    CHECK(desk.CountUnfinished() == 0);
+    loaded.cell().ReplaceOwner();
+    loaded.Run(seconds(14));
+    loaded.StartObservation();
+    loaded.Run(seconds(30));
+    CHECK(loaded.longest_without_run() < kMaxTimeWithoutRun);
+    CHECK(loaded.CountUnfinished() == 0);
   }
   // Best-effort work may not keep a task over its target for this long.
-  CHECK(desk.cell().observations().longest_over_target_s < kMaxTimeOverTargetS);
-  CHECK(desk.cell().observations().violations.empty());
+  CHECK(loaded.cell().observations().longest_over_target_s <
+        kMaxTimeOverTargetS);
+  CHECK(loaded.cell().observations().violations.empty());
 }
 
 // One worker, whose latency-critical tasks slow a best-effort one down.
