--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -343,6 +343,7 @@
         self.how = None       # as the minion lists it; "crash" if it went down
         self.number = None
         self.noted = None     # when its end was taken note of
+        self.lapsed = False   # the lease lapsed between its end and that
         self.stopping = False
 
 
@@ -357,6 +358,7 @@
         self.cpu, self.mem_mb = cpu, mem_mb
         self.zone = ("bulacan", "cebu", "pampanga")[number % 3]
         self.rack = f"r{number % 3}-{number // 24}"
+        self.kind = "a"
         self.server = Server(self.handle)
         self.stop_s = 0.2          # a stop takes at most stop-ms = 400
         self.refuse_starts = False  # an unhealthy minion answers 503
@@ -369,7 +371,6 @@
         self.clock_start = time.monotonic()
         self.fence = 0
         self.until = 0
-        self.lapsed_at = None
         self.running = {}
         self.ended = []
         self.last_end = 0
@@ -388,7 +389,7 @@
             "zone": self.zone, "version": "1", "slots": 8, "state": self.state,
             "warmup-left-ms": 0, "seq": self.seq,
             "capacity": {"cpu": self.cpu, "mem-mb": self.mem_mb, "gpu": 0},
-            "labels": ["a", self.rack], "born": self.born})
+            "labels": [self.kind, self.rack], "born": self.born})
 
     def go_down(self):
         """What runs here is gone."""
@@ -413,8 +414,9 @@
         if not self.up:
             return
         if self.clock() >= self.until and self.until > 0:
-            if self.lapsed_at is None:
-                self.lapsed_at = time.monotonic()
+            # An end whose lease lapses before it is taken note of does not count.
+            for run in self.ended:
+                run.lapsed = True
             for run in list(self.running.values()):
                 self.end(run, "lapsed")
         now = time.monotonic()
@@ -426,11 +428,7 @@
                 self.end(run, "done")
 
     def extend(self, until):
-        until = min(until, self.clock() + HOLD_MAX_MS)
-        if until > self.until:
-            self.until = until
-            if self.until > self.clock():
-                self.lapsed_at = None
+        self.until = max(self.until, min(until, self.clock() + HOLD_MAX_MS))
 
     def free(self):
         used = list(self.running.values())
@@ -503,8 +501,7 @@
         for run in list(self.ended):
             if run.number <= seen:
                 self.ended.remove(run)
-                # An end whose lease lapsed in between does not count.
-                if self.lapsed_at is None or self.lapsed_at < run.ended:
+                if not run.lapsed:
                     run.noted = time.monotonic()
                 self.world.note("noted", run.task, run.run, run.how, self.id)
         if "until-ms" in body:
@@ -612,6 +609,9 @@
                 "service": "desk", "priority": 0, "attempts": 4,
                 "stretch": 1.5, "target-latency-ms": 400}
 
+    def before_start(self):
+        """A case may change the minions here."""
+
     def now(self):
         return time.monotonic() - self.began
 
@@ -646,6 +646,7 @@
         if not os.path.exists(program):
             raise CannotRun("the programs are not built")
         await self.store.server.start()
+        self.before_start()
         for minion in self.minions:
             await minion.server.start()
             minion.boot()
@@ -818,13 +819,15 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(folder, scenario, limit_s=115, **options):
+def run_case(folder, scenario, limit_s=115, prepare=None, **options):
     """Runs the scenario; ends with 1 if a rule was broken, 0 if it held, and 2
     if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
         world = World(folder, **options)
+        if prepare is not None:
+            world.before_start = lambda: prepare(world)
         try:
             await world.start()
             await asyncio.wait_for(scenario(world, trouble), limit_s - 10)
