Commands, lease ends and acknowledgements reach one instance of a worker or none

Cause: a command was bound to a worker's id, which a restart keeps. Until a listing showed the restart, the new instance started what was meant for the old one, took a lease end by the old clock for a lease of the longest duration, and dropped its own ends up to the number that the old one had reached. Its tasks were then requeued as lost, or ran on under a lease that the owner did not know.

Change: WorkerInstance is part of each command, lease end and acknowledgement, and what is known of an instance is one value that a restart replaces. Since a connection ends with its instance, the HTTP client asks on each new connection which instance is at the other end, and sends a command only over a connection to the instance that it names.

Tests of net, sched, scheduler_process and platform pass.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -37,7 +37,7 @@
 
 /** Starts a run on a worker. */
 struct StartRunCommand {
-  WorkerId worker;
+  WorkerInstance worker;
   TaskName task;
   RunNumber run;
   std::string payload;
@@ -46,14 +46,14 @@
 
 /** Stops a run, or keeps it from starting if its start arrives later. */
 struct StopRunCommand {
-  WorkerId worker;
+  WorkerInstance worker;
   TaskName task;
   RunNumber run;
 };
 
 /** Limits a run to a percentage of its full speed. */
 struct PaceCommand {
-  WorkerId worker;
+  WorkerInstance worker;
   TaskName task;
   RunNumber run;
   uint32_t percent = 100;
@@ -175,9 +175,10 @@
                  TimePoint now);
   /** The worker did not answer. */
   void OnUnreachable(const WorkerId& id, TimePoint now);
-  /** The platform or the worker's address shows that this instance of the
-   * worker has ended: nothing runs there. */
+  /** The worker's address shows that the worker is gone: nothing runs there. */
   void OnWorkerDead(const WorkerId& id, TimePoint now);
+  /** Another instance of the worker has answered: nothing of this one runs. */
+  void OnInstanceEnded(const WorkerInstance& instance, TimePoint now);
 
   void OnStarted(const StartRunCommand& command, TimePoint now);
   /** The start was not sent, because it is no longer wanted. */
@@ -192,11 +193,16 @@
   /** The pace may not have been applied; it is planned again. */
   void OnPaceUnknown(const PaceCommand& command);
 
-  /** Lease end, on the worker's clock, for a command sent now; nothing if the
-   * worker's clock is not known yet or the worker is unreachable. */
-  std::optional<WorkerClock> LeaseEnd(const WorkerId& id, TimePoint now);
-  /** Number up to which the worker may drop its ended runs. */
-  uint64_t AcknowledgedEnds(const WorkerId& id) const;
+  /** The instance of the worker that answered last; nothing if none has
+   * answered this owner, or if it is known to have ended. */
+  std::optional<WorkerInstance> InstanceOf(const WorkerId& id) const;
+  /** Lease end, on the instance's clock, for a command sent now; nothing if it
+   * is not the instance that answered last or the worker is unreachable. */
+  std::optional<WorkerClock> LeaseEnd(const WorkerInstance& instance,
+                                      TimePoint now);
+  /** Number up to which the instance may drop its ended runs; 0 if it is not
+   * the one that answered last. */
+  uint64_t AcknowledgedEnds(const WorkerInstance& instance) const;
   /** True if a planned start should still be sent. */
   bool IsStillWanted(const StartRunCommand& command) const;
 
--- a/include/cowslipmast/sched/worker_info.h
+++ b/include/cowslipmast/sched/worker_info.h
@@ -15,6 +15,17 @@
 /** A time on one worker's own clock, in milliseconds. */
 using WorkerClock = Quantity<struct WorkerClockUnit>;
 
+/** One life of a worker. A worker that restarts keeps its id but knows nothing
+ * of before: its clock and the numbers of its ended runs start anew. Whatever
+ * is meant for one instance must not reach another one. */
+struct WorkerInstance {
+  WorkerId id;
+  /** Wall time in ms at which it started; 0 if the worker does not tell. */
+  int64_t start_time_ms = 0;
+
+  bool operator==(const WorkerInstance&) const = default;
+};
+
 /** A worker as listed by the platform. */
 struct WorkerInfo {
   WorkerId id;
--- a/src/daemon/target_message.cc
+++ b/src/daemon/target_message.cc
@@ -23,6 +23,7 @@
     case NetErrorKind::kConnectFailed:
     case NetErrorKind::kConnectionLost:
     case NetErrorKind::kTooLate:
+    case NetErrorKind::kOtherInstance:
       return TargetFailureKind::kConnectionLost;
   }
   return TargetFailureKind::kConnectionLost;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,8 +16,10 @@
 
 namespace {
 
-struct IdleConnection {
+struct Connection {
   StreamPtr stream;
+  /** At the other end, if it is known. */
+  std::optional<ServerInstance> instance;
   SteadyTime idle_since;
 };
 
@@ -66,7 +68,8 @@
   Impl(asio::io_context& io_context, const HttpClientLimits& client_limits)
       : io(io_context), limits(client_limits) {}
 
-  StreamPtr TakeIdle(const Endpoint& endpoint);
+  std::optional<Connection> TakeIdle(const Endpoint& endpoint,
+                                     std::optional<ServerInstance> instance);
   asio::awaitable<StreamPtr> Connect(Endpoint endpoint,
                                      SteadyTime deadline,
                                      NetError& reason);
@@ -75,28 +78,43 @@
       http::request<http::string_body> message,
       bool& keep_alive,
       NetError& reason);
-  void ReturnToPool(const Endpoint& endpoint, StreamPtr stream);
+  asio::awaitable<std::optional<HttpResponse>> CallOver(
+      Endpoint endpoint,
+      Connection connection,
+      HttpRequest request,
+      SteadyTime deadline,
+      NetError& reason,
+      InstanceReader instance_of = nullptr);
+  asio::awaitable<std::optional<HttpResponse>> AskInstance(Endpoint endpoint,
+                                                           InstanceQuery query,
+                                                           SteadyTime deadline,
+                                                           NetError& reason);
+  void ReturnToPool(const Endpoint& endpoint, Connection connection);
 
   asio::io_context& io;
   HttpClientLimits limits;
   HttpClientCounters counters;
-  std::map<Endpoint, std::deque<IdleConnection>> idle;
+  std::map<Endpoint, std::deque<Connection>> idle;
 };
 
-StreamPtr HttpClient::Impl::TakeIdle(const Endpoint& endpoint) {
+// Connections to another instance than the wanted one are of no more use.
+std::optional<Connection> HttpClient::Impl::TakeIdle(
+    const Endpoint& endpoint,
+    std::optional<ServerInstance> instance) {
   const auto found = idle.find(endpoint);
   if (found == idle.end())
-    return nullptr;
-  std::deque<IdleConnection>& pool = found->second;
+    return std::nullopt;
+  std::deque<Connection>& pool = found->second;
   const SteadyTime oldest =
       std::chrono::steady_clock::now() - limits.idle_timeout;
   while (!pool.empty()) {
-    IdleConnection candidate = std::move(pool.back());
+    Connection candidate = std::move(pool.back());
     pool.pop_back();
-    if (candidate.idle_since > oldest && !IsStale(candidate.stream->socket()))
-      return std::move(candidate.stream);
+    if (candidate.instance == instance && candidate.idle_since > oldest &&
+        !IsStale(candidate.stream->socket()))
+      return candidate;
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 asio::awaitable<StreamPtr> HttpClient::Impl::Connect(Endpoint endpoint,
@@ -158,13 +176,58 @@
 }
 
 void HttpClient::Impl::ReturnToPool(const Endpoint& endpoint,
-                                    StreamPtr stream) {
-  std::deque<IdleConnection>& pool = idle[endpoint];
+                                    Connection connection) {
+  std::deque<Connection>& pool = idle[endpoint];
   if (pool.size() >= limits.idle_connections_per_endpoint)
     pool.pop_front();
-  stream->expires_never();
-  pool.push_back(
-      IdleConnection{std::move(stream), std::chrono::steady_clock::now()});
+  connection.stream->expires_never();
+  connection.idle_since = std::chrono::steady_clock::now();
+  pool.push_back(std::move(connection));
+}
+
+// Sends the request and keeps the connection if it is still usable. With
+// `instance_of`, the response tells the instance at the other end.
+asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::CallOver(
+    Endpoint endpoint,
+    Connection connection,
+    HttpRequest request,
+    SteadyTime deadline,
+    NetError& reason,
+    InstanceReader instance_of) {
+  const auto self = shared_from_this();
+  connection.stream->expires_at(deadline);
+  bool keep_alive = false;
+  std::optional<HttpResponse> response = co_await Exchange(
+      *connection.stream, ToBeast(endpoint, std::move(request)), keep_alive,
+      reason);
+  if (!response) {
+    ++counters.failures;
+    co_return std::nullopt;
+  }
+  if (instance_of && response->status == 200)
+    connection.instance = instance_of(*response);
+  if (keep_alive && (!instance_of || connection.instance))
+    ReturnToPool(endpoint, std::move(connection));
+  co_return response;
+}
+
+// Opens a connection, sends the query over it, and keeps the connection as one
+// to the instance that responds.
+asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::AskInstance(
+    Endpoint endpoint,
+    InstanceQuery query,
+    SteadyTime deadline,
+    NetError& reason) {
+  const auto self = shared_from_this();
+  Connection connection;
+  connection.stream = co_await Connect(endpoint, deadline, reason);
+  if (!connection.stream) {
+    ++counters.failures;
+    co_return std::nullopt;
+  }
+  co_return co_await CallOver(endpoint, std::move(connection),
+                              std::move(query.request), deadline, reason,
+                              std::move(query.instance_of));
 }
 
 HttpClient::HttpClient(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
@@ -185,32 +248,72 @@
     SteadyTime write_before) {
   const auto impl = m_impl;
   const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
-  StreamPtr stream = impl->TakeIdle(endpoint);
-  if (stream) {
+  std::optional<Connection> connection = impl->TakeIdle(endpoint, std::nullopt);
+  if (connection) {
     ++impl->counters.reuses;
   } else {
-    stream = co_await impl->Connect(endpoint, deadline, reason);
+    connection.emplace();
+    connection->stream = co_await impl->Connect(endpoint, deadline, reason);
   }
-  if (!stream) {
+  if (!connection->stream) {
     ++impl->counters.failures;
     co_return std::nullopt;
   }
   if (std::chrono::steady_clock::now() >= write_before) {
     reason = {NetErrorKind::kTooLate, false, ""};
-    impl->ReturnToPool(endpoint, std::move(stream));
+    impl->ReturnToPool(endpoint, std::move(*connection));
     co_return std::nullopt;
   }
-  stream->expires_at(deadline);
-  bool keep_alive = false;
-  std::optional<HttpResponse> response = co_await impl->Exchange(
-      *stream, ToBeast(endpoint, std::move(request)), keep_alive, reason);
-  if (!response) {
-    ++impl->counters.failures;
-    co_return std::nullopt;
+  co_return co_await impl->CallOver(endpoint, std::move(*connection),
+                                    std::move(request), deadline, reason);
+}
+
+asio::awaitable<std::optional<HttpResponse>> HttpClient::AskInstance(
+    Endpoint endpoint,
+    InstanceQuery query,
+    Duration timeout,
+    NetError& reason) {
+  const auto impl = m_impl;
+  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+  co_return co_await impl->AskInstance(endpoint, std::move(query), deadline,
+                                       reason);
+}
+
+asio::awaitable<std::optional<HttpResponse>> HttpClient::CallInstance(
+    Endpoint endpoint,
+    ServerInstance instance,
+    InstanceQuery query,
+    HttpRequest request,
+    Duration timeout,
+    NetError& reason) {
+  const auto impl = m_impl;
+  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+  std::optional<Connection> connection = impl->TakeIdle(endpoint, instance);
+  if (connection) {
+    ++impl->counters.reuses;
+  } else {
+    std::optional<HttpResponse> answer =
+        co_await impl->AskInstance(endpoint, query, deadline, reason);
+    if (!answer || answer->status != 200)
+      co_return answer;
+    const auto told = query.instance_of(*answer);
+    if (!told || (*told == kUntoldInstance && instance != kUntoldInstance)) {
+      reason = {NetErrorKind::kBadResponse, false,
+                "does not tell its instance"};
+      co_return std::nullopt;
+    }
+    if (*told != instance && instance != kUntoldInstance) {
+      reason = {NetErrorKind::kOtherInstance, false, std::to_string(*told)};
+      co_return std::nullopt;
+    }
+    connection = impl->TakeIdle(endpoint, told);
+    if (!connection) {
+      reason = {NetErrorKind::kConnectionLost, false, "closed after the query"};
+      co_return std::nullopt;
+    }
   }
-  if (keep_alive)
-    impl->ReturnToPool(endpoint, std::move(stream));
-  co_return response;
+  co_return co_await impl->CallOver(endpoint, std::move(*connection),
+                                    std::move(request), deadline, reason);
 }
 
 void HttpClient::DropIdle(const Endpoint& endpoint) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -29,6 +30,24 @@
   uint64_t failures = 0;
 };
 
+/** Tells apart the instances of a server that listen at one address one after
+ * the other. */
+using ServerInstance = int64_t;
+/** Of a server that does not tell its instances apart. */
+inline constexpr ServerInstance kUntoldInstance = 0;
+
+/** Returns the instance that sent a response; nothing if it cannot be read. */
+using InstanceReader =
+    std::function<std::optional<ServerInstance>(const HttpResponse&)>;
+
+/** Asks the server at the other end of a new connection which instance it is. A
+ * connection ends with its instance, so that what is sent on it later reaches
+ * that instance or none. */
+struct InstanceQuery {
+  HttpRequest request;
+  InstanceReader instance_of;
+};
+
 /** HTTP/1.1 client with a connection pool; no pipelining. */
 class HttpClient {
  public:
@@ -49,6 +68,25 @@
       std::chrono::steady_clock::time_point write_before =
           std::chrono::steady_clock::time_point::max());
 
+  /** Sends the query on a new connection, which is kept for calls to the
+   * instance that responds. */
+  asio::awaitable<std::optional<HttpResponse>> AskInstance(Endpoint endpoint,
+                                                           InstanceQuery query,
+                                                           Duration timeout,
+                                                           NetError& reason);
+  /** As `Call`, but only over connections to `instance`, or to any if it is
+   * `kUntoldInstance`. Fails with kOtherInstance, and sends nothing, if another
+   * one responds to the query on a new connection. A response to the query
+   * other than 200 is returned in place of one to the request, which is not
+   * sent either. */
+  asio::awaitable<std::optional<HttpResponse>> CallInstance(
+      Endpoint endpoint,
+      ServerInstance instance,
+      InstanceQuery query,
+      HttpRequest request,
+      Duration timeout,
+      NetError& reason);
+
   /** Closes the idle connections to an endpoint. */
   void DropIdle(const Endpoint& endpoint);
   const HttpClientCounters& counters() const;
--- a/src/net/net_error.cc
+++ b/src/net/net_error.cc
@@ -20,6 +20,8 @@
       return "answer_too_large";
     case NetErrorKind::kTooLate:
       return "too_late";
+    case NetErrorKind::kOtherInstance:
+      return "other_instance";
   }
   return "unknown";
 }
--- a/src/net/net_error.h
+++ b/src/net/net_error.h
@@ -14,7 +14,8 @@
   kTimeout,
   kBadResponse,
   kResponseTooLarge,
-  kTooLate,  // not sent: the latest time to start the request had passed
+  kTooLate,        // not sent: the latest time to start the request had passed
+  kOtherInstance,  // not sent: the server has restarted
 };
 
 /** Why a network operation failed. */
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -20,7 +20,8 @@
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
   const StepSpec& spec = SpecOf(ref);
   TaskOf(ref).worker = worker;
-  TaskOf(ref).worker_start_time_ms = worker_state.start_time_ms;
+  TaskOf(ref).worker_start_time_ms =
+      worker_state.instance ? worker_state.instance->start_time_ms : 0;
   worker_state.tasks.push_back(ref);
   if (TaskOf(ref).crashes.total > 0)
     ++worker_state.suspects;
--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -62,8 +62,8 @@
 }
 
 bool HasJustStarted(const WorkerState& worker, const Task& task) {
-  return task.started &&
-         *task.started + kMaxAgeToBlame >= worker.clock_received_at;
+  return task.started && worker.instance &&
+         *task.started + kMaxAgeToBlame >= worker.instance->clock_received_at;
 }
 
 size_t CountUnexplainedEnds(State& state, TimePoint now) {
@@ -238,6 +238,8 @@
       FindSuspects(state, WorkerAt(state, worker),
                    StartedTasks(WorkerAt(state, worker)), now);
   RequeueAllTasks(state, worker, reason, now);
+  WorkerAt(state, worker).instance.reset();
+  WorkerAt(state, worker).health = WorkerHealth{};
   CountCrashes(state, worker, suspects, reason, now);
 }
 
--- a/src/sched/crash_suspects.h
+++ b/src/sched/crash_suspects.h
@@ -12,8 +12,8 @@
 // so that the next end shows which of them is guilty, and a task that the
 // evidence points at is given up.
 
-/** The worker's instance has ended: requeues its tasks, counts the end against
- * them, and gives up those that are guilty. */
+/** The worker's instance has ended: forgets it, requeues its tasks, counts the
+ * end against them, and gives up those that are guilty. */
 void HandleEndedInstance(State& state,
                          int32_t worker,
                          std::string_view reason,
--- a/src/sched/lease.cc
+++ b/src/sched/lease.cc
@@ -16,14 +16,14 @@
 // killed. The clock showed at least `clock` when the reading was received, and
 // it may run slower than ours.
 TimePoint LatestTimeOf(const SchedulerOptions& options,
-                       const WorkerState& worker,
+                       const InstanceState& instance,
                        WorkerClock end) {
   const int64_t remaining_ms = std::max<int64_t>(
-      0, end.count() - worker.clock.value_or(WorkerClock(0)).count());
+      0, end.count() - instance.clock.value_or(WorkerClock(0)).count());
   const Duration wait(
       static_cast<int64_t>(static_cast<double>(remaining_ms) * 1000.0 /
                            (1.0 - options.max_clock_drift)));
-  return worker.clock_received_at + wait + kKillDelay;
+  return instance.clock_received_at + wait + kKillDelay;
 }
 
 }  // namespace
@@ -31,18 +31,19 @@
 std::optional<WorkerClock> ExtendLease(const SchedulerOptions& options,
                                        WorkerState& worker,
                                        TimePoint now) {
-  if (!worker.clock)
+  if (!worker.instance || !worker.instance->clock)
     return std::nullopt;
+  InstanceState& instance = *worker.instance;
   const Duration elapsed(static_cast<int64_t>(
-      static_cast<double>((now - worker.clock_received_at).count()) *
+      static_cast<double>((now - instance.clock_received_at).count()) *
       (1.0 - options.max_clock_drift)));
   const auto remaining_ms =
       duration_cast<milliseconds>(elapsed + options.lease);
-  const WorkerClock end = *worker.clock + WorkerClock(remaining_ms.count());
-  if (end > worker.latest_lease_end) {
-    worker.latest_lease_end = end;
+  const WorkerClock end = *instance.clock + WorkerClock(remaining_ms.count());
+  if (end > instance.latest_lease_end) {
+    instance.latest_lease_end = end;
     worker.lease_expiry =
-        std::max(worker.lease_expiry, LatestTimeOf(options, worker, end));
+        std::max(worker.lease_expiry, LatestTimeOf(options, instance, end));
   }
   return end;
 }
@@ -51,15 +52,16 @@
                  WorkerState& worker,
                  WorkerClock clock,
                  TimePoint now) {
-  if (worker.clock && clock < *worker.clock)
+  InstanceState& instance = *worker.instance;
+  if (instance.clock && clock < *instance.clock)
     return;
-  const bool first = !worker.clock;
-  worker.clock = clock;
-  worker.clock_received_at = now;
+  const bool first = !instance.clock;
+  instance.clock = clock;
+  instance.clock_received_at = now;
   // Until the first reading the leases of the previous owner set the bound.
   if (!first)
     worker.lease_expiry =
-        LatestTimeOf(options, worker, worker.latest_lease_end);
+        LatestTimeOf(options, instance, instance.latest_lease_end);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -12,6 +12,7 @@
 #include "src/sched/lease.h"
 #include "src/sched/pacing.h"
 #include "src/sched/run_outcome.h"
+#include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
 
@@ -32,7 +33,8 @@
   // A run of a deleted job needs an unknown part of the capacity.
   worker.unexpected += ref ? ReservedBy(SpecOf(*ref)) : worker.info.capacity;
   ++state.counters.unexpected_runs;
-  state.pending_stops.push_back({worker.info.id, running.task, running.run});
+  state.pending_stops.push_back(
+      {CurrentInstance(worker), running.task, running.run});
   state.needs_plan = true;
 }
 
@@ -91,6 +93,11 @@
              kStallTimeout * 100 / task.slowest_pace_percent;
 }
 
+bool IsSame(const InstanceState& known, const WorkerListing& listing) {
+  return known.start_time_ms == 0 || listing.start_time_ms == 0 ||
+         known.start_time_ms == listing.start_time_ms;
+}
+
 }  // namespace
 
 void ApplyListing(State& state,
@@ -98,33 +105,26 @@
                   const WorkerListing& listing,
                   TimePoint asked,
                   TimePoint now) {
-  const auto index = static_cast<size_t>(worker);
-  if (state.workers[index].reachability != Reachability::kUnknown &&
-      state.workers[index].start_time_ms != 0 && listing.start_time_ms != 0 &&
-      state.workers[index].start_time_ms != listing.start_time_ms) {
+  WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
+  if (worker_state.instance && !IsSame(*worker_state.instance, listing))
     HandleEndedInstance(state, worker, "worker restarted", now);
-    WorkerState& restarted = state.workers[index];
-    restarted.clock.reset();
-    restarted.latest_lease_end = WorkerClock(0);
-    restarted.outcomes_applied = restarted.outcomes_planned =
-        restarted.outcomes_stored = 0;
-    restarted.health = WorkerHealth{};
-  }
   HandleTasksOfEarlierInstance(state, worker, listing.start_time_ms, now);
   HandleSurvivedPartition(state, worker);
-  WorkerState& worker_state = state.workers[index];
   if (worker_state.reachability != Reachability::kReachable)
     state.needs_plan = true;
   worker_state.reachability = Reachability::kReachable;
+  if (!worker_state.instance)
+    worker_state.instance.emplace();
+  InstanceState& instance = *worker_state.instance;
   if (listing.start_time_ms != 0)
-    worker_state.start_time_ms = listing.start_time_ms;
+    instance.start_time_ms = listing.start_time_ms;
   UpdateClock(state.options, worker_state, listing.clock, now);
   ++worker_state.listing_count;
   for (const EndedRun& ended : listing.ended) {
-    if (ended.number <= worker_state.outcomes_applied)
+    if (ended.number <= instance.outcomes_applied)
       continue;
     ApplyRunOutcome(state, worker, ended, now);
-    worker_state.outcomes_applied = ended.number;
+    instance.outcomes_applied = ended.number;
     state.needs_plan = true;
   }
   worker_state.unexpected = Resources{};
--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -359,8 +359,8 @@
       ++state.counters.paces;
       LogDecision(state, "run_paced", ref,
                   "percent=" + std::to_string(task.pace_percent));
-      plan.paces.push_back(PaceCommand{worker.info.id, NameOf(ref), task.run,
-                                       task.pace_percent});
+      plan.paces.push_back(PaceCommand{CurrentInstance(worker), NameOf(ref),
+                                       task.run, task.pace_percent});
     }
   }
 }
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -289,16 +289,20 @@
   worker.reachability = Reachability::kUnreachable;
   worker.lease_expiry = now;
   // It is reported again as long as the platform lists the worker.
-  if (worker.start_time_ms == 0 && worker.tasks.empty())
+  if (!worker.instance && worker.tasks.empty())
     return;
-  worker.start_time_ms = 0;
   HandleEndedInstance(state, index, "worker instance is gone", now);
 }
 
+void Scheduler::OnInstanceEnded(const WorkerInstance& instance, TimePoint now) {
+  if (InstanceOf(instance.id) == instance)
+    OnWorkerDead(instance.id, now);
+}
+
 void Scheduler::OnStarted(const StartRunCommand& command, TimePoint now) {
   State& state = m_impl->state;
   ++state.counters.starts;
-  const auto ref = FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker.id, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != SchedulingPhase::kPlanned)
     return;
   Task& task = TaskOf(*ref);
@@ -313,7 +317,7 @@
 
 void Scheduler::OnStartSkipped(const StartRunCommand& command, TimePoint now) {
   State& state = m_impl->state;
-  const auto ref = FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker.id, command.task, command.run);
   if (!ref)
     return;
   LogDecision(state, "start_skipped", *ref);
@@ -324,7 +328,7 @@
                                StartRefusal refusal,
                                TimePoint now) {
   State& state = m_impl->state;
-  const auto ref = FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker.id, command.task, command.run);
   if (!ref)
     return;
   LogDecision(state, "start_refused", *ref,
@@ -347,7 +351,7 @@
 
 void Scheduler::OnStartUnknown(const StartRunCommand& command, TimePoint now) {
   State& state = m_impl->state;
-  const auto ref = FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker.id, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != SchedulingPhase::kPlanned)
     return;
   LogDecision(state, "start_unknown", *ref);
@@ -357,7 +361,7 @@
 
 void Scheduler::OnStopped(const StopRunCommand& command, TimePoint now) {
   const auto ref =
-      FindRun(m_impl->state, command.worker, command.task, command.run);
+      FindRun(m_impl->state, command.worker.id, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != SchedulingPhase::kStopping)
     return;
   TaskOf(*ref).visible_from = now;
@@ -365,32 +369,42 @@
 
 void Scheduler::OnPaceUnknown(const PaceCommand& command) {
   const auto ref =
-      FindRun(m_impl->state, command.worker, command.task, command.run);
+      FindRun(m_impl->state, command.worker.id, command.task, command.run);
   if (!ref)
     return;
   TaskOf(*ref).pace_percent = kUnknownPacePercent;
   m_impl->state.needs_plan = true;
 }
 
-std::optional<WorkerClock> Scheduler::LeaseEnd(const WorkerId& id,
+std::optional<WorkerInstance> Scheduler::InstanceOf(const WorkerId& id) const {
+  const WorkerState* worker = FindWorkerState(m_impl->state, id);
+  if (worker == nullptr || !worker->instance)
+    return std::nullopt;
+  return CurrentInstance(*worker);
+}
+
+std::optional<WorkerClock> Scheduler::LeaseEnd(const WorkerInstance& instance,
                                                TimePoint now) {
-  WorkerState* worker = FindWorkerState(m_impl->state, id);
+  WorkerState* worker = FindWorkerState(m_impl->state, instance.id);
   // A call to an unreachable worker may still arrive. If it carried a lease
   // end, the time at which the worker's runs are over would be put off for
   // ever.
-  if (worker == nullptr || worker->reachability == Reachability::kUnreachable)
+  if (worker == nullptr || InstanceOf(instance.id) != instance ||
+      worker->reachability == Reachability::kUnreachable)
     return std::nullopt;
   return ExtendLease(m_impl->state.options, *worker, now);
 }
 
-uint64_t Scheduler::AcknowledgedEnds(const WorkerId& id) const {
-  const WorkerState* worker = FindWorkerState(m_impl->state, id);
-  return worker == nullptr ? 0 : worker->outcomes_stored;
+uint64_t Scheduler::AcknowledgedEnds(const WorkerInstance& instance) const {
+  const WorkerState* worker = FindWorkerState(m_impl->state, instance.id);
+  return worker != nullptr && InstanceOf(instance.id) == instance
+             ? worker->instance->outcomes_stored
+             : 0;
 }
 
 bool Scheduler::IsStillWanted(const StartRunCommand& command) const {
   const State& state = m_impl->state;
-  const auto ref = FindRun(state, command.worker, command.task, command.run);
+  const auto ref = FindRun(state, command.worker.id, command.task, command.run);
   if (!ref || TaskOf(*ref).phase != SchedulingPhase::kPlanned ||
       ref->iteration->job->ended_at)
     return false;
@@ -414,7 +428,7 @@
       continue;
     task.stop_sent = now;
     ++state.counters.stops;
-    stops.push_back({worker.info.id, name, task.run});
+    stops.push_back({CurrentInstance(worker), name, task.run});
   }
   return stops;
 }
@@ -438,16 +452,19 @@
   for (std::string& key : std::exchange(state.deleted_progress, {}))
     plan.records.push_back({std::move(key), ""});
   plan.messages = std::exchange(state.messages, {});
-  for (WorkerState& worker : state.workers)
-    worker.outcomes_planned = worker.outcomes_applied;
+  for (WorkerState& worker : state.workers) {
+    if (worker.instance)
+      worker.instance->outcomes_planned = worker.instance->outcomes_applied;
+  }
   return plan;
 }
 
 void Scheduler::OnStored(TimePoint now) {
   State& state = m_impl->state;
-  for (WorkerState& worker : state.workers)
-    worker.outcomes_stored =
-        std::min(worker.outcomes_planned, worker.outcomes_applied);
+  for (WorkerState& worker : state.workers) {
+    if (worker.instance)
+      worker.instance->outcomes_stored = worker.instance->outcomes_planned;
+  }
   PublishStates(state, now);
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -168,15 +168,26 @@
   bool probing = false;  // runs one task to show whether it works again
 };
 
+/** What this owner knows of one instance of a worker. */
+struct InstanceState {
+  int64_t start_time_ms = 0;  // 0 if the worker does not tell
+  std::optional<WorkerClock> clock;
+  TimePoint clock_received_at;
+  /** Latest lease end sent to it, on its clock. */
+  WorkerClock latest_lease_end;
+  /** Number of the last listed run outcome that was applied, that was part of a
+   * plan, and whose plan was stored. */
+  uint64_t outcomes_applied = 0;
+  uint64_t outcomes_planned = 0;
+  uint64_t outcomes_stored = 0;
+};
+
 struct WorkerState {
   WorkerInfo info;
   bool listed = false;  // by the platform
   Reachability reachability = Reachability::kUnknown;
-  int64_t start_time_ms = 0;  // start time of the instance that answered last
-  std::optional<WorkerClock> clock;
-  TimePoint clock_received_at;
-  /** Latest lease end sent to the worker, on the worker's clock. */
-  WorkerClock latest_lease_end;
+  /** The instance that answered last, unless it is known to have ended. */
+  std::optional<InstanceState> instance;
   /** From this time on nothing runs there unless a lease is extended. */
   TimePoint lease_expiry;
   Resources reserved;           // by tasks that count against capacity
@@ -188,11 +199,6 @@
   /** Tasks that the worker had when its lease expired, until it is known
    * whether its instance has ended. */
   std::map<TaskName, CrashEvidence> silent_tasks;
-  /** Number of the last listed run outcome that was applied, that was part of a
-   * plan, and whose plan was stored. */
-  uint64_t outcomes_applied = 0;
-  uint64_t outcomes_planned = 0;
-  uint64_t outcomes_stored = 0;
   uint64_t listing_count = 0;
   /** Set when the worker refused a start for lack of capacity. */
   std::optional<TimePoint> full_until;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -169,7 +169,7 @@
   if (worker_state.health.avoid_until && !SpecOf(ref).long_running)
     worker_state.health.probing = true;
   MarkDirty(state, *ref.iteration);
-  plan.starts.push_back(StartRunCommand{.worker = worker_state.info.id,
+  plan.starts.push_back(StartRunCommand{.worker = CurrentInstance(worker_state),
                                         .task = NameOf(ref),
                                         .run = task.run,
                                         .payload = job.spec.payload,
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -73,6 +73,10 @@
   return index;
 }
 
+WorkerInstance CurrentInstance(const WorkerState& worker) {
+  return {worker.info.id, worker.instance ? worker.instance->start_time_ms : 0};
+}
+
 Resources FreeCapacity(const WorkerState& worker) {
   return worker.info.capacity - worker.reserved - worker.unexpected;
 }
@@ -116,8 +120,9 @@
     return WorkerEligibility::kDraining;
   if (state.policy.evacuated.count(worker.info.data_centre) > 0)
     return WorkerEligibility::kEvacuated;
-  if (worker.info.start_time_ms != 0 && worker.start_time_ms != 0 &&
-      worker.info.start_time_ms != worker.start_time_ms)
+  const int64_t start_time_ms = CurrentInstance(worker).start_time_ms;
+  if (worker.info.start_time_ms != 0 && start_time_ms != 0 &&
+      worker.info.start_time_ms != start_time_ms)
     return WorkerEligibility::kOtherInstance;
   if (worker.full_until && now < *worker.full_until)
     return WorkerEligibility::kFull;
--- a/src/sched/workers.h
+++ b/src/sched/workers.h
@@ -15,6 +15,9 @@
 /** A known worker, or null; valid until the next worker is added. */
 WorkerState* FindWorkerState(State& state, const WorkerId& id);
 
+/** The instance of the worker that answered last. */
+WorkerInstance CurrentInstance(const WorkerState& worker);
+
 /** Capacity that neither tasks nor other listed runs use; below 0 in a worker
  * that has become smaller. */
 Resources FreeCapacity(const WorkerState& worker);
--- a/src/scheduler_process/platform_ports.h
+++ b/src/scheduler_process/platform_ports.h
@@ -89,10 +89,17 @@
       follow;
 };
 
-struct ListRequest {
-  uint64_t fence = 0;
+/** What a listing request tells one instance of a worker. */
+struct InstanceTerms {
+  WorkerInstance instance;
   uint64_t acknowledged_ends = 0;
   std::optional<WorkerClock> lease_end;
+};
+
+struct ListRequest {
+  uint64_t fence = 0;
+  /** Without terms any instance responds, and none is told anything. */
+  std::optional<InstanceTerms> terms;
   Duration wait{0};  // how long the worker waits for a run to end
   /** How long to wait for the response beyond `wait`. */
   Duration response_margin{0};
@@ -100,7 +107,8 @@
 
 enum class WorkerCallError {
   kNoResponse,     // may have been carried out, or may be later
-  kOtherInstance,  // another instance of the worker answered
+  kOtherInstance,  // the worker has restarted since
+  kOtherWorker,    // another worker answered
   kFenced,         // the worker has seen a later owner
   kRefused,        // the worker answered, but did not carry it out
 };
@@ -112,7 +120,8 @@
   std::optional<StartRefusal> refusal;
 };
 
-/** Calls to workers. */
+/** Calls to workers. A command, a lease end or an acknowledgement reaches the
+ * instance that it names or none. */
 struct WorkerPort {
   std::function<asio::awaitable<std::optional<WorkerListing>>(WorkerInfo,
                                                               ListRequest,
--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -85,6 +85,8 @@
   asio::awaitable<void> ListRepeatedly(WorkerChannelPtr channel);
   asio::awaitable<Duration> ListOnce(WorkerChannelPtr channel);
   void HandleListingError(WorkerChannel& channel, WorkerCallError error);
+  void HandleEndedInstance(const WorkerInstance& instance);
+  std::optional<InstanceTerms> TermsFor(const WorkerId& id, TimePoint now);
   void Enqueue(const WorkerId& worker, Command command);
   asio::awaitable<void> SendCommands(WorkerChannelPtr channel);
   asio::awaitable<void> Execute(WorkerChannelPtr channel,
@@ -121,30 +123,52 @@
   if (!channel.failing)
     LogEvent("worker_lost",
              {{"worker", channel.info.id.value()},
-              {"other_life", static_cast<int64_t>(
-                                 error == WorkerCallError::kOtherInstance)}});
+              {"other_life",
+               static_cast<int64_t>(error == WorkerCallError::kOtherWorker)}});
   channel.failing = true;
   port.drop_connections(channel.info);
-  if (error == WorkerCallError::kOtherInstance)
+  if (error == WorkerCallError::kOtherWorker)
     scheduler.OnWorkerDead(channel.info.id, MonotonicNow());
   else
     scheduler.OnUnreachable(channel.info.id, MonotonicNow());
   hooks.on_event();
 }
 
+// The next listing shows the runs of the new instance.
+void WorkerDriver::Impl::HandleEndedInstance(const WorkerInstance& instance) {
+  if (scheduler.InstanceOf(instance.id) != instance)
+    return;
+  LogEvent("worker_restarted", {{"worker", instance.id.value()},
+                                {"ended_born", instance.start_time_ms}});
+  scheduler.OnInstanceEnded(instance, MonotonicNow());
+  hooks.on_event();
+}
+
+std::optional<InstanceTerms> WorkerDriver::Impl::TermsFor(const WorkerId& id,
+                                                          TimePoint now) {
+  const std::optional<WorkerInstance> instance = scheduler.InstanceOf(id);
+  if (!instance)
+    return std::nullopt;
+  InstanceTerms terms{
+      .instance = *instance,
+      .acknowledged_ends = scheduler.AcknowledgedEnds(*instance),
+      .lease_end = std::nullopt};
+  if (hooks.has_authority())
+    terms.lease_end = scheduler.LeaseEnd(*instance, now);
+  return terms;
+}
+
 // Returns how long to pause before the next listing.
 asio::awaitable<Duration> WorkerDriver::Impl::ListOnce(
     WorkerChannelPtr channel) {
   const TimePoint requested_at = MonotonicNow();
   ListRequest request;
   request.fence = epoch.value();
-  request.acknowledged_ends = scheduler.AcknowledgedEnds(channel->info.id);
-  if (hooks.has_authority())
-    request.lease_end = scheduler.LeaseEnd(channel->info.id, requested_at);
+  request.terms = TermsFor(channel->info.id, requested_at);
   request.response_margin = ResponseMargin(*channel);
   // Without a lease end the worker's clock is not known yet: list it again at
   // once.
-  if (request.lease_end) {
+  if (request.terms && request.terms->lease_end) {
     request.wait = scheduler.NeedsFrequentListing(channel->info.id)
                        ? kListWaitOnSharedWorker
                        : kListWait;
@@ -157,6 +181,10 @@
       co_await port.list(info, request, error);
   if (stopped)
     co_return Duration(0);
+  if (!listing && error == WorkerCallError::kOtherInstance && request.terms) {
+    HandleEndedInstance(request.terms->instance);
+    co_return Duration(0);
+  }
   if (!listing) {
     HandleListingError(*channel, error);
     co_return kPauseAfterError;
@@ -278,6 +306,9 @@
     scheduler.OnStarted(command, MonotonicNow());
   } else if (*outcome.refusal == StartRefusal::kFenced) {
     hooks.on_fenced();
+  } else if (*outcome.refusal == StartRefusal::kOtherInstance) {
+    scheduler.OnStartRefused(command, *outcome.refusal, MonotonicNow());
+    HandleEndedInstance(command.worker);
   } else {
     scheduler.OnStartRefused(command, *outcome.refusal, MonotonicNow());
     hooks.on_event();
@@ -340,15 +371,15 @@
 }
 
 void WorkerDriver::Send(const StartRunCommand& command) {
-  m_impl->Enqueue(command.worker, command);
+  m_impl->Enqueue(command.worker.id, command);
 }
 
 void WorkerDriver::Send(const StopRunCommand& command) {
-  m_impl->Enqueue(command.worker, command);
+  m_impl->Enqueue(command.worker.id, command);
 }
 
 void WorkerDriver::Send(const PaceCommand& command) {
-  m_impl->Enqueue(command.worker, command);
+  m_impl->Enqueue(command.worker.id, command);
 }
 
 void WorkerDriver::Stop() {
--- a/standins/platform/worker_stand_in.cc
+++ b/standins/platform/worker_stand_in.cc
@@ -16,6 +16,9 @@
 
 constexpr auto kPollInterval = milliseconds(10);
 constexpr auto kForever = std::chrono::hours(1);
+constexpr int64_t kLongestLeaseMs = 10000;
+// The first instance has run for so long when a test begins.
+constexpr auto kFirstUptime = std::chrono::seconds(60);
 
 struct ActiveTaskRun {
   uint64_t run = 0;
@@ -50,11 +53,17 @@
   asio::awaitable<HttpResponse> Hold(json body);
   HttpResponse List() const;
   asio::awaitable<HttpResponse> HandleRequest(HttpRequest request);
+  asio::awaitable<HttpResponse> Respond(HttpRequest request);
+  void ExtendLease(int64_t until);
+  bool Listen(asio::io_context& io, uint16_t port);
+  void ForgetRuns();
 
   std::string id;
   std::string rack;
   RunObservations& observations;
-  TimePoint start_time = sched::MonotonicNow();
+  asio::io_context* io = nullptr;
+  int64_t instance = 1;
+  TimePoint start_time = sched::MonotonicNow() - kFirstUptime;
   milliseconds task_duration{300};
   bool unresponsive = false;
   bool drop_start_responses = false;
@@ -96,6 +105,10 @@
   }
 }
 
+void WorkerStandIn::Impl::ExtendLease(int64_t until) {
+  lease_end = std::max(lease_end, std::min(until, Clock() + kLongestLeaseMs));
+}
+
 HttpResponse WorkerStandIn::Impl::Start(const json& body) {
   const auto task = body.at("task").get<std::string>();
   const auto run = body.at("run").get<uint64_t>();
@@ -106,7 +119,7 @@
     return MakeJsonResponse(
         409, json{{"clock-ms", Clock()}, {"reason", "old"}}.dump());
   }
-  lease_end = std::max(lease_end, body.at("until-ms").get<int64_t>());
+  ExtendLease(body.at("until-ms").get<int64_t>());
   ++observations.starts[task];
   if (!observations.running[task].empty())
     observations.violations.push_back("runs on two workers: " + task);
@@ -135,7 +148,7 @@
   for (const auto& [task, run] : running)
     rows.push_back(json::array({task, run.run, "", PercentDone(run)}));
   return MakeJsonResponse(200, json{{"clock-ms", Clock()},
-                                    {"born", 1},
+                                    {"born", instance},
                                     {"running", rows},
                                     {"ended", ended_rows}}
                                    .dump());
@@ -146,7 +159,7 @@
   std::erase_if(ended_rows, [seen](const json& row) {
     return row.at(0).get<uint64_t>() <= seen;
   });
-  lease_end = std::max(lease_end, body.value("until-ms", int64_t{0}));
+  ExtendLease(body.value("until-ms", int64_t{0}));
   const auto limit =
       sched::MonotonicNow() + milliseconds(body.value("wait-ms", int64_t{0}));
   while (ended_rows.empty() && sched::MonotonicNow() < limit)
@@ -154,10 +167,21 @@
   co_return List();
 }
 
+// A request that began before a restart gets no response.
 asio::awaitable<HttpResponse> WorkerStandIn::Impl::HandleRequest(
     HttpRequest request) {
+  const auto self = shared_from_this();
+  const int64_t received_by = instance;
   if (unresponsive)
     co_await sched::Sleep(kForever);
+  HttpResponse response = co_await Respond(std::move(request));
+  if (received_by != instance)
+    co_await sched::Sleep(kForever);
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> WorkerStandIn::Impl::Respond(
+    HttpRequest request) {
   if (FindHeader(request.headers, "X-Expect-Instance") != id)
     co_return MakeJsonResponse(421, "{}");
   const json body = json::parse(request.body, nullptr, false);
@@ -182,6 +206,27 @@
   co_return MakeJsonResponse(404, "{}");
 }
 
+bool WorkerStandIn::Impl::Listen(asio::io_context& context, uint16_t port) {
+  io = &context;
+  NetError error;
+  server = HttpServer::Make(
+      context, Endpoint{"127.0.0.1", port}, HttpServerLimits{},
+      [this](HttpRequest request) { return HandleRequest(std::move(request)); },
+      error);
+  return server != nullptr;
+}
+
+void WorkerStandIn::Impl::ForgetRuns() {
+  for (const auto& [task, run] : running)
+    observations.running[task].erase(id);
+  for (const json& row : ended_rows)
+    observations.done.erase(row.at(1).get<std::string>());
+  running.clear();
+  highest_run.clear();
+  ended_rows.clear();
+  last_end_number = 0;
+}
+
 WorkerStandIn::WorkerStandIn(std::shared_ptr<Impl> impl)
     : m_impl(std::move(impl)) {}
 
@@ -195,14 +240,7 @@
     const std::string& rack,
     RunObservations& observations) {
   auto impl = std::make_shared<Impl>(id, rack, observations);
-  NetError error;
-  impl->server = HttpServer::Make(
-      io, Endpoint{"127.0.0.1", 0}, HttpServerLimits{},
-      [raw = impl.get()](HttpRequest request) {
-        return raw->HandleRequest(std::move(request));
-      },
-      error);
-  if (!impl->server)
+  if (!impl->Listen(io, 0))
     return nullptr;
   asio::co_spawn(io, impl->UpdateRuns(), asio::detached);
   return std::unique_ptr<WorkerStandIn>(new WorkerStandIn(std::move(impl)));
@@ -217,7 +255,7 @@
       {"slots", 8},
       {"capacity", {{"cpu", 16000}, {"mem-mb", 64000}, {"gpu", 0}}},
       {"labels", {"a", m_impl->rack}},
-      {"born", 1}}
+      {"born", m_impl->instance}}
       .dump();
 }
 
@@ -229,6 +267,17 @@
   m_impl->task_duration = task_duration;
 }
 
+bool WorkerStandIn::Restart() {
+  m_impl->ForgetRuns();
+  ++m_impl->instance;
+  m_impl->start_time = sched::MonotonicNow();
+  m_impl->lease_end = 0;
+  m_impl->fence = 0;
+  const uint16_t port = m_impl->server->port();
+  m_impl->server->StopAccepting();
+  return m_impl->Listen(*m_impl->io, port);
+}
+
 void WorkerStandIn::SetUnresponsive(bool unresponsive) {
   m_impl->unresponsive = unresponsive;
 }
--- a/standins/platform/worker_stand_in.h
+++ b/standins/platform/worker_stand_in.h
@@ -40,6 +40,10 @@
   const std::string& id() const;
   /** Duration of tasks that start from now on. */
   void SetTaskDuration(std::chrono::milliseconds task_duration);
+  /** The worker starts again under its id and address, without a sign to its
+   * callers: calls in progress stay silent. What it ran is gone, and so are the
+   * ends that were not acknowledged. False if it cannot listen again. */
+  bool Restart();
   /** While set, the worker neither carries out requests nor responds. */
   void SetUnresponsive(bool unresponsive);
   /** While set, the worker carries out starts without responding. */
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/net/http_client.h"
 #include "src/net/http_server.h"
@@ -51,6 +53,33 @@
     return response;
   }
 
+  // Calls one instance of a server that tells its instance at "/instance".
+  std::optional<HttpResponse> CallInstance(ServerInstance instance) {
+    std::optional<HttpResponse> response;
+    bool done = false;
+    InstanceQuery query;
+    query.request.path = "/instance";
+    query.instance_of =
+        [](const HttpResponse& answer) -> std::optional<ServerInstance> {
+      return std::stoll(answer.body);
+    };
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          const Endpoint endpoint{"127.0.0.1", server->port()};
+          HttpRequest request;
+          request.path = "/command";
+          response = co_await client->CallInstance(
+              endpoint, instance, query, request, kCallTimeout, reason);
+          done = true;
+        },
+        asio::detached);
+    io.restart();
+    while (!done)
+      io.run_one();
+    return response;
+  }
+
   // Sends raw bytes that the client never sends and returns the response.
   std::string SendRaw(const std::string& bytes) {
     std::string answer;
@@ -78,6 +107,54 @@
   }
 };
 
+TEST_CASE("a call to one instance of a server", "[net]") {
+  // Guards against a command that reaches the next instance at the address.
+  std::vector<std::string> paths;
+  ServerInstance instance = 7;
+  const auto handler =
+      [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    paths.push_back(request.path);
+    HttpResponse response;
+    response.body = std::to_string(instance);
+    co_return response;
+  };
+  Fixture fixture(HttpServerLimits{}, handler);
+  REQUIRE(fixture.server);
+  REQUIRE(fixture.CallInstance(7));
+  CHECK(paths == std::vector<std::string>{"/instance", "/command"});
+
+  SECTION("asks for the instance once for each connection") {
+    REQUIRE(fixture.CallInstance(7));
+    CHECK(paths.size() == 3);
+    CHECK(fixture.client->counters().connects == 1);
+  }
+  SECTION("is not sent to the next instance") {
+    const uint16_t port = fixture.server->port();
+    fixture.server.reset();
+    instance = 8;
+    fixture.server =
+        HttpServer::Make(fixture.io, {"127.0.0.1", port}, HttpServerLimits{},
+                         handler, fixture.reason);
+    REQUIRE(fixture.server);
+    paths.clear();
+    // The first call may find the connection that the restart has closed.
+    for (int i = 0; i < 2; ++i)
+      CHECK_FALSE(fixture.CallInstance(7));
+    CHECK(fixture.reason.kind == NetErrorKind::kOtherInstance);
+    CHECK_FALSE(fixture.reason.request_sent);
+    CHECK(std::count(paths.begin(), paths.end(), "/command") == 0);
+    CHECK(fixture.CallInstance(8));
+  }
+  SECTION("is not sent to a server that does not tell its instance") {
+    fixture.client->DropIdle({"127.0.0.1", fixture.server->port()});
+    instance = kUntoldInstance;
+    paths.clear();
+    CHECK_FALSE(fixture.CallInstance(7));
+    CHECK(fixture.reason.kind == NetErrorKind::kBadResponse);
+    CHECK(paths == std::vector<std::string>{"/instance"});
+  }
+}
+
 TEST_CASE("HTTP server and client on loopback", "[net]") {
   SECTION("a request gets a complete response") {
     Fixture fixture(HttpServerLimits{}, Echo);
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -137,8 +137,7 @@
 
 // These tasks have to run again, unless an owner has read their outcome.
 void SimulatedCell::LoseOutcomes(const SimulatedWorker& worker) {
-  const uint64_t seen =
-      m_has_owner ? m_scheduler->AcknowledgedEnds(worker.info.id) : 0;
+  const uint64_t seen = m_has_owner ? AcknowledgedEnds(worker) : 0;
   for (const EndedRun& ended : worker.ended) {
     if (ended.number > seen && ended.outcome == RunOutcome::kDone &&
         m_observations.done.erase(ended.task) > 0)
@@ -296,12 +295,19 @@
 
 void SimulatedCell::SendListing(SimulatedWorker& worker) {
   worker.next_listing = m_now + kListingInterval;
-  const auto lease = m_scheduler->LeaseEnd(worker.info.id, m_now);
+  const auto instance = m_scheduler->InstanceOf(worker.info.id);
+  const auto lease =
+      instance ? m_scheduler->LeaseEnd(*instance, m_now) : std::nullopt;
   if (!worker.up || !worker.reachable) {
     m_scheduler->OnUnreachable(worker.info.id, m_now);
     worker.next_listing = m_now + milliseconds(250);
     return;
   }
+  if (instance && instance->start_time_ms != worker.start_time_ms) {
+    m_scheduler->OnInstanceEnded(*instance, m_now);
+    worker.next_listing = m_now + kTimeStep;
+    return;
+  }
   if (worker.fence > m_epoch)
     return;
   worker.fence = m_epoch;
@@ -311,7 +317,7 @@
   } else {
     worker.next_listing = m_now + kTimeStep;
   }
-  const uint64_t seen = m_scheduler->AcknowledgedEnds(worker.info.id);
+  const uint64_t seen = AcknowledgedEnds(worker);
   std::erase_if(worker.ended,
                 [seen](const EndedRun& ended) { return ended.number <= seen; });
   WorkerListing listing;
@@ -394,6 +400,18 @@
   return nullptr;
 }
 
+SimulatedWorker* SimulatedCell::FindReachable(const WorkerInstance& instance) {
+  SimulatedWorker* worker = Find(instance.id);
+  return worker != nullptr && worker->up && worker->reachable &&
+                 worker->start_time_ms == instance.start_time_ms
+             ? worker
+             : nullptr;
+}
+
+uint64_t SimulatedCell::AcknowledgedEnds(const SimulatedWorker& worker) const {
+  return m_scheduler->AcknowledgedEnds({worker.info.id, worker.start_time_ms});
+}
+
 const StepSpec& SimulatedCell::SpecOf(const TaskName& task) const {
   return m_jobs.at(task.job).steps[task.step];
 }
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -177,7 +177,12 @@
   void Start(const StartRunCommand& command);
   void Stop(const StopRunCommand& command);
   void Pace(const PaceCommand& command);
+  /** The worker with that id, whichever instance it is now. */
   SimulatedWorker* Find(const WorkerId& id);
+  /** Null if no command reaches that instance. */
+  SimulatedWorker* FindReachable(const WorkerInstance& instance);
+  /** Number up to which the worker may drop its ends. */
+  uint64_t AcknowledgedEnds(const SimulatedWorker& worker) const;
   void EndRun(SimulatedWorker& worker,
               const TaskName& task,
               RunOutcome outcome);
--- a/tests/sched/simulated_runs.cc
+++ b/tests/sched/simulated_runs.cc
@@ -102,9 +102,16 @@
     m_scheduler->OnStartSkipped(command, m_now);
     return;
   }
-  SimulatedWorker* worker = Find(command.worker);
   const auto lease = m_scheduler->LeaseEnd(command.worker, m_now);
-  if (worker == nullptr || !worker->up || !worker->reachable || !lease) {
+  const SimulatedWorker* other = Find(command.worker.id);
+  if (other != nullptr && other->up && other->reachable &&
+      other->start_time_ms != command.worker.start_time_ms) {
+    m_scheduler->OnStartRefused(command, StartRefusal::kOtherInstance, m_now);
+    m_scheduler->OnInstanceEnded(command.worker, m_now);
+    return;
+  }
+  SimulatedWorker* worker = FindReachable(command.worker);
+  if (worker == nullptr || !lease) {
     m_scheduler->OnStartUnknown(command, m_now);
     return;
   }
@@ -151,8 +158,8 @@
 }
 
 void SimulatedCell::Stop(const StopRunCommand& command) {
-  SimulatedWorker* worker = Find(command.worker);
-  if (worker == nullptr || !worker->up || !worker->reachable)
+  SimulatedWorker* worker = FindReachable(command.worker);
+  if (worker == nullptr)
     return;
   const auto run = worker->running.find(command.task);
   if (run != worker->running.end() && run->second.run == command.run &&
@@ -167,8 +174,8 @@
 }
 
 void SimulatedCell::Pace(const PaceCommand& command) {
-  SimulatedWorker* worker = Find(command.worker);
-  if (worker == nullptr || !worker->up || !worker->reachable || loses_paces) {
+  SimulatedWorker* worker = FindReachable(command.worker);
+  if (worker == nullptr || loses_paces) {
     m_scheduler->OnPaceUnknown(command);
     return;
   }
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -193,7 +193,9 @@
     cell.response_time = milliseconds(900);
     cell.RunFor(seconds(7));
     CHECK(cell.last_request.response_margin >= milliseconds(900));
-    CHECK(cell.scheduler->LeaseEnd(WorkerId("w1"), MonotonicNow()));
+    const auto instance = cell.scheduler->InstanceOf(WorkerId("w1"));
+    REQUIRE(instance);
+    CHECK(cell.scheduler->LeaseEnd(*instance, MonotonicNow()));
   }
 }
 
