A job counts as waiting until a worker has confirmed a start

Cause: has_started was set when a start was planned. It answered both whether the job may still move to another cell as a whole, and whether a task of it has started. Refusals took nothing back, and a later owner took a run number above 0 for a start.

Change: may_have_started answers the first question. has_started is set by a confirmed start, a listed run or a listed end, and is stored with the progress.

All sched tests pass.

--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -53,7 +53,7 @@
 std::vector<QueueWaiting> CountWaitingJobs(const State& state) {
   std::map<QueueId, uint64_t> counts;
   for (const auto& [id, job] : state.jobs) {
-    if (!job->has_started && !job->ended_at && !job->moved_to)
+    if (IsWaiting(*job))
       ++counts[job->spec.queue];
   }
   std::vector<QueueWaiting> waiting;
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -203,6 +203,19 @@
   UnblockSteps(state, iteration, now);
 }
 
+void NoteStart(Job& job) {
+  job.has_started = true;
+  if (job.state == JobState::kQueued)
+    job.state = JobState::kActive;
+  // Unlike an end, a start that a worker has confirmed needs no record.
+  if (job.published_state == JobState::kQueued)
+    job.published_state = JobState::kActive;
+}
+
+bool IsWaiting(const Job& job) {
+  return !job.has_started && !job.ended_at && !job.moved_to;
+}
+
 void EndJob(State& state, Job& job, JobState end, TimePoint now) {
   if (job.ended_at)
     return;
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -29,6 +29,13 @@
 /** Marks a task as done and queues the steps that depended on it. */
 void FinishTask(State& state, const TaskRef& ref, TimePoint now);
 
+/** A worker has confirmed a start of one of the job's tasks, or listed a run.
+ */
+void NoteStart(Job& job);
+
+/** True if no task of the job has started, as far as this cell knows. */
+bool IsWaiting(const Job& job);
+
 /** Ends a job that failed or was cancelled, and stops its tasks. */
 void EndJob(State& state, Job& job, JobState end, TimePoint now);
 
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -61,6 +61,7 @@
     StopUnexpectedRun(state, worker_state, ref, running);
     return;
   }
+  NoteStart(*ref->iteration->job);
   Task& task = TaskOf(*ref);
   task.last_listing = worker_state.listing_count;
   RecordProgress(task, running, now);
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -55,7 +55,8 @@
   if (stored.is_number()) {
     task.phase = SchedulingPhase::kDone;
     --StepOf(ref).unfinished_tasks;
-    ref.iteration->job->has_started = true;
+    ref.iteration->job->may_have_started = true;
+    NoteStart(*ref.iteration->job);
     return;
   }
   const RunNumber run(stored.at(1).get<uint64_t>());
@@ -69,7 +70,7 @@
   if (stored.size() > 6)
     task.crashes = {stored.at(5).get<uint32_t>(), stored.at(6).get<uint32_t>()};
   if (task.run > ref.iteration->job->base_run)
-    ref.iteration->job->has_started = true;
+    ref.iteration->job->may_have_started = true;
   const int code = stored.at(0).get<int>();
   if (code == kElsewhereCode) {
     task.phase = SchedulingPhase::kElsewhere;
@@ -141,6 +142,7 @@
   json stored = {{"s", static_cast<int>(iteration.job->state)},
                  {"t", std::move(steps)}};
   const Job& job = *iteration.job;
+  stored["b"] = job.has_started;
   if (job.moved_to)
     stored["m"] = {job.moved_to->value(), job.hop};
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
@@ -170,7 +172,14 @@
       job.moved_to = CellId(moved->at(0).get<uint64_t>());
       job.hop = moved->at(1).get<uint32_t>();
     }
-    return ApplyStoredIteration(state, job, key->second, stored);
+    if (!ApplyStoredIteration(state, job, key->second, stored))
+      return false;
+    // Earlier versions do not store whether the job has started.
+    const auto has_started = stored.find("b");
+    if (has_started == stored.end() ? job.may_have_started
+                                    : has_started->get<bool>())
+      NoteStart(job);
+    return true;
   } catch (const json::exception&) {
     return false;
   }
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -71,6 +71,7 @@
   Task& task = TaskOf(*ref);
   if (task.worker != worker || task.run != ended.run)
     return;
+  NoteStart(*ref->iteration->job);
   LogDecision(state, RunOutcomeName(ended.outcome), *ref,
               "end=" + std::to_string(ended.number));
   if (!ended.checkpoint.empty())
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -84,7 +84,9 @@
   }
   if (job.state != JobState::kFailed && job.state != JobState::kCancelled &&
       job.state != JobState::kCompleted) {
-    if (job.has_started)
+    // Callers may have been told so: a start of a placed task may have been
+    // confirmed since its record was stored.
+    if (job.has_started || job.placed_tasks > 0)
       job.state = JobState::kActive;
     job.published_state = job.state;
     for (auto& [number, iteration] : job.iterations)
@@ -306,6 +308,7 @@
   if (!ref || TaskOf(*ref).phase != SchedulingPhase::kPlanned)
     return;
   Task& task = TaskOf(*ref);
+  NoteStart(*ref->iteration->job);
   task.phase = SchedulingPhase::kRunning;
   task.visible_from = now;
   task.started = now;
@@ -335,7 +338,7 @@
               std::string(StartRefusalName(refusal)));
   WorkerState& worker = state.workers[static_cast<size_t>(TaskOf(*ref).worker)];
   if (refusal == StartRefusal::kOldRun) {
-    // The run was started already: the next listing tells its outcome.
+    // The run was started already, or stopped before: the next listing tells.
     if (TaskOf(*ref).phase == SchedulingPhase::kPlanned)
       TaskOf(*ref).phase = SchedulingPhase::kRunning;
     TaskOf(*ref).visible_from = now;
@@ -504,8 +507,7 @@
       std::count_if(m_impl->state.jobs.begin(), m_impl->state.jobs.end(),
                     [&queue](const auto& entry) {
                       const Job& job = *entry.second;
-                      return job.spec.queue == queue && !job.has_started &&
-                             !job.ended_at && !job.moved_to;
+                      return job.spec.queue == queue && IsWaiting(job);
                     }));
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -133,6 +133,11 @@
   uint64_t sequence = 0;  // order of arrival
   TimePoint arrived;
   uint32_t placed_tasks = 0;  // tasks that have a worker
+  /** A start was planned once, or tasks have moved: workers or other cells may
+   * know the job, so that it cannot move as a whole. */
+  bool may_have_started = false;
+  /** A worker has confirmed a start of one of its tasks, or has listed a run.
+   */
   bool has_started = false;
   bool is_cancelled = false;
   bool is_part = false;  // another cell moved only some of its tasks here
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -151,9 +151,7 @@
   Job& job = *ref.iteration->job;
   task.phase = SchedulingPhase::kPlanned;
   task.run = task.run.Next();
-  job.has_started = true;
-  if (job.state == JobState::kQueued)
-    job.state = JobState::kActive;
+  job.may_have_started = true;
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
   const bool is_opportunistic =
       SpecOf(ref).best_effort &&
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -179,7 +179,7 @@
 }
 
 bool MayMove(const Job& job) {
-  return !job.has_started && job.placed_tasks == 0 && !job.ended_at &&
+  return !job.may_have_started && job.placed_tasks == 0 && !job.ended_at &&
          !job.moved_to && job.spec.iterations == 0 && job.hop < kMaxHops &&
          !job.is_part;
 }
@@ -298,7 +298,9 @@
   if (moved.empty())
     return;
   // The rest of the job must not move as a whole any more.
-  iteration.job->has_started = true;
+  iteration.job->may_have_started = true;
+  // The other cell does not report starts.
+  NoteStart(*iteration.job);
   MarkDirty(state, iteration);
   state.counters.moved_tasks += moved.size();
   SendTasks(state, *iteration.job, target, std::move(moved));
@@ -360,8 +362,8 @@
                    WallTime wall) {
   Job& job = AddJobWithoutIterations(state, transfer.job, now, wall);
   job.is_part = true;
-  job.has_started = true;
-  job.state = JobState::kActive;
+  job.may_have_started = true;
+  NoteStart(job);
   Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
   for (StepState& step : iteration.steps) {
     step.unblocked = state.restored;
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -35,6 +35,7 @@
   bool removed = false;  // for ever; see `RemoveWorker`
   bool reachable = true;
   bool fails_all = false;
+  bool refuses_starts = false;  // as an unhealthy worker
   bool stalls_all_runs = false;
   /** Refuses starts beyond its capacity; else it starts whatever it is told. */
   bool guards_capacity = true;
--- a/tests/sched/simulated_runs.cc
+++ b/tests/sched/simulated_runs.cc
@@ -115,6 +115,10 @@
     m_scheduler->OnStartUnknown(command, m_now);
     return;
   }
+  if (worker->refuses_starts) {
+    m_scheduler->OnStartRefused(command, StartRefusal::kUnhealthy, m_now);
+    return;
+  }
   const auto highest_run = worker->highest_run.find(command.task);
   if (highest_run != worker->highest_run.end() &&
       command.run <= highest_run->second) {
