An owner stores how long the leases of silent workers last

Callers saw long-running tasks without a run for over 9 s after their worker had died and the owner of the cell had been replaced (LOST, "lasting"; KNOWN-RED 1).

Cause: a new owner cannot know when the owner before it last extended a lease, so it waits for the longest possible lease from its claim on, and each further change of owner begins this wait anew.

Change: an owner stores for each silent worker with tasks how long its lease lasts at most, and from then on extends it only after a record without the worker is stored. The next owner counts the stored time from its reading, so no clock is shared, and passes on what is left.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -114,6 +114,7 @@
   if (worker_state.reachability != Reachability::kReachable)
     state.needs_plan = true;
   worker_state.reachability = Reachability::kReachable;
+  worker_state.is_silent = false;
   if (!worker_state.instance)
     worker_state.instance.emplace();
   InstanceState& instance = *worker_state.instance;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -10,6 +10,7 @@
 #include "src/sched/interference_codec.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
+#include "src/sched/lease_notes.h"
 #include "src/sched/listing.h"
 #include "src/sched/pacing.h"
 #include "src/sched/progress.h"
@@ -147,9 +148,10 @@
 
 bool Scheduler::RestoreProgress(const ProgressRecord& record) {
   State& state = m_impl->state;
-  const bool applied = record.key == kInterferenceKey
-                           ? ApplyInterference(state, record.value)
-                           : ApplyProgress(state, record);
+  const bool applied =
+      record.key == kInterferenceKey ? ApplyInterference(state, record.value)
+      : record.key == kLeaseNotesKey ? ApplyLeaseNotes(state, record.value)
+                                     : ApplyProgress(state, record);
   if (!applied)
     ++state.counters.bad_records;
   return applied;
@@ -158,6 +160,7 @@
 void Scheduler::FinishRestore(TimePoint now) {
   State& state = m_impl->state;
   state.restored = true;
+  RestoreLeaseNotes(state, now);
   for (auto& [id, job] : state.jobs) {
     if (!job->ended_at)
       RestoreJob(state, *job, now);
@@ -278,7 +281,10 @@
 
 void Scheduler::OnUnreachable(const WorkerId& id, TimePoint) {
   WorkerState* worker = FindWorkerState(m_impl->state, id);
-  if (worker != nullptr && worker->reachability == Reachability::kReachable)
+  if (worker == nullptr)
+    return;
+  worker->is_silent = true;
+  if (worker->reachability == Reachability::kReachable)
     worker->reachability = Reachability::kUnreachable;
 }
 
@@ -393,7 +399,8 @@
   // end, the time at which the worker's runs are over would be put off for
   // ever.
   if (worker == nullptr || InstanceOf(instance.id) != instance ||
-      worker->reachability == Reachability::kUnreachable)
+      worker->reachability == Reachability::kUnreachable ||
+      IsLeaseNoted(m_impl->state, instance.id))
     return std::nullopt;
   return ExtendLease(m_impl->state.options, *worker, now);
 }
@@ -416,6 +423,7 @@
   // The worker may have become smaller since the start was planned.
   return Fits(Resources{}, FreeCapacity(worker)) && !worker.info.draining &&
          worker.reachability == Reachability::kReachable &&
+         !IsLeaseNoted(state, worker.info.id) &&
          state.policy.evacuated.count(worker.info.data_centre) == 0;
 }
 
@@ -451,6 +459,7 @@
   PlanPaces(state, now, plan);
   EncodeDirtyIterations(state, plan);
   EncodeLearnedInterference(state, now, plan);
+  EncodeLeaseNotes(state, now, plan);
   DeleteEndedJobs(state, now, plan);
   for (std::string& key : std::exchange(state.deleted_progress, {}))
     plan.records.push_back({std::move(key), ""});
@@ -464,6 +473,7 @@
 
 void Scheduler::OnStored(TimePoint now) {
   State& state = m_impl->state;
+  HandleStoredLeaseNotes(state);
   for (WorkerState& worker : state.workers) {
     if (worker.instance)
       worker.instance->outcomes_stored = worker.instance->outcomes_planned;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -191,6 +191,8 @@
   WorkerInfo info;
   bool listed = false;  // by the platform
   Reachability reachability = Reachability::kUnknown;
+  /** The last listing request had no response. */
+  bool is_silent = false;
   /** The instance that answered last, unless it is known to have ended. */
   std::optional<InstanceState> instance;
   /** From this time on nothing runs there unless a lease is extended. */
@@ -217,6 +219,15 @@
   std::vector<BestEffortShare> best_effort_shares;
 };
 
+/** Silent workers of which a record says how long their leases last. */
+struct LeaseNotes {
+  std::set<WorkerId> planned;  // in the record of the last plan that had one
+  std::set<WorkerId> stored;
+  TimePoint planned_at;
+  /** Time left at most when the record of the owner before was read. */
+  std::map<WorkerId, Duration> inherited;
+};
+
 /** Order in which waiting steps get workers; the smallest is first. */
 struct ReadyKey {
   uint32_t priority = 0;
@@ -250,6 +261,7 @@
   Policy policy;
   InterferenceModel interference;
   std::optional<TimePoint> interference_stored_at;
+  LeaseNotes lease_notes;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> jobs;
   /** Cancellations that were read before their jobs. */
   std::set<JobId> early_cancellations;
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/sched/assignment.h"
+#include "src/sched/lease_notes.h"
 #include "src/sched/pacing.h"
 #include "src/sched/task_placement.h"
 
@@ -114,7 +115,8 @@
                                 TimePoint now) {
   if (!worker.listed)
     return WorkerEligibility::kNotListed;
-  if (worker.reachability != Reachability::kReachable)
+  if (worker.reachability != Reachability::kReachable ||
+      IsLeaseNoted(state, worker.info.id))
     return WorkerEligibility::kNotReachable;
   if (worker.info.draining)
     return WorkerEligibility::kDraining;
--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -205,7 +205,10 @@
     hooks.on_event();
   if (!hooks.has_authority())
     co_return kPauseAfterError;
-  co_return waited ? kPauseAfterListing : Duration(0);
+  if (waited)
+    co_return kPauseAfterListing;
+  // A known instance gets no lease until it is stored that it answers again.
+  co_return request.terms ? kPauseWhileBehind : Duration(0);
 }
 
 asio::awaitable<void> WorkerDriver::Impl::ListRepeatedly(
--- a/tests/sched/waiting_work_test.cc
+++ b/tests/sched/waiting_work_test.cc
@@ -318,7 +318,7 @@
 }
 
 TEST_CASE("a long-running task waits for its lost worker at a change of owner",
-          "[.known-red]") {
+          "[sched][lost]") {
   const auto system = MakeCells(1, 4);
   WaitingWorkChecker checker(*system);
   const std::string job =
