A submission is stored with the policy of its queue

Cause: the policy of a queue came from the newest manifest alone. After the operators had removed the queue, a later owner took a default for it: no service, so that nothing was placed, and one attempt, so that the first failed run of a task ended the job.

Change: a submission is stored with the policy of its queue, which counts where neither the manifest nor the owner knows the queue. Without any policy a job never fails by a count of attempts.

The sched tests "a job of a removed queue is not placed after a change of owner", until now in KNOWN-RED.txt, and "... fails before its last attempt" fail without the change and pass with it.

--- a/include/cowslipmast/sched/job.h
+++ b/include/cowslipmast/sched/job.h
@@ -2,6 +2,7 @@
 #define COWSLIPMAST_SCHED_JOB_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,19 @@
   bool operator==(const StepSpec&) const = default;
 };
 
+/** Operator settings for the jobs of a queue. */
+struct QueuePolicy {
+  ServiceId service;          // the pool of workers that runs its tasks
+  uint32_t priority = 0;      // 0 comes first
+  uint32_t max_attempts = 1;  // failed runs of a task after which the job fails
+  /** An iteration's objective is to end this factor times the critical path of
+   * its steps, plus the offset, after it is due. */
+  double critical_path_factor = 1.0;
+  Duration objective_offset{0};
+
+  bool operator==(const QueuePolicy&) const = default;
+};
+
 /** A job as submitted by its caller. */
 struct JobDefinition {
   JobId id;
@@ -51,6 +65,9 @@
   WallTime first_due;       // of iteration 0
   Duration interval{0};     // between iterations
   WallTime accepted;        // when the submission was accepted
+  /** Policy of the queue at that time. It counts once the operators have
+   * removed the queue; nothing in records of earlier versions. */
+  std::optional<QueuePolicy> accepted_policy;
 
   bool operator==(const JobDefinition&) const = default;
 };
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -74,6 +74,19 @@
   return step;
 }
 
+json EncodePolicy(const QueuePolicy& policy) {
+  return {policy.service.value(), policy.priority, policy.max_attempts,
+          policy.critical_path_factor, policy.objective_offset.count()};
+}
+
+QueuePolicy DecodePolicy(const json& j) {
+  return {.service = ServiceId(j.at(0).get<std::string>()),
+          .priority = j.at(1).get<uint32_t>(),
+          .max_attempts = j.at(2).get<uint32_t>(),
+          .critical_path_factor = j.at(3).get<double>(),
+          .objective_offset = Duration(j.at(4).get<int64_t>())};
+}
+
 }  // namespace
 
 std::string EncodeJob(const JobDefinition& spec) {
@@ -91,6 +104,8 @@
     j["f"] = spec.first_due.time_since_epoch().count();
     j["ev"] = spec.interval.count();
   }
+  if (spec.accepted_policy)
+    j["qp"] = EncodePolicy(*spec.accepted_policy);
   const std::vector<uint8_t> bytes = json::to_cbor(j);
   return {bytes.begin(), bytes.end()};
 }
@@ -117,6 +132,8 @@
     spec.iterations = j.value("i", 0U);
     spec.first_due = WallTime(Duration(j.value("f", int64_t{0})));
     spec.interval = Duration(j.value("ev", int64_t{0}));
+    if (const auto policy = j.find("qp"); policy != j.end())
+      spec.accepted_policy = DecodePolicy(*policy);
     return spec;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "src/sched/assignment.h"
@@ -85,9 +86,16 @@
 }
 
 const QueuePolicy& PolicyOf(const State& state, const Job& job) {
-  static const QueuePolicy unknown_queue;
+  // Without a policy nothing is known of a service or of permitted attempts, so
+  // that a job neither starts nor fails.
+  static const QueuePolicy unknown_queue{
+      .service = ServiceId(),
+      .priority = 0,
+      .max_attempts = std::numeric_limits<uint32_t>::max()};
   const auto found = state.policy.queues.find(job.spec.queue);
-  return found == state.policy.queues.end() ? unknown_queue : found->second;
+  if (found != state.policy.queues.end())
+    return found->second;
+  return job.spec.accepted_policy ? *job.spec.accepted_policy : unknown_queue;
 }
 
 void MarkDirty(State& state, Iteration& iteration) {
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -39,8 +39,8 @@
 /** Ends a job that failed or was cancelled, and stops its tasks. */
 void EndJob(State& state, Job& job, JobState end, TimePoint now);
 
-/** Policy of the job's queue; the last known one if the operators removed the
- * queue. */
+/** Policy of the job's queue; if the operators removed the queue, the last one
+ * that this owner knows, or that at the job's acceptance. */
 const QueuePolicy& PolicyOf(const State& state, const Job& job);
 
 /** Adds a job that is not known yet; its iterations are created later. */
--- a/tests/sched/removed_queue_test.cc
+++ b/tests/sched/removed_queue_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "cowslipmast/sched/job_codec.h"
 #include "tests/sched/simulated_cell.h"
 
 namespace cowslipmast::sched {
@@ -11,7 +12,7 @@
 using std::chrono::seconds;
 
 TEST_CASE("a job of a removed queue is not placed after a change of owner",
-          "[.known-red]") {
+          "[sched][lost]") {
   SimulatedCell cell;
   cell.AddWorkers(2, 16, 64000);
   cell.SetQueue("q", MakePolicy(0, 2));
@@ -31,5 +32,35 @@
   CHECK(cell.StateOf("a") == JobState::kCompleted);
 }
 
+TEST_CASE("a job of a removed queue fails before its last attempt",
+          "[sched][lost]") {
+  SimulatedCell cell;
+  cell.AddWorkers(2, 16, 64000);
+  cell.SetQueue("q", MakePolicy(0, 4));
+  cell.SetQueue("other", MakePolicy(0, 4));
+  cell.Run(milliseconds(100));
+  cell.Submit(MakeJob("a", "q", {MakeStep(2, 2, 1000, 1)}));
+  cell.run_fails = [](const TaskName&) { return true; };
+  cell.Run(milliseconds(300));
+  cell.run_fails = nullptr;
+  REQUIRE(cell.CountRunning("a") == 2);
+  cell.RemoveQueue("q");
+  SECTION("with the same owner") {}
+  SECTION("with another owner") {
+    cell.ReplaceOwner();
+  }
+  cell.Run(seconds(5));
+  CHECK(cell.StateOf("a") == JobState::kCompleted);
+}
+
+TEST_CASE("the policy of a job's queue is lost in its record", "[sched]") {
+  JobDefinition job = MakeJob("a", "q", {MakeStep(2, 2, 1000, 1)});
+  job.accepted_policy = MakePolicy(3, 4);
+  CHECK(DecodeJob(EncodeJob(job)) == job);
+  // As written by earlier versions.
+  job.accepted_policy.reset();
+  CHECK(DecodeJob(EncodeJob(job)) == job);
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -60,6 +60,9 @@
 
 void SimulatedCell::Submit(JobDefinition spec) {
   spec.accepted = WallTime(m_now.time_since_epoch());
+  const auto policy = m_policy.queues.find(spec.queue);
+  if (policy != m_policy.queues.end())
+    spec.accepted_policy = policy->second;
   m_jobs.emplace(spec.id, spec);
   m_open_jobs.insert(spec.id);
   m_submitted.insert(spec.id);
