A record that is nested too deeply no longer ends the process

Cause: the CBOR decoder calls itself for each level of nesting. One record of nested arrays in a topic of jobs, progress or claims ended the process that read it, and each owner after it.

platform_test "[hostile]" ended with a segmentation fault once such a record was in it, and passes with the change.

--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -5,6 +5,8 @@
 
 #include "cowslipmast/sched/job_codec.h"
 
+#include "src/core/cbor.h"
+
 namespace cowslipmast::sched {
 
 namespace {
@@ -95,7 +97,7 @@
 }
 
 std::optional<JobTransfer> DecodeTransfer(std::string_view bytes) {
-  const json j = json::from_cbor(bytes, true, false);
+  const json j = ParseCbor(bytes);
   if (!j.is_object())
     return std::nullopt;
   try {
--- a/src/sched/interference_codec.cc
+++ b/src/sched/interference_codec.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/core/cbor.h"
+
 namespace cowslipmast::sched {
 
 namespace {
@@ -140,7 +142,7 @@
 }
 
 bool ApplyInterference(State& state, std::string_view bytes) {
-  const json stored = json::from_cbor(bytes, true, false);
+  const json stored = ParseCbor(bytes);
   if (!stored.is_object())
     return false;
   std::vector<std::pair<ImageId, StoredModel>> decoded;
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/core/cbor.h"
+
 namespace cowslipmast::sched {
 
 namespace {
@@ -111,7 +113,7 @@
 }
 
 std::optional<JobDefinition> DecodeJob(std::string_view bytes) {
-  const json j = json::from_cbor(bytes, true, false);
+  const json j = ParseCbor(bytes);
   if (j.is_discarded())
     return std::nullopt;
   try {
--- a/src/sched/lease_notes.cc
+++ b/src/sched/lease_notes.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/core/cbor.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -70,7 +71,7 @@
 }
 
 bool ApplyLeaseNotes(State& state, const std::string& value) {
-  const json left = json::from_cbor(value, true, false);
+  const json left = ParseCbor(value);
   if (!left.is_object())
     return false;
   for (const auto& [id, rest] : left.items()) {
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/core/cbor.h"
 #include "src/core/strings.h"
 #include "src/sched/assignment.h"
 #include "src/sched/jobs.h"
@@ -158,7 +159,7 @@
   if (found == state.jobs.end())
     return false;
   Job& job = *found->second;
-  const json stored = json::from_cbor(record.value, true, false);
+  const json stored = ParseCbor(record.value);
   if (stored.is_discarded())
     return false;
   try {
--- a/src/sched/shared_interference.cc
+++ b/src/sched/shared_interference.cc
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "src/core/cbor.h"
+
 namespace cowslipmast::sched {
 
 namespace {
@@ -49,7 +51,7 @@
 }
 
 std::optional<std::vector<LearnedImage>> Decode(std::string_view bytes) {
-  const json stored = json::from_cbor(bytes, true, false);
+  const json stored = ParseCbor(bytes);
   if (!stored.is_object())
     return std::nullopt;
   try {
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -16,23 +16,66 @@
 
 // Values that a field or record may have instead of the expected one.
 std::vector<std::string> MalformedTexts() {
-  return {"",
-          "null",
-          "[]",
-          "17",
-          "\"text\"",
-          "{}",
-          "{\"waiting\":\"many\"}",
+  return {"", "null", "[]", "17", "\"text\"", "{}", "{\"waiting\":\"many\"}",
           "{\"state\":7,\"reason\":9}",
           R"({"epoch":"x","owning":3,"patience_ms":1e300})",
           R"({"epoch":1,"process":5,"address":[],"port":-1,"released":2})",
           R"({"service":7,"address":"nowhere","state":"odd","labels":{}})",
           R"({"version":-4,"routes":[{"name":1}]})",
-          std::string("\xff\xfe\x00{", 4),
-          std::string(5000, '['),
+          std::string("\xff\xfe\x00{", 4), std::string(5000, '['),
+          // As deep as a record or a body can be, in CBOR and in JSON.
+          std::string(250000, '\x81'),
+          std::string(120000, '[') + std::string(120000, ']'),
           "\xa3\x61\x73\x01"};
 }
 
+// Entries of workers of which one part is odd: another writer may leave them.
+std::vector<std::string> OddWorkerEntries() {
+  // As deep as a record of the store can be.
+  constexpr size_t kDepth = 120000;
+  const std::string deep_array =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string deep_object = "1";
+  std::string open;
+  for (size_t i = 0; i < kDepth / 3; ++i) {
+    open += R"({"a":)";
+    deep_object += "}";
+  }
+  deep_object = open + deep_object;
+  const auto entry = [](const std::string& address, const std::string& cpu,
+                        const std::string& labels, const std::string& born) {
+    return R"({"service":"quote-server","address":)" + address +
+           R"(,"zone":"cebu","state":"ready","slots":8,"capacity":{"cpu":)" +
+           cpu + R"(,"mem-mb":64000,"gpu":0},"labels":)" + labels +
+           R"(,"born":)" + born + "}";
+  };
+  const std::string address = "\"127.0.0.1:9\"";
+  const std::string labels = R"(["a","r1-1"])";
+  std::vector<std::string> entries;
+  for (const std::string& odd : {deep_array, deep_object}) {
+    entries.push_back(odd);
+    entries.push_back(entry(odd, "1000", labels, "1"));
+    entries.push_back(entry(address, odd, labels, "1"));
+    entries.push_back(entry(address, "1000", odd, "1"));
+    entries.push_back(entry(address, "1000", "[" + odd + "]", "1"));
+    entries.push_back(entry(address, "1000", labels, odd));
+  }
+  for (const std::string& odd :
+       {std::string("1e400"), std::string("-1e400"), std::string(400, '9'),
+        std::string("18446744073709551616"), std::string("1e308")}) {
+    entries.push_back(entry(address, odd, labels, "1"));
+    entries.push_back(entry(address, "1000", labels, odd));
+    entries.push_back(entry(odd, "1000", labels, "1"));
+  }
+  for (const char* odd :
+       {"\"127.0.0.1:65536\"", "\"127.0.0.1:-1\"", "\"127.0.0.1:0\"",
+        "\"127.0.0.1:99999999999999999999\"", "\"127.0.0.1:\"",
+        "\"127.0.0.1:9x\"", "\":9\"", "\"[::1]:70000\"", "\"300.0.0.1:9\"",
+        "9"})
+    entries.push_back(entry(odd, "1000", labels, "1"));
+  return entries;
+}
+
 TEST_CASE("a scheduler process that gets malformed input", "[hostile]") {
   TestSystem system(3);
   TestProcess& process = system.AddProcess();
@@ -77,6 +120,30 @@
     // A new owner reads all of them from the start.
     system.RestartProcess(0);
   }
+  SECTION("follows the list of workers past an odd entry") {
+    // Guards against a process that ends, or stops following the list, after
+    // one entry that is nested too deeply or has a number or port out of range.
+    int number = 0;
+    for (const std::string& entry : OddWorkerEntries())
+      system.PutRecord("keyed.servers", "odd-" + std::to_string(number++),
+                       entry);
+    // Read one by one, and as the newest records by the next process.
+    std::this_thread::sleep_for(seconds(1));
+    for (const bool restarted : {false, true}) {
+      if (restarted)
+        system.RestartProcess(0);
+      REQUIRE(system.WaitForOwner(seconds(20)));
+      system.PutRecord("keyed.servers", "i-1", "");
+      const std::string id =
+          restarted ? "00000000000000c5" : "00000000000000c4";
+      std::this_thread::sleep_for(seconds(1));
+      REQUIRE(system.Submit(system.process(0), id, 4) == 200);
+      CHECK(
+          system.WaitForState(system.process(0), id, "completed", seconds(20)));
+      for (const auto& [task, workers] : system.Observations().workers)
+        CHECK(workers.count("i-1") == 0);
+    }
+  }
   REQUIRE(system.WaitForOwner(seconds(20)));
   REQUIRE(system.Submit(system.process(0), kJobId, 4) == 200);
   CHECK(
