--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -32,12 +32,12 @@
 // Entries of workers of which one part is odd: another writer may leave them.
 std::vector<std::string> OddWorkerEntries() {
   // As deep as a record of the store can be.
-  constexpr size_t kDepth = 120000;
+  constexpr size_t depth = 120000;
   const std::string deep_array =
-      std::string(kDepth, '[') + std::string(kDepth, ']');
+      std::string(depth, '[') + std::string(depth, ']');
   std::string deep_object = "1";
   std::string open;
-  for (size_t i = 0; i < kDepth / 3; ++i) {
+  for (size_t i = 0; i < depth / 3; ++i) {
     open += R"({"a":)";
     deep_object += "}";
   }
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -45,7 +45,9 @@
     scheduler->SetPolicy(policy, now);
     scheduler->FinishRestore(now);
     port.list = [this](const WorkerInfo&, ListRequest request,
-                       WorkerCallError& error) { return List(request, error); };
+                       WorkerCallError& error) {
+      return List(std::move(request), error);
+    };
     port.start = [this](WorkerInfo, StartRunCommand, uint64_t,
                         WorkerClock) -> asio::awaitable<StartOutcome> {
       const size_t call = start_calls++;
