--- a/tests/platform/cells_test.cc
+++ b/tests/platform/cells_test.cc
@@ -68,8 +68,10 @@
     const RunObservations observations = system.Observations();
     CHECK(observations.done.size() == 120);
     CHECK(observations.violations.empty());
-    CHECK(system.Call(system.process(0), "GET", "/q/")->body ==
-          R"({"waiting":0})");
+    // Named first, so that a failure shows it.
+    const auto waiting = system.Call(system.process(0), "GET", "/q/");
+    REQUIRE(waiting);
+    CHECK(waiting->body == R"({"waiting":0})");
     CHECK(system.Call(system.process(1), "GET", "/q/" + JobName(99))->status ==
           410);
   }
