log: a counted crash names the instance, the run and whether it had started

The line worker_crashed gave the run that the task has now, and not the one that ended, so that an end that counts twice could not be told from two ends, nor a start that never reached the worker from a run.

The line now names the ended run, its instance by start time, and whether the instance had confirmed the start. No decision changes.

--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -121,6 +121,8 @@
     const bool blamed = HasJustStarted(worker, TaskOf(ref));
     suspects.push_back({NameOf(ref),
                         {.run = TaskOf(ref).run,
+                         .start_time_ms = TaskOf(ref).worker_start_time_ms,
+                         .is_confirmed = TaskOf(ref).started.has_value(),
                          .blamed = blamed,
                          .alone = blamed && just_started == 1,
                          .lone_end = lone_end,
@@ -169,7 +171,11 @@
          " blamed=" + std::to_string(crashes.blamed) +
          " alone=" + std::to_string(static_cast<int>(last.alone)) +
          " unexplained_ends=" + std::to_string(last.unexplained_ends) +
-         " of=" + worker.value() + " reason=" + std::string(reason);
+         " of=" + worker.value() +
+         " born=" + std::to_string(last.start_time_ms) +
+         " run=" + std::to_string(last.run.value()) +
+         " confirmed=" + std::to_string(static_cast<int>(last.is_confirmed)) +
+         " reason=" + std::string(reason);
 }
 
 void CountCrash(State& state,
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -299,7 +299,7 @@
   // It is reported again as long as the platform lists the worker.
   if (!worker.instance && worker.tasks.empty())
     return;
-  HandleEndedInstance(state, index, "worker instance is gone", now);
+  HandleEndedInstance(state, index, "another instance answers", now);
 }
 
 void Scheduler::OnInstanceEnded(const WorkerInstance& instance, TimePoint now) {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -44,6 +44,8 @@
 /** What the end of a worker says of a run that it had. */
 struct CrashEvidence {
   RunNumber run;
+  int64_t start_time_ms = 0;  // of the instance that had the run
+  bool is_confirmed = false;  // the start, to this owner
   bool blamed = false;     // the run had just started
   bool alone = false;      // no other run had just started
   bool lone_end = false;   // no other worker had ended at about that time
