A job is given up only for proven crashes of workers

Cause: a guess stood for a proof. An expired lease of a worker that the platform no longer lists, and the removal itself, counted as a crash under each task of the worker. A worker that is only partitioned shows both, since the platform removes its entry after three heartbeats of silence. Two such ends sufficed for a short task whose run had started since the worker's last listing, five for a long-running one. The announcement that a worker leaves was forgotten with the entry of its next instance, so that a planned restart could count as well.

Change: a crash counts towards the end of a job only with a CrashProof. One is made if something else answers in place of the instance, which had not announced that it leaves, had confirmed the start or listed the run, and had got no stop, before the run's lease expired; after that only if the run had just started when the instance was last heard. Counts that earlier versions stored are not proven. For a task under which workers have ended, the confirmed start is stored, so that the next owner can prove a crash that it did not see. A run counts once, and not after a later run has cleared the task.

--- a/include/cowslipmast/sched/job.h
+++ b/include/cowslipmast/sched/job.h
@@ -90,10 +90,11 @@
   }
 };
 
-/** Worker instances that ended while they ran a task. */
+/** Worker instances that ended while they ran a task, or may have run it. */
 struct CrashCount {
   uint32_t total = 0;
-  uint32_t blamed = 0;  // of these, the ones that ended just after its start
+  uint32_t blamed = 0;  // proven ones that ended just after its start
+  uint32_t proven = 0;  // that certainly ran it when they ended
 
   bool operator==(const CrashCount&) const = default;
 };
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -56,6 +56,7 @@
   task.worker = kNoWorker;
   task.worker_start_time_ms = 0;
   task.started.reset();
+  task.is_confirmed = false;
   task.visible_from.reset();
   task.stop_sent.reset();
   task.last_progress.reset();
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -27,14 +27,19 @@
 json EncodeTask(const MovedTask& task) {
   return json::array({task.step, task.index, task.run.value(), task.failures,
                       task.checkpoint, task.waited.count(), task.crashes.total,
-                      task.crashes.blamed});
+                      task.crashes.blamed, task.crashes.proven});
 }
 
 MovedTask DecodeTask(const json& j) {
   // Earlier versions store neither the wait nor crashes.
   CrashCount crashes;
-  if (j.size() > 7)
-    crashes = {j.at(6).get<uint32_t>(), j.at(7).get<uint32_t>()};
+  if (j.size() > 6)
+    crashes.total = j.at(6).get<uint32_t>();
+  // What earlier versions store is not proven.
+  if (j.size() > 8) {
+    crashes.blamed = j.at(7).get<uint32_t>();
+    crashes.proven = j.at(8).get<uint32_t>();
+  }
   return {.step = j.at(0).get<uint32_t>(),
           .index = j.at(1).get<uint32_t>(),
           .run = RunNumber(j.at(2).get<uint64_t>()),
--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "src/sched/assignment.h"
+#include "src/sched/crash_proof.h"
 #include "src/sched/jobs.h"
+#include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
 
@@ -37,6 +39,8 @@
 // platform tolerates five starts of a task that crashes its workers.
 constexpr uint32_t kMaxCrashes = 5;
 constexpr uint32_t kMinBlamedAtLimit = 2;
+// One crash may be an accident.
+constexpr uint32_t kMinProvenCrashes = 2;
 // A task that crashes each worker is blamed each time, unless the response to
 // its start was lost or the owner that saw it start was replaced.
 constexpr uint32_t kMaxNotBlamed = 1;
@@ -87,12 +91,23 @@
   return started;
 }
 
+RunOnInstance DescribeRun(const WorkerState& worker,
+                          const Task& task,
+                          TimePoint now) {
+  return {.run = task.run,
+          .start_time_ms = task.worker_start_time_ms,
+          .is_confirmed = task.is_confirmed,
+          .is_stopping = task.phase == SchedulingPhase::kStopping,
+          .lease_expired = now >= worker.lease_expiry,
+          .had_just_started = HasJustStarted(worker, task)};
+}
+
 // What the end of the worker says of each of the tasks.
 std::vector<Suspect> FindSuspects(State& state,
                                   const WorkerState& worker,
                                   const std::vector<TaskRef>& tasks,
                                   TimePoint now) {
-  if (worker.info.draining)
+  if (HasAnnouncedLeaving(worker, CurrentInstance(worker).start_time_ms))
     return {};
   // A worker without runs shows that its end has another cause, too.
   size_t just_started = 0;
@@ -118,11 +133,10 @@
   state.last_worker_end = now;
   std::vector<Suspect> suspects;
   for (const TaskRef& ref : tasks) {
-    const bool blamed = HasJustStarted(worker, TaskOf(ref));
+    const RunOnInstance run = DescribeRun(worker, TaskOf(ref), now);
+    const bool blamed = run.had_just_started;
     suspects.push_back({NameOf(ref),
-                        {.run = TaskOf(ref).run,
-                         .start_time_ms = TaskOf(ref).worker_start_time_ms,
-                         .is_confirmed = TaskOf(ref).started.has_value(),
+                        {.run = run,
                          .blamed = blamed,
                          .alone = blamed && just_started == 1,
                          .lone_end = lone_end,
@@ -141,6 +155,8 @@
 bool IsGuilty(const StepSpec& spec,
               const CrashCount& crashes,
               const CrashEvidence& last) {
+  if (crashes.proven < kMinProvenCrashes)
+    return false;
   if (!spec.long_running && crashes.total >= kMaxCrashes &&
       crashes.blamed >= kMinBlamedAtLimit)
     return true;
@@ -168,69 +184,94 @@
                      const WorkerId& worker,
                      std::string_view reason) {
   return "crashes=" + std::to_string(crashes.total) +
+         " proven=" + std::to_string(crashes.proven) +
          " blamed=" + std::to_string(crashes.blamed) +
          " alone=" + std::to_string(static_cast<int>(last.alone)) +
          " unexplained_ends=" + std::to_string(last.unexplained_ends) +
          " of=" + worker.value() +
-         " born=" + std::to_string(last.start_time_ms) +
-         " run=" + std::to_string(last.run.value()) +
-         " confirmed=" + std::to_string(static_cast<int>(last.is_confirmed)) +
+         " born=" + std::to_string(last.run.start_time_ms) +
+         " run=" + std::to_string(last.run.run.value()) + " confirmed=" +
+         std::to_string(static_cast<int>(last.run.is_confirmed)) +
          " reason=" + std::string(reason);
 }
 
-void CountCrash(State& state,
-                const WorkerId& worker,
-                const Suspect& suspect,
-                std::string_view reason,
-                TimePoint now) {
+// Fails the job if the proven crash, with those before, shows that the task
+// crashes its workers.
+void EndGuiltyJob(State& state,
+                  const CrashProof& /*crash*/,
+                  const TaskRef& ref,
+                  const CrashEvidence& last,
+                  const std::string& detail,
+                  TimePoint now) {
+  if (!IsGuilty(SpecOf(ref), TaskOf(CountedTask(ref)).crashes, last))
+    return;
+  ++state.counters.jobs_given_up;
+  LogDecision(state, "job_failed", ref, detail);
+  EndJob(state, *ref.iteration->job, JobState::kFailed, now);
+}
+
+void CountEnd(State& state,
+              const InstanceEndProof& end,
+              const Suspect& suspect,
+              std::string_view reason,
+              TimePoint now) {
   const auto ref = FindTask(state, suspect.name);
   if (!ref || TaskOf(*ref).phase == SchedulingPhase::kDone ||
       ref->iteration->job->ended_at)
     return;
   const TaskRef counted = CountedTask(*ref);
-  // The workers of several members may end at once.
-  if (SpecOf(*ref).gang &&
-      TaskOf(counted).last_crashed_run == suspect.evidence.run)
+  const RunNumber run = suspect.evidence.run.run;
+  // The workers of several members of a gang may end at once, and an end may
+  // become known only after a later run has cleared the task.
+  if (TaskOf(counted).last_crashed_run == run ||
+      run <= TaskOf(counted).cleared_run)
     return;
-  TaskOf(counted).last_crashed_run = suspect.evidence.run;
+  TaskOf(counted).last_crashed_run = run;
+  const auto crash = CrashProof::Make(end, suspect.evidence.run);
   CrashCount crashes = TaskOf(counted).crashes;
   ++crashes.total;
-  crashes.blamed += suspect.evidence.blamed ? 1 : 0;
+  crashes.proven += crash ? 1 : 0;
+  crashes.blamed += crash && suspect.evidence.blamed ? 1 : 0;
   SetCrashes(state, counted, crashes);
   MarkDirty(state, *counted.iteration);
   const std::string detail =
-      Describe(crashes, suspect.evidence, worker, reason);
-  LogDecision(state, "worker_crashed", *ref, detail);
-  if (!IsGuilty(SpecOf(*ref), crashes, suspect.evidence))
-    return;
-  ++state.counters.jobs_given_up;
-  LogDecision(state, "job_failed", *ref, detail);
-  EndJob(state, *ref->iteration->job, JobState::kFailed, now);
+      Describe(crashes, suspect.evidence, end.ended().id, reason);
+  LogDecision(state, crash ? "worker_crashed" : "crash_not_proven", *ref,
+              detail);
+  if (crash)
+    EndGuiltyJob(state, *crash, *ref, suspect.evidence, detail, now);
 }
 
-void CountCrashes(State& state,
-                  int32_t worker,
-                  const std::vector<Suspect>& suspects,
-                  std::string_view reason,
-                  TimePoint now) {
-  if (suspects.empty())
-    return;
-  ++state.counters.worker_crashes;
-  const WorkerId id = WorkerAt(state, worker).info.id;
-  for (const Suspect& suspect : suspects)
-    CountCrash(state, id, suspect, reason, now);
+// To be called when something else answers in place of the instances of the
+// suspects.
+void CountEnds(State& state,
+               int32_t worker,
+               const std::vector<Suspect>& suspects,
+               std::string_view reason,
+               TimePoint now) {
+  bool is_counted = false;
+  for (const Suspect& suspect : suspects) {
+    const auto end = InstanceEndProof::Make(WorkerAt(state, worker),
+                                            suspect.evidence.run.start_time_ms);
+    if (!end)
+      continue;
+    is_counted = true;
+    CountEnd(state, *end, suspect, reason, now);
+  }
+  state.counters.worker_crashes += is_counted ? 1 : 0;
 }
 
-// Counts the end of a worker whose tasks were requeued when its lease expired.
-void CountSilentEnd(State& state,
-                    int32_t worker,
-                    std::string_view reason,
-                    TimePoint now) {
+// Counts the ends of instances whose tasks were requeued when their leases
+// expired.
+void CountSilentEnds(State& state,
+                     int32_t worker,
+                     std::string_view reason,
+                     TimePoint now) {
   std::vector<Suspect> suspects;
   for (const auto& [name, evidence] :
        std::exchange(WorkerAt(state, worker).silent_tasks, {}))
     suspects.push_back({name, evidence});
-  CountCrashes(state, worker, suspects, reason, now);
+  CountEnds(state, worker, suspects, reason, now);
 }
 
 }  // namespace
@@ -239,14 +280,14 @@
                          int32_t worker,
                          std::string_view reason,
                          TimePoint now) {
-  CountSilentEnd(state, worker, reason, now);
+  CountSilentEnds(state, worker, reason, now);
   const std::vector<Suspect> suspects =
       FindSuspects(state, WorkerAt(state, worker),
                    StartedTasks(WorkerAt(state, worker)), now);
   RequeueAllTasks(state, worker, reason, now);
   WorkerAt(state, worker).instance.reset();
   WorkerAt(state, worker).health = WorkerHealth{};
-  CountCrashes(state, worker, suspects, reason, now);
+  CountEnds(state, worker, suspects, reason, now);
 }
 
 void HandleTasksOfEarlierInstance(State& state,
@@ -269,48 +310,59 @@
     LogDecision(state, "run_lost", ref, std::string(reason));
     RequeueTask(state, ref, now);
   }
-  CountCrashes(state, worker, suspects, reason, now);
+  CountEnds(state, worker, suspects, reason, now);
 }
 
 void HandleExpiredLease(State& state, int32_t worker, TimePoint now) {
-  constexpr std::string_view reason = "lease expired";
   const std::vector<Suspect> suspects =
       FindSuspects(state, WorkerAt(state, worker),
                    StartedTasks(WorkerAt(state, worker)), now);
-  RequeueAllTasks(state, worker, reason, now);
-  if (!WorkerAt(state, worker).listed) {
-    CountCrashes(state, worker, suspects, reason, now);
-    return;
-  }
+  RequeueAllTasks(state, worker, "lease expired", now);
   for (const Suspect& suspect : suspects)
     WorkerAt(state, worker).silent_tasks[suspect.name] = suspect.evidence;
 }
 
-void HandleRemovedWorker(State& state, int32_t worker, TimePoint now) {
-  CountSilentEnd(state, worker, "removed by the platform", now);
-}
-
-void HandleSurvivedPartition(State& state, int32_t worker) {
-  WorkerAt(state, worker).silent_tasks.clear();
+void ResolveSilentEnds(State& state,
+                       int32_t worker,
+                       int64_t start_time_ms,
+                       TimePoint now) {
+  auto& silent = WorkerAt(state, worker).silent_tasks;
+  std::erase_if(silent, [start_time_ms](const auto& entry) {
+    const int64_t ended = entry.second.run.start_time_ms;
+    return ended == 0 || start_time_ms == 0 || ended == start_time_ms;
+  });
+  CountSilentEnds(state, worker, "worker restarted", now);
 }
 
 void ClearSurvivors(State& state, int32_t worker, TimePoint now) {
   for (const TaskRef& ref : WorkerAt(state, worker).tasks) {
     const Task& task = TaskOf(ref);
-    if (IsSuspect(task) && task.phase == SchedulingPhase::kRunning &&
-        task.visible_from && now - *task.visible_from >= kSurvivalTime)
+    if (task.phase == SchedulingPhase::kRunning && task.visible_from &&
+        now - *task.visible_from >= kSurvivalTime)
       ClearSuspicion(state, ref);
   }
 }
 
 void ClearSuspicion(State& state, const TaskRef& ref) {
   const TaskRef counted = CountedTask(ref);
+  TaskOf(counted).cleared_run = TaskOf(ref).run;
   if (!IsSuspect(TaskOf(counted)))
     return;
   SetCrashes(state, counted, CrashCount{});
   MarkDirty(state, *counted.iteration);
 }
 
+void ConfirmStart(State& state, const TaskRef& ref) {
+  if (TaskOf(ref).is_confirmed)
+    return;
+  TaskOf(ref).is_confirmed = true;
+  if (!IsSuspect(TaskOf(CountedTask(ref))))
+    return;
+  // A later owner may be the one that learns of the next crash.
+  MarkDirty(state, *ref.iteration);
+  state.needs_plan = true;
+}
+
 bool IsSuspect(const Task& task) {
   return task.crashes.total > 0;
 }
--- a/src/sched/crash_suspects.h
+++ b/src/sched/crash_suspects.h
@@ -27,19 +27,23 @@
                                   TimePoint now);
 
 /** The lease of an unreachable worker has expired: requeues its tasks. Whether
- * the worker crashed or is only partitioned is known once it answers or the
- * platform removes it. */
+ * the worker crashed or is only partitioned is known once it answers. */
 void HandleExpiredLease(State& state, int32_t worker, TimePoint now);
 
-/** The platform has removed a worker. */
-void HandleRemovedWorker(State& state, int32_t worker, TimePoint now);
-
-/** The instance that the worker had before it became unreachable answers. */
-void HandleSurvivedPartition(State& state, int32_t worker);
+/** The worker answers after its lease had expired: counts the end of the
+ * instance that it had then if it is another one now. */
+void ResolveSilentEnds(State& state,
+                       int32_t worker,
+                       int64_t start_time_ms,
+                       TimePoint now);
 
 /** Clears tasks that have run long enough without a crash of their worker. */
 void ClearSurvivors(State& state, int32_t worker, TimePoint now);
 
+/** The worker has the run: stores that for a task under which workers have
+ * ended. */
+void ConfirmStart(State& state, const TaskRef& ref);
+
 /** A run has ended on a worker that goes on: clears its task. */
 void ClearSuspicion(State& state, const TaskRef& ref);
 
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -62,6 +62,7 @@
     return;
   }
   NoteStart(*ref->iteration->job);
+  ConfirmStart(state, *ref);
   Task& task = TaskOf(*ref);
   task.last_listing = worker_state.listing_count;
   RecordProgress(task, running, now);
@@ -110,7 +111,7 @@
   if (worker_state.instance && !IsSame(*worker_state.instance, listing))
     HandleEndedInstance(state, worker, "worker restarted", now);
   HandleTasksOfEarlierInstance(state, worker, listing.start_time_ms, now);
-  HandleSurvivedPartition(state, worker);
+  ResolveSilentEnds(state, worker, listing.start_time_ms, now);
   if (worker_state.reachability != Reachability::kReachable)
     state.needs_plan = true;
   worker_state.reachability = Reachability::kReachable;
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -1,5 +1,6 @@
 #include "src/sched/progress.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -22,7 +23,8 @@
 constexpr int kDoneCode = 2;
 constexpr int kElsewhereCode = 3;
 
-json EncodeTaskProgress(const State& state, const Task& task) {
+// `is_suspect` is true if a worker has ended under a task of the step.
+json EncodeTaskProgress(const State& state, const Task& task, bool is_suspect) {
   if (task.phase == SchedulingPhase::kDone)
     return json(kDoneCode);
   json fields = json::array();
@@ -40,14 +42,18 @@
   } else if (elsewhere) {
     fields.push_back(task.other_cell);
   }
-  if (!placed && task.crashes.total == 0)
+  if (!placed && !is_suspect)
     return fields;
   if (!placed && !elsewhere)
     fields.push_back(nullptr);
   fields.push_back(task.crashes.total);
   fields.push_back(task.crashes.blamed);
-  if (placed)
+  if (placed || is_suspect)
     fields.push_back(task.worker_start_time_ms);
+  if (is_suspect) {
+    fields.push_back(task.crashes.proven);
+    fields.push_back(task.is_confirmed);
+  }
   return fields;
 }
 
@@ -69,7 +75,12 @@
   task.checkpoint = stored.at(3).get<std::string>();
   // Earlier versions store no crashes.
   if (stored.size() > 6)
-    task.crashes = {stored.at(5).get<uint32_t>(), stored.at(6).get<uint32_t>()};
+    task.crashes.total = stored.at(5).get<uint32_t>();
+  // What earlier versions store is not proven.
+  if (stored.size() > 9) {
+    task.crashes.blamed = stored.at(6).get<uint32_t>();
+    task.crashes.proven = stored.at(8).get<uint32_t>();
+  }
   if (task.run > ref.iteration->job->base_run)
     ref.iteration->job->may_have_started = true;
   const int code = stored.at(0).get<int>();
@@ -84,6 +95,8 @@
   AssignToWorker(state, ref, worker);
   if (stored.size() > 7)
     task.worker_start_time_ms = stored.at(7).get<int64_t>();
+  if (stored.size() > 9)
+    task.is_confirmed = stored.at(9).get<bool>();
   task.phase = SchedulingPhase::kRunning;
   // The worker keeps the pace that the previous owner has set.
   task.pace_percent = kUnknownPacePercent;
@@ -136,8 +149,11 @@
   json steps = json::array();
   for (const StepState& step : iteration.steps) {
     json tasks = json::array();
+    const bool is_suspect =
+        std::any_of(step.tasks.begin(), step.tasks.end(),
+                    [](const Task& task) { return task.crashes.total > 0; });
     for (const Task& task : step.tasks)
-      tasks.push_back(EncodeTaskProgress(state, task));
+      tasks.push_back(EncodeTaskProgress(state, task, is_suspect));
     steps.push_back(std::move(tasks));
   }
   json stored = {{"s", static_cast<int>(iteration.job->state)},
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -5,6 +5,7 @@
 
 #include "src/sched/assignment.h"
 #include "src/sched/cell_load.h"
+#include "src/sched/crash_proof.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/dump.h"
 #include "src/sched/interference_codec.h"
@@ -70,6 +71,22 @@
       {std::string(kInterferenceKey), EncodeInterference(state)});
 }
 
+// Something else answers in place of the worker's instance.
+void HandleGoneInstance(State& state,
+                        const WorkerId& id,
+                        std::string_view reason,
+                        TimePoint now) {
+  const int32_t index = FindWorkerIndex(state, id);
+  if (index == kNoWorker)
+    return;
+  WorkerState& worker = state.workers[static_cast<size_t>(index)];
+  worker.reachability = Reachability::kUnreachable;
+  // It is reported again as long as the platform lists the worker.
+  if (worker.instance || !worker.tasks.empty() || !worker.silent_tasks.empty())
+    HandleEndedInstance(state, index, reason, now);
+  worker.lease_expiry = now;
+}
+
 void RestoreJob(State& state, Job& job, TimePoint now) {
   const JobDefinition& spec = job.spec;
   if (job.iterations_done >= IterationCount(spec))
@@ -254,18 +271,18 @@
       state
           .workers[static_cast<size_t>(GetOrCreateWorkerIndex(state, info.id))];
   worker.info = info;
+  NoteLeavingInstance(worker);
   worker.listed = true;
   state.needs_plan = true;
 }
 
-void Scheduler::RemoveWorker(const WorkerId& id, TimePoint now) {
+void Scheduler::RemoveWorker(const WorkerId& id, TimePoint) {
   State& state = m_impl->state;
   const int32_t worker = FindWorkerIndex(state, id);
   if (worker == kNoWorker)
     return;
   state.workers[static_cast<size_t>(worker)].listed = false;
   state.needs_plan = true;
-  HandleRemovedWorker(state, worker, now);
 }
 
 void Scheduler::OnListing(const WorkerId& id,
@@ -289,22 +306,12 @@
 }
 
 void Scheduler::OnWorkerDead(const WorkerId& id, TimePoint now) {
-  State& state = m_impl->state;
-  const int32_t index = FindWorkerIndex(state, id);
-  if (index == kNoWorker)
-    return;
-  WorkerState& worker = state.workers[static_cast<size_t>(index)];
-  worker.reachability = Reachability::kUnreachable;
-  worker.lease_expiry = now;
-  // It is reported again as long as the platform lists the worker.
-  if (!worker.instance && worker.tasks.empty())
-    return;
-  HandleEndedInstance(state, index, "another instance answers", now);
+  HandleGoneInstance(m_impl->state, id, "another worker answers", now);
 }
 
 void Scheduler::OnInstanceEnded(const WorkerInstance& instance, TimePoint now) {
   if (InstanceOf(instance.id) == instance)
-    OnWorkerDead(instance.id, now);
+    HandleGoneInstance(m_impl->state, instance.id, "worker restarted", now);
 }
 
 void Scheduler::OnStarted(const StartRunCommand& command, TimePoint now) {
@@ -315,6 +322,7 @@
     return;
   Task& task = TaskOf(*ref);
   NoteStart(*ref->iteration->job);
+  ConfirmStart(state, *ref);
   task.phase = SchedulingPhase::kRunning;
   task.visible_from = now;
   task.started = now;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -41,11 +41,22 @@
  * is always sent. */
 inline constexpr uint32_t kUnknownPacePercent = 101;
 
+/** What the owner knew of a run when it last knew the run's instance. */
+struct RunOnInstance {
+  RunNumber run;
+  int64_t start_time_ms = 0;  // of the instance; 0 if unknown
+  /** The instance confirmed the start, or listed the run as active. */
+  bool is_confirmed = false;
+  /** A stop was sent, so that the run may have ended before its instance. */
+  bool is_stopping = false;
+  bool lease_expired = false;
+  /** The instance was last heard when the run had just started. */
+  bool had_just_started = false;
+};
+
 /** What the end of a worker says of a run that it had. */
 struct CrashEvidence {
-  RunNumber run;
-  int64_t start_time_ms = 0;  // of the instance that had the run
-  bool is_confirmed = false;  // the start, to this owner
+  RunOnInstance run;
   bool blamed = false;     // the run had just started
   bool alone = false;      // no other run had just started
   bool lone_end = false;   // no other worker had ended at about that time
@@ -62,11 +73,16 @@
   uint32_t failures = 0;
   CrashCount crashes;  // since it was last cleared; set by `SetCrashes`
   RunNumber last_crashed_run;
+  /** The latest run that showed that the task does not crash its worker. */
+  RunNumber cleared_run;
   /** Start time of the worker's instance that has the task; 0 if unknown. */
   int64_t worker_start_time_ms = 0;
   /** When the worker confirmed the start to this owner. Without a response the
    * worker may have ended before the start reached it. */
   std::optional<TimePoint> started;
+  /** The instance that has the task has confirmed the start or listed the run,
+   * to this owner or to an earlier one. */
+  bool is_confirmed = false;
   uint32_t other_cell = kThisCell;  // that runs the task
   uint32_t came_from = kThisCell;   // the cell that moved the task here
   TimePoint ready_since;            // while the task waits for a worker
@@ -193,6 +209,8 @@
   WorkerInfo info;
   bool listed = false;  // by the platform
   Reachability reachability = Reachability::kUnknown;
+  /** Start time of the latest instance that has announced that it leaves. */
+  std::optional<int64_t> leaving_start_time_ms;
   /** The last listing request had no response. */
   bool is_silent = false;
   /** The instance that answered last, unless it is known to have ended. */
