An inherited lease bounds until this owner grants one

Cause: the bound on a worker's leases was recomputed at the second clock reading, also for an instance to which this owner had granted nothing. It then was 150 ms after the reading. A worker in an inherited lease record gets no lease until a record without it is stored; if it answered twice before that and was then partitioned, its tasks started elsewhere while they ran.

Change: the bound of the owner before stays until this owner has granted a lease.

--- a/src/sched/lease.cc
+++ b/src/sched/lease.cc
@@ -55,11 +55,10 @@
   InstanceState& instance = *worker.instance;
   if (instance.clock && clock < *instance.clock)
     return;
-  const bool first = !instance.clock;
   instance.clock = clock;
   instance.clock_received_at = now;
-  // Until the first reading the leases of the previous owner set the bound.
-  if (!first)
+  // Until this owner grants a lease, those of the previous owner set the bound.
+  if (instance.latest_lease_end != WorkerClock(0))
     worker.lease_expiry =
         LatestTimeOf(options, instance, instance.latest_lease_end);
 }
