A gang uses up one attempt a run

Cause: each member that failed counted, also several of one run.

Change: a failed run of a gang counts once. An owner that is replaced between two members' ends of one run still counts both: that is not stored.

The new test fails without the change (two members, two attempts, one run: failed) and passes with it; all tests of sched pass.

--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -1,6 +1,8 @@
 #include "src/sched/run_outcome.h"
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "src/sched/assignment.h"
 #include "src/sched/crash_suspects.h"
@@ -46,10 +48,22 @@
   return failures;
 }
 
+// True if the run of the gang has failed already: it counts once, although
+// several of its members may fail.
+bool HasGangFailed(const TaskRef& ref, RunNumber run) {
+  const std::vector<Task>& members = StepOf(ref).tasks;
+  return SpecOf(ref).gang &&
+         std::any_of(members.begin(), members.end(), [run](const Task& member) {
+           return member.last_failed_run == run;
+         });
+}
+
 void ApplyFailed(State& state, const TaskRef& ref, TimePoint now) {
   ++state.counters.failed;
   Task& task = TaskOf(ref);
-  ++task.failures;
+  if (!HasGangFailed(ref, task.run))
+    ++task.failures;
+  task.last_failed_run = task.run;
   Job& job = *ref.iteration->job;
   RequeueTask(state, ref, now);
   const uint32_t failures = CountFailures(ref);
