--- a/standins/platform/worker_stand_in.cc
+++ b/standins/platform/worker_stand_in.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "src/net/http_message.h"
@@ -19,6 +20,9 @@
 constexpr int64_t kLongestLeaseMs = 10000;
 // The first instance has run for so long when a test begins.
 constexpr auto kFirstUptime = std::chrono::seconds(60);
+// From the start of a deadly task to the crash.
+constexpr auto kCrashDelay = milliseconds(50);
+constexpr int64_t kDrainTimeMs = 5000;
 
 struct ActiveTaskRun {
   uint64_t run = 0;
@@ -57,6 +61,10 @@
   void ExtendLease(int64_t until);
   bool Listen(asio::io_context& io, uint16_t port);
   void ForgetRuns();
+  void BeginInstance();
+  void Crash();
+  void UpdateCrash();
+  json Entry(const std::string& state) const;
 
   std::string id;
   std::string rack;
@@ -68,6 +76,10 @@
   bool unresponsive = false;
   bool drop_start_responses = false;
   bool stopped = false;
+  std::string deadly_job;  // empty if none
+  milliseconds downtime{0};
+  std::optional<TimePoint> crash_at;
+  std::optional<TimePoint> return_at;  // set while the worker is down
   uint64_t fence = 0;
   int64_t lease_end = 0;
   std::map<std::string, ActiveTaskRun> running;
@@ -91,6 +103,7 @@
 asio::awaitable<void> WorkerStandIn::Impl::UpdateRuns() {
   const auto self = shared_from_this();
   while (!stopped) {
+    UpdateCrash();
     const TimePoint now = sched::MonotonicNow();
     std::vector<std::pair<std::string, std::string>> ends;
     for (const auto& [task, run] : running) {
@@ -112,6 +125,7 @@
 HttpResponse WorkerStandIn::Impl::Start(const json& body) {
   const auto task = body.at("task").get<std::string>();
   const auto run = body.at("run").get<uint64_t>();
+  ExtendLease(body.at("until-ms").get<int64_t>());
   const auto found = running.find(task);
   if (found != running.end() && found->second.run == run)
     return MakeJsonResponse(200, json{{"clock-ms", Clock()}}.dump());
@@ -119,7 +133,6 @@
     return MakeJsonResponse(
         409, json{{"clock-ms", Clock()}, {"reason", "old"}}.dump());
   }
-  ExtendLease(body.at("until-ms").get<int64_t>());
   ++observations.starts[task];
   if (!observations.running[task].empty())
     observations.violations.push_back("runs on two workers: " + task);
@@ -130,6 +143,8 @@
   observations.workers[task].insert(id);
   running[task] =
       ActiveTaskRun{run, sched::MonotonicNow() + task_duration, task_duration};
+  if (!deadly_job.empty() && task.starts_with(deadly_job + "."))
+    crash_at = sched::MonotonicNow() + kCrashDelay;
   return MakeJsonResponse(200, json{{"clock-ms", Clock()}}.dump());
 }
 
@@ -167,15 +182,15 @@
   co_return List();
 }
 
-// A request that began before a restart gets no response.
+// A request that began before a restart or a crash gets no response.
 asio::awaitable<HttpResponse> WorkerStandIn::Impl::HandleRequest(
     HttpRequest request) {
   const auto self = shared_from_this();
   const int64_t received_by = instance;
-  if (unresponsive)
+  if (unresponsive || return_at)
     co_await sched::Sleep(kForever);
   HttpResponse response = co_await Respond(std::move(request));
-  if (received_by != instance)
+  if (unresponsive || return_at || received_by != instance)
     co_await sched::Sleep(kForever);
   co_return response;
 }
@@ -209,24 +224,65 @@
 bool WorkerStandIn::Impl::Listen(asio::io_context& context, uint16_t port) {
   io = &context;
   NetError error;
-  server = HttpServer::Make(
+  auto listening = HttpServer::Make(
       context, Endpoint{"127.0.0.1", port}, HttpServerLimits{},
       [this](HttpRequest request) { return HandleRequest(std::move(request)); },
       error);
-  return server != nullptr;
+  if (!listening)
+    return false;
+  server = std::move(listening);
+  return true;
 }
 
 void WorkerStandIn::Impl::ForgetRuns() {
   for (const auto& [task, run] : running)
     observations.running[task].erase(id);
-  for (const json& row : ended_rows)
-    observations.done.erase(row.at(1).get<std::string>());
+  for (const json& row : ended_rows) {
+    if (row.at(3) == "done")
+      observations.done.erase(row.at(1).get<std::string>());
+  }
   running.clear();
   highest_run.clear();
   ended_rows.clear();
   last_end_number = 0;
 }
 
+void WorkerStandIn::Impl::BeginInstance() {
+  ++instance;
+  start_time = sched::MonotonicNow();
+  lease_end = 0;
+  fence = 0;
+}
+
+void WorkerStandIn::Impl::Crash() {
+  ForgetRuns();
+  crash_at.reset();
+  return_at = sched::MonotonicNow() + downtime;
+  server->StopAccepting();
+}
+
+void WorkerStandIn::Impl::UpdateCrash() {
+  const TimePoint now = sched::MonotonicNow();
+  if (crash_at && now >= *crash_at)
+    Crash();
+  // Another program may hold the port for a moment.
+  if (!return_at || now < *return_at || !Listen(*io, server->port()))
+    return;
+  return_at.reset();
+  BeginInstance();
+}
+
+json WorkerStandIn::Impl::Entry(const std::string& state) const {
+  return {{"service", "quote-server"},
+          {"address", "127.0.0.1:" + std::to_string(server->port())},
+          {"zone", "cebu"},
+          {"state", state},
+          {"slots", 8},
+          {"capacity", {{"cpu", 16000}, {"mem-mb", 64000}, {"gpu", 0}}},
+          {"labels", {"a", rack}},
+          {"born", instance}};
+}
+
 WorkerStandIn::WorkerStandIn(std::shared_ptr<Impl> impl)
     : m_impl(std::move(impl)) {}
 
@@ -247,16 +303,13 @@
 }
 
 std::string WorkerStandIn::StoreEntry() const {
-  return json{
-      {"service", "quote-server"},
-      {"address", "127.0.0.1:" + std::to_string(m_impl->server->port())},
-      {"zone", "cebu"},
-      {"state", "ready"},
-      {"slots", 8},
-      {"capacity", {{"cpu", 16000}, {"mem-mb", 64000}, {"gpu", 0}}},
-      {"labels", {"a", m_impl->rack}},
-      {"born", m_impl->instance}}
-      .dump();
+  return m_impl->Entry("ready").dump();
+}
+
+std::string WorkerStandIn::DrainingStoreEntry() const {
+  json entry = m_impl->Entry("draining");
+  entry["remaining-ms"] = kDrainTimeMs;
+  return entry.dump();
 }
 
 const std::string& WorkerStandIn::id() const {
@@ -269,15 +322,22 @@
 
 bool WorkerStandIn::Restart() {
   m_impl->ForgetRuns();
-  ++m_impl->instance;
-  m_impl->start_time = sched::MonotonicNow();
-  m_impl->lease_end = 0;
-  m_impl->fence = 0;
+  m_impl->BeginInstance();
   const uint16_t port = m_impl->server->port();
   m_impl->server->StopAccepting();
   return m_impl->Listen(*m_impl->io, port);
 }
 
+void WorkerStandIn::SetDeadlyJob(const std::string& job,
+                                 milliseconds downtime) {
+  m_impl->deadly_job = job;
+  m_impl->downtime = downtime;
+}
+
+bool WorkerStandIn::IsDown() const {
+  return m_impl->return_at.has_value();
+}
+
 void WorkerStandIn::SetUnresponsive(bool unresponsive) {
   m_impl->unresponsive = unresponsive;
 }
--- a/standins/platform/worker_stand_in.h
+++ b/standins/platform/worker_stand_in.h
@@ -37,6 +37,8 @@
 
   /** The entry that a worker writes to the store to announce itself. */
   std::string StoreEntry() const;
+  /** The entry with which it announces that it leaves. */
+  std::string DrainingStoreEntry() const;
   const std::string& id() const;
   /** Duration of tasks that start from now on. */
   void SetTaskDuration(std::chrono::milliseconds task_duration);
@@ -44,7 +46,13 @@
    * callers: calls in progress stay silent. What it ran is gone, and so are the
    * ends that were not acknowledged. False if it cannot listen again. */
   bool Restart();
-  /** While set, the worker neither carries out requests nor responds. */
+  /** From now on each start of a task of this job crashes the worker, which
+   * listens again after `downtime` as a new instance. */
+  void SetDeadlyJob(const std::string& job, std::chrono::milliseconds downtime);
+  /** True after a crash until the worker listens again. */
+  bool IsDown() const;
+  /** While set, the worker neither carries out requests nor responds, also not
+   * to requests that it received before. */
   void SetUnresponsive(bool unresponsive);
   /** While set, the worker carries out starts without responding. */
   void SetDropStartResponses(bool drop);
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -53,6 +53,10 @@
   }
 }
 
+std::string NameOfOnlyTask(const std::string& job) {
+  return job + ".0.0.0";
+}
+
 sched::CellChart ReadCellChart() {
   ChartFileError error;
   std::string missing;
@@ -312,6 +316,59 @@
   return response ? response->status : 0;
 }
 
+int TestSystem::SubmitOneTask(const std::string& id, TaskKind kind) {
+  json step = {{"count", 1}, {"cpu", 2000}, {"mem-mb", 500}, {"est-ms", 3000}};
+  if (kind == TaskKind::kLongRunning)
+    step["long-running"] = true;
+  const json body = {{"spec", "work"}, {"steps", json::array({step})}};
+  const auto response = Call(process(0), "POST", "/q/" + id, body.dump());
+  return response ? response->status : 0;
+}
+
+std::optional<size_t> TestSystem::WaitForRun(const std::string& id,
+                                             std::chrono::seconds limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    RunObservations observations = Observations();
+    const auto& running = observations.running[NameOfOnlyTask(id)];
+    for (size_t i = 0; i < m_workers.size(); ++i) {
+      if (running.count(m_workers[i]->id()) > 0)
+        return i;
+    }
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return std::nullopt;
+}
+
+bool TestSystem::WaitForEndOfRun(const std::string& id,
+                                 size_t worker,
+                                 std::chrono::seconds limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    RunObservations observations = Observations();
+    if (observations.running[NameOfOnlyTask(id)].count(
+            m_workers[worker]->id()) == 0)
+      return true;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return false;
+}
+
+void TestSystem::AnnounceWorker(size_t worker) {
+  m_platform.RunAndWait([&] {
+    m_store->Put("keyed.servers", m_workers[worker]->id(),
+                 m_workers[worker]->StoreEntry());
+    return true;
+  });
+}
+
+void TestSystem::SetTaskDuration(milliseconds duration) {
+  for (size_t i = 0; i < m_workers.size(); ++i) {
+    WithWorker(i,
+               [duration](WorkerStandIn& w) { w.SetTaskDuration(duration); });
+  }
+}
+
 std::optional<int> TestSystem::KnownEpoch(TestProcess& process) {
   const auto response = Call(process, "GET", "/dump");
   if (!response)
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -47,6 +47,8 @@
   size_t workers_per_cell = 100;
 };
 
+enum class TaskKind { kShort, kLongRunning };
+
 /** A scheduler process on its own event loop. */
 class TestProcess {
  public:
@@ -109,6 +111,22 @@
   /** Submits a job of one step; returns the HTTP status, 0 without a response.
    */
   int Submit(TestProcess& process, const std::string& id, int tasks);
+  /** Submits a job of one task; returns the HTTP status, 0 without a response.
+   */
+  int SubmitOneTask(const std::string& id, TaskKind kind);
+  /** Index of the worker that runs the only task of the job, waiting up to
+   * `limit` for one. */
+  std::optional<size_t> WaitForRun(const std::string& id,
+                                   std::chrono::seconds limit);
+  /** Waits until the worker no longer runs the only task of the job; false if
+   * `limit` has passed. */
+  bool WaitForEndOfRun(const std::string& id,
+                       size_t worker,
+                       std::chrono::seconds limit);
+  /** The worker's entry in the store is the one it has now. */
+  void AnnounceWorker(size_t worker);
+  /** Duration of tasks that start from now on. */
+  void SetTaskDuration(std::chrono::milliseconds duration);
   /** Epoch of the owner known to the process; nothing if it does not respond.
    */
   std::optional<int> KnownEpoch(TestProcess& process);
