--- a/tests/sched/crash_log.h
+++ b/tests/sched/crash_log.h
@@ -7,6 +7,10 @@
 
 namespace cowslipmast::sched {
 
+/** More would be started beyond what the platform tolerates: three times after
+ * three workers have crashed. */
+inline constexpr int kMaxCrashesOfTask = 5;
+
 /** The decisions of a cell's owners about ended workers. */
 struct CrashLog {
   int proven = 0;
--- a/tests/sched/deadly_task_test.cc
+++ b/tests/sched/deadly_task_test.cc
@@ -15,8 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// As in worker_crash_test.cc.
-constexpr int kMaxCrashesOfTask = 5;
 constexpr int kJobsBeside = 10;
 constexpr size_t kMaxCuts = 4;
 // The platform takes workers off its list that are silent for so long.
--- a/tests/sched/inherited_lease_test.cc
+++ b/tests/sched/inherited_lease_test.cc
@@ -20,11 +20,6 @@
 const WorkerId kHolder("w0");
 const JobId kJob("job");
 
-std::string AsBytes(const nlohmann::json& record) {
-  const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(record);
-  return {bytes.begin(), bytes.end()};
-}
-
 void AddWorker(Scheduler& scheduler, const WorkerId& id) {
   WorkerInfo info;
   info.id = id;
--- a/tests/sched/job_builders.cc
+++ b/tests/sched/job_builders.cc
@@ -1,5 +1,7 @@
 #include "tests/sched/job_builders.h"
 
+#include <nlohmann/json.hpp>
+
 #include <utility>
 
 namespace cowslipmast::sched {
@@ -42,4 +44,9 @@
   return policy;
 }
 
+std::string AsBytes(const nlohmann::json& record) {
+  const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(record);
+  return {bytes.begin(), bytes.end()};
+}
+
 }  // namespace cowslipmast::sched
--- a/tests/sched/job_builders.h
+++ b/tests/sched/job_builders.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPMAST_TESTS_SCHED_JOB_BUILDERS_H_
 #define COWSLIPMAST_TESTS_SCHED_JOB_BUILDERS_H_
 
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
                       const std::string& queue,
                       std::vector<StepSpec> steps);
 
+/** A record as it is stored. */
+std::string AsBytes(const nlohmann::json& record);
+
 /** Policy of a queue whose tasks run on the service "pool". */
 QueuePolicy MakePolicy(uint32_t priority, uint32_t max_attempts);
 
--- a/tests/sched/late_successor_test.cc
+++ b/tests/sched/late_successor_test.cc
@@ -6,7 +6,7 @@
 
 #include <map>
 
-#include "tests/sched/simulated_cell.h"
+#include "tests/sched/crash_log.h"
 
 namespace cowslipmast::sched {
 namespace {
@@ -14,7 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kMaxCrashesOfTask = 5;
 constexpr Duration kListedWithoutSign = milliseconds(4500);
 const TaskName kDeadly{JobId("deadly"), 0, 0, 0};
 
--- a/tests/sched/worker_crash_test.cc
+++ b/tests/sched/worker_crash_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "tests/sched/crash_log.h"
 #include "tests/sched/simulated_cells.h"
 
 namespace cowslipmast::sched {
@@ -14,10 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// More would be started beyond what the platform tolerates: three times after
-// three workers have crashed.
-constexpr int kMaxCrashesOfTask = 5;
-
 SimulatedCell MakeCell(int workers) {
   SimulatedCell cell;
   cell.AddWorkers(workers, 16, 64000);
@@ -274,11 +271,6 @@
   }
 }
 
-std::string AsBytes(const nlohmann::json& record) {
-  const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(record);
-  return {bytes.begin(), bytes.end()};
-}
-
 TEST_CASE("progress stored by a version that counts no crashes", "[sched]") {
   SimulatedCell cell = MakeCell(4);
   cell.rewrite_stored_value = [](const std::string& value) {
