--- a/include/cowslipmast/sched/worker_info.h
+++ b/include/cowslipmast/sched/worker_info.h
@@ -26,6 +26,13 @@
   bool operator==(const WorkerInstance&) const = default;
 };
 
+/** True unless both start times are known and differ. */
+inline bool MayBeSameInstance(int64_t start_time_ms,
+                              int64_t other_start_time_ms) {
+  return start_time_ms == 0 || other_start_time_ms == 0 ||
+         start_time_ms == other_start_time_ms;
+}
+
 /** A worker as listed by the platform. */
 struct WorkerInfo {
   WorkerId id;
--- a/src/sched/crash_proof.cc
+++ b/src/sched/crash_proof.cc
@@ -9,11 +9,6 @@
 // Ends of earlier instances have become known by then.
 constexpr size_t kMaxLeavingInstances = 4;
 
-bool MayBeSame(int64_t start_time_ms, int64_t other_start_time_ms) {
-  return start_time_ms == 0 || other_start_time_ms == 0 ||
-         start_time_ms == other_start_time_ms;
-}
-
 }  // namespace
 
 std::optional<InstanceEndProof> InstanceEndProof::Make(
@@ -26,7 +21,7 @@
 
 std::optional<CrashProof> CrashProof::Make(const InstanceEndProof& end,
                                            const RunOnInstance& run) {
-  if (!MayBeSame(end.ended().start_time_ms, run.start_time_ms) ||
+  if (!MayBeSameInstance(end.ended().start_time_ms, run.start_time_ms) ||
       !run.is_confirmed || run.is_stopping)
     return std::nullopt;
   // A partitioned worker may restart after the lease has ended the run. But an
@@ -40,7 +35,7 @@
   const auto& leaving = worker.leaving_start_times_ms;
   return std::any_of(leaving.begin(), leaving.end(),
                      [start_time_ms](int64_t leaving_ms) {
-                       return MayBeSame(leaving_ms, start_time_ms);
+                       return MayBeSameInstance(leaving_ms, start_time_ms);
                      });
 }
 
--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -338,8 +338,7 @@
   constexpr std::string_view reason = "worker restarted";
   std::vector<TaskRef> tasks;
   for (const TaskRef& ref : WorkerAt(state, worker).tasks) {
-    if (TaskOf(ref).worker_start_time_ms != 0 && start_time_ms != 0 &&
-        TaskOf(ref).worker_start_time_ms != start_time_ms)
+    if (!MayBeSameInstance(TaskOf(ref).worker_start_time_ms, start_time_ms))
       tasks.push_back(ref);
   }
   if (tasks.empty())
@@ -373,8 +372,7 @@
   EndWaitForProofs(state, worker);
   auto& silent = WorkerAt(state, worker).silent_tasks;
   std::erase_if(silent, [start_time_ms](const auto& entry) {
-    const int64_t ended = entry.second.run.start_time_ms;
-    return ended == 0 || start_time_ms == 0 || ended == start_time_ms;
+    return MayBeSameInstance(entry.second.run.start_time_ms, start_time_ms);
   });
   CountSilentEnds(state, worker, "worker restarted", now);
 }
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -95,11 +95,6 @@
              kStallTimeout * 100 / task.slowest_pace_percent;
 }
 
-bool IsSame(const InstanceState& known, const WorkerListing& listing) {
-  return known.start_time_ms == 0 || listing.start_time_ms == 0 ||
-         known.start_time_ms == listing.start_time_ms;
-}
-
 }  // namespace
 
 void ApplyListing(State& state,
@@ -108,7 +103,9 @@
                   TimePoint asked,
                   TimePoint now) {
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
-  if (worker_state.instance && !IsSame(*worker_state.instance, listing))
+  if (worker_state.instance &&
+      !MayBeSameInstance(worker_state.instance->start_time_ms,
+                         listing.start_time_ms))
     HandleEndedInstance(state, worker, "worker restarted", now);
   HandleTasksOfEarlierInstance(state, worker, listing.start_time_ms, now);
   ResolveSilentEnds(state, worker, listing.start_time_ms, now);
--- a/src/sched/workers.cc
+++ b/src/sched/workers.cc
@@ -122,9 +122,8 @@
     return WorkerEligibility::kDraining;
   if (state.policy.evacuated.count(worker.info.data_centre) > 0)
     return WorkerEligibility::kEvacuated;
-  const int64_t start_time_ms = CurrentInstance(worker).start_time_ms;
-  if (worker.info.start_time_ms != 0 && start_time_ms != 0 &&
-      worker.info.start_time_ms != start_time_ms)
+  if (!MayBeSameInstance(worker.info.start_time_ms,
+                         CurrentInstance(worker).start_time_ms))
     return WorkerEligibility::kOtherInstance;
   if (worker.full_until && now < *worker.full_until)
     return WorkerEligibility::kFull;
