--- a/src/sched/crash_proof.cc
+++ b/src/sched/crash_proof.cc
@@ -24,8 +24,8 @@
   if (!MayBeSameInstance(end.ended().start_time_ms, run.start_time_ms) ||
       !run.is_confirmed || run.is_stopping)
     return std::nullopt;
-  // A partitioned worker may restart after the lease has ended the run. But an
-  // instance that was never heard again once the run had started was down.
+  // A partitioned worker may restart after the lease has ended the run. Without
+  // the exception, crashes of workers that return late could never be proven.
   if (run.lease_expired && !run.had_just_started)
     return std::nullopt;
   return CrashProof();
