--- a/tests/processes/unproven_crash.py
+++ b/tests/processes/unproven_crash.py
@@ -42,13 +42,13 @@
 
 
 def prepare(world):
-    for minion in world.minions:
-        publish = minion.publish
+    for worker in world.minions:
+        publish = worker.publish
 
-        def publish_if_reachable(minion=minion, publish=publish):
-            if not minion.server.dark:
+        def publish_if_reachable(worker=worker, publish=publish):
+            if not worker.server.dark:
                 publish()
-        minion.publish = publish_if_reachable
+        worker.publish = publish_if_reachable
 
     append = world.store.append
     world.store.refusing = False
@@ -56,55 +56,55 @@
         (503, {}) if world.store.refusing else append(*call))
 
 
-async def cut(world, minion):
+async def cut(world, worker):
     """What runs on the machine goes on until its lease lapses."""
-    world.note("cut", minion.id)
-    minion.server.cut()
+    world.note("cut", worker.id)
+    worker.server.cut()
     await asyncio.sleep(OFF_LIST_S)
-    world.store.put("keyed.servers", minion.id, None)
+    world.store.put("keyed.servers", worker.id, None)
     if CASE == "lost":
         return
     await asyncio.sleep(CUT_S - OFF_LIST_S)
-    minion.server.heal()
-    minion.publish()
-    world.note("healed", minion.id)
+    worker.server.heal()
+    worker.publish()
+    world.note("healed", worker.id)
 
 
-async def lose_power(minion, down_s):
+async def lose_power(worker, down_s):
     """Open connections stay silent until the power is back."""
-    minion.server.power_off()
-    minion.go_down()
+    worker.server.power_off()
+    worker.go_down()
     await asyncio.sleep(down_s)
-    minion.server.power_on()
-    minion.boot()
-    minion.publish()
+    worker.server.power_on()
+    worker.boot()
+    worker.publish()
 
 
-async def end_process(minion, down_s):
+async def end_process(worker, down_s):
     """The kernel resets the open connections and refuses others."""
-    minion.go_down()
-    minion.server.server.close()
-    minion.server.crash()
+    worker.go_down()
+    worker.server.server.close()
+    worker.server.crash()
     await asyncio.sleep(down_s)
-    minion.boot()
-    minion.server.server = await asyncio.start_server(
-        minion.server._serve, "127.0.0.1", minion.server.port)
-    minion.state = "ready"
-    minion.publish()
+    worker.boot()
+    worker.server.server = await asyncio.start_server(
+        worker.server._serve, "127.0.0.1", worker.server.port)
+    worker.state = "ready"
+    worker.publish()
 
 
-async def restart(world, minion):
-    await lose_power(minion, RNG.uniform(0.6, 3.0))
+async def restart(world, worker):
+    await lose_power(worker, RNG.uniform(0.6, 3.0))
 
 
-async def leave(world, minion):
-    minion.state = "draining"
-    minion.publish()
-    world.note("draining", minion.id)
+async def leave(world, worker):
+    worker.state = "draining"
+    worker.publish()
+    world.note("draining", worker.id)
     await asyncio.sleep(DRAIN_S)
     if RNG.random() < 0.5:
-        world.store.put("keyed.servers", minion.id, None)
-    await end_process(minion, RNG.uniform(0.1, 1.0))
+        world.store.put("keyed.servers", worker.id, None)
+    await end_process(worker, RNG.uniform(0.1, 1.0))
 
 
 async def kill_owner(world):
@@ -148,10 +148,10 @@
 
 
 def workers_of(world, jobs):
-    """Reachable minions that run a task of the jobs."""
+    """Reachable workers that run a task of the jobs."""
     found = {run.minion for job in jobs for run in runs_of(world, job)
              if run.ended is None and not run.minion.server.dark}
-    return sorted(found, key=lambda minion: minion.number)
+    return sorted(found, key=lambda worker: worker.number)
 
 
 async def state_of(world, job):
@@ -179,7 +179,7 @@
     beside = {"owner": kill_owner, "slow-store": refuse_appends}.get(CASE)
     while world.now() < END_S and not await all_ended(world, jobs):
         victims = workers_of(world, jobs)
-        calls = [trouble(world, minion) for minion in victims]
+        calls = [trouble(world, worker) for worker in victims]
         if beside is not None:
             calls.append(beside(world))
         await asyncio.gather(*calls)
