sched: comments say that unproven ends matter once two crashes are proven

The head of crash_proof.h said that only a proven crash may count, but ends without a proof count too, once two crashes of the task are proven.

--- a/src/sched/crash_proof.h
+++ b/src/sched/crash_proof.h
@@ -8,9 +8,10 @@
 
 namespace cowslipmast::sched {
 
-// Only a proven crash may count towards the end of a job. Silence, an expired
-// lease and a removal from the platform's list prove nothing: a worker that is
-// only partitioned shows the same, and ends its runs by itself.
+// No job is given up for less than two proven crashes; other ends matter only
+// then. Silence, an expired lease and a removal from the platform's list prove
+// nothing: a worker that is only partitioned shows the same, and ends its runs
+// by itself.
 
 /** Proof that an instance of a worker has ended although it had not announced
  * that it leaves: something else answers in its place. */
--- a/src/sched/crash_suspects.h
+++ b/src/sched/crash_suspects.h
@@ -45,7 +45,7 @@
 void ConfirmStart(State& state, const TaskRef& ref);
 
 /** The worker's entry is new: an instance that leaves as planned is not counted
- * as crashed, by a later owner neither. */
+ * as crashed, nor is it by a later owner. */
 void HandleEntry(State& state, int32_t worker);
 
 /** A run has ended on a worker that goes on: clears its task. */
