--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -158,8 +158,9 @@
             records.append((content[1:1 + key_size], content[1 + key_size:]))
             if size > RECORD_BYTES:
                 self.refused_records += 1
-                self.world.note("store refuses a record of", size, "bytes, key",
-                                records[-1][0].decode("latin-1"))
+                if self.refused_records <= 20:
+                    self.world.note("store refuses a record of", size, "bytes, key",
+                                    records[-1][0].decode("latin-1"))
                 return 400, {"reason": "record-bytes"}
             at += 4 + size
         if len(body) > CALL_BYTES:
