--- /dev/null
+++ b/review/entry-10/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case did not run.
+# TROUBLE=0 leaves the disruption out; KEEP_LOGS names a folder for the logs.
+cd "$(dirname "$0")" || exit 2
+timeout -k 2 118 python3 case.py
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
