review: an error of a script does not count as a broken rule

The stand-in took a table of claims without the first cell for an error while two cells had no owners yet, and Python's exit status 1 looked like a broken rule: review/9 with TROUBLE=0 did so once in a run beside other scripts. It now waits until each cell has an owner, and errors of a script exit with 2.

--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from urllib.parse import unquote
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -34,6 +35,15 @@
 CANNOT_LISTEN = 69      # exit status of a process
 
 
+def report_error_of_script(*error):
+    """An error of the script must not look like a broken rule."""
+    traceback.print_exception(*error)
+    os._exit(2)
+
+
+sys.excepthook = report_error_of_script
+
+
 def free_ports(count):
     sockets = [socket.socket() for _ in range(count)]
     for s in sockets:
@@ -661,13 +671,17 @@
         return sum(status == 200 for status, _ in answers)
 
     async def owner(self):
+        """Owner and epoch of the first cell once all cells have an owner."""
         for process in self.processes:
             status, table = await self.call(process.control, "GET",
                                             "/v1/claims", timeout=1.0)
-            if status == 200:
-                claims = table.get("claims", {})
-                if claims and not claims["0"]["released"]:
-                    return claims["0"]["process"], claims["0"]["epoch"]
+            if status != 200:
+                continue
+            claims = table.get("claims", {})
+            cells = table.get("layout", {}).get("cells", 0)
+            if cells and len(claims) == cells and \
+                    not any(claim["released"] for claim in claims.values()):
+                return claims["0"]["process"], claims["0"]["epoch"]
         return None
 
     def next_frontend(self):
@@ -755,6 +769,8 @@
                 world.note("the system did not start")
         except asyncio.TimeoutError:
             world.note("the case could not run to its end")
+        except Exception as error:  # of the script, not of what it tests
+            world.note("the script failed:", repr(error))
         finally:
             await world.stop()
         world.note({0: "held", 1: "broken", 2: "not run"}[code],
