--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -759,6 +759,13 @@
 
     async def main():
         world = make(record)
+
+        def end_at_once(*_):
+            for process in world.processes:
+                if process.process and process.process.poll() is None:
+                    process.process.kill()
+            os._exit(2)
+        signal.signal(signal.SIGTERM, end_at_once)
         world.note("trouble" if trouble else "no trouble")
         code = 2
         try:
