--- a/review/6/case.py
+++ b/review/6/case.py
@@ -32,7 +32,6 @@
 
 
 async def play(world, trouble):
-    world.quiet.add(LARGE)
     accepted = []
     for i, job in enumerate(USUAL):
         if trouble and i == 10:
--- a/review/entry-10/case.py
+++ b/review/entry-10/case.py
@@ -42,7 +42,7 @@
     state = None
     while world.now() < end and state not in ("completed", "failed"):
         await asyncio.sleep(2)
-        state = await world.state("batch", DEADLY, log=False)
+        state = await world.state("batch", DEADLY)
     starts = len(world.starts.get(DEADLY, []))
     world.note(starts, "starts; the submission is", state)
     if starts > MOST_STARTS:
--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -483,7 +483,7 @@
 class World:
     def __init__(self, record, processes=3, minions=8, **minion_options):
         self.begin = time.monotonic()
-        self.record = open(record, "w")
+        self.record = open(record, "a")
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = os.environ.get("KEEP_LOGS") or self.temporary.name
         os.makedirs(self.folder, exist_ok=True)
@@ -503,7 +503,6 @@
         self.background = []
         self.started = False
         self.next_process = 0
-        self.quiet = set()    # jobs whose starts and ends are not recorded
 
     def now(self):
         return time.monotonic() - self.begin
@@ -536,9 +535,8 @@
             self.breaks_rule("TWICE: ", run.task, "runs on", others,
                              "and on", minion.number)
         others.add((minion.number, run.number))
-        if job not in self.quiet:
-            self.note("start", run.task, "run", run.number, "on minion",
-                      minion.number)
+        self.note("start", run.task, "run", run.number, "on minion",
+                  minion.number)
         if self.start_hook:
             self.start_hook(minion, run)
 
@@ -547,9 +545,8 @@
         self.ends.setdefault(job, []).append(
             (self.now(), minion.number, run.task, run.number, how))
         self.running.get(run.task, set()).discard((minion.number, run.number))
-        if job not in self.quiet:
-            self.note("end", how, run.task, "run", run.number, "on minion",
-                      minion.number, "after %.2f s" % (now - run.start))
+        self.note("end", how, run.task, "run", run.number, "on minion",
+                  minion.number, "after %.2f s" % (now - run.start))
 
     async def start(self, attempts=4):
         await self.store.server.start()
@@ -688,7 +685,7 @@
         self.next_process += 1
         return self.processes[self.next_process % len(self.processes)]
 
-    async def submit(self, queue, job, steps, work_s, tries=5, log=True, **more):
+    async def submit(self, queue, job, steps, work_s, tries=5, **more):
         """As a requester: retries after no answer or a refusal. `work_s` has
         the work of a task of each step, None for one that lasts."""
         for i, step in enumerate(steps):
@@ -698,22 +695,20 @@
             process = self.next_frontend()
             status, answer = await self.call(
                 process.frontend, "POST", "/%s/%s" % (queue, job), body)
-            if log or status != 200:
-                self.note("POST", queue, job, "->", status)
+            self.note("POST", queue, job, "->", status)
             if status == 200:
                 return True
             await asyncio.sleep(0.3)
         return False
 
-    async def state(self, queue, job, tries=4, log=True):
+    async def state(self, queue, job, tries=4):
         """State as a requester is told it; None without any answer."""
         for _ in range(tries):
             process = self.next_frontend()
             status, answer = await self.call(
                 process.frontend, "GET", "/%s/%s" % (queue, job))
-            if log:
-                self.note("GET", queue, job, "->", status, answer.get("state")
-                          if isinstance(answer, dict) else answer)
+            self.note("GET", queue, job, "->", status, answer.get("state")
+                      if isinstance(answer, dict) else answer)
             if status == 200:
                 return answer.get("state")
             if status == 410:
@@ -750,11 +745,15 @@
 def run_case(make, play):
     """Runs `play(world, trouble)`, with the exit status that a case has."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = os.environ.get("RECORD") or os.path.join(
-        os.path.dirname(os.path.abspath(sys.argv[0])), "record.txt")
+    if len(sys.argv) != 2:
+        print("usage: case.py RECORD, the file to write the record to")
+        sys.exit(2)
+    record = sys.argv[1]
     program = os.path.join(ROOT, "target", "platform", "cowslipmast-scheduler")
     if not os.path.exists(program):
         print("not built:", program)
+        with open(record, "a") as file:
+            file.write("not built: the program of the deploy file\n")
         sys.exit(2)
 
     async def main():
