--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -10,6 +10,7 @@
 
 #include "cowslipmast/sched/cell.h"
 #include "cowslipmast/sched/cell_message.h"
+#include "cowslipmast/sched/features.h"
 #include "cowslipmast/sched/job.h"
 #include "cowslipmast/sched/policy.h"
 #include "cowslipmast/sched/worker_info.h"
@@ -33,6 +34,7 @@
   Duration ended_job_retention = std::chrono::seconds(150);
   /** Fraction by which a worker's clock may run slower than the scheduler's. */
   double max_clock_drift = 0.02;
+  SchedulerFeatures features;
 };
 
 /** Starts a run on a worker. */
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -151,6 +151,7 @@
   options.epoch = epoch;
   options.lease = settings.lease;
   options.log_listings = settings.log_listings;
+  options.scheduler.features = settings.features;
   CellHooks hooks;
   hooks.manifest = [this]() -> const Manifest& {
     return manifest_follower->manifest();
--- a/src/scheduler_process/scheduler_process.h
+++ b/src/scheduler_process/scheduler_process.h
@@ -30,6 +30,7 @@
   size_t workers_per_cell = 200;  // for a system that starts for the first time
   uint64_t seed = 0;
   bool log_listings = false;  // log every listing of a worker in full
+  SchedulerFeatures features;
 };
 
 /** Interfaces to the platform that the process runs on. */
