tests: clients and workers that send without end, against a real process

Change: tests/processes/hostile_clients.py, with crowds and bounds that are fixed before the product changes: peak memory 64 MB, 200 of 256 descriptors, the process lives, and an ordinary job is accepted afterwards.

--- /dev/null
+++ b/tests/processes/hostile_clients.py
@@ -0,0 +1,201 @@
+#!/usr/bin/env python3
+"""Peers that send without end, or more than they may, to a scheduler process.
+
+Guards against a process that runs out of memory or descriptors. CASE is one of
+  trailers    trailer fields without end after a chunked body
+  extensions  a chunk extension without end
+  fields      many tiny header fields before a body that never comes
+  bodies      bodies that stop just before their end
+  idle        connections over which nothing is sent
+  answers     workers whose response has trailer fields without end
+A crowd does this to one process, which runs under lowered limits. It has to go
+on, stay under the bounds below, and accept an ordinary job afterwards.
+
+usage: hostile_clients.py CASE PROGRAM
+"""
+
+import asyncio
+import os
+import resource
+import sys
+import tempfile
+
+sys.dont_write_bytecode = True
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "review", "standins-2"))
+import world2  # noqa: E402
+
+MEMORY_BOUND_MB = 64    # peak; half of it is free in calm
+DESCRIPTORS = 256       # limit under which the process runs
+DESCRIPTOR_BOUND = 200
+SENDERS = 16
+ENDLESS_BYTES = 16 << 20    # that each sender sends at most
+CROWD = 320             # connections that hold what they have sent
+IDLE_CROWD = 400
+MAX_BODY = 262144
+ORDINARY_TRIES = 40
+JOB = "00000000000000aa"
+STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "est-ms": 100}
+HEAD = ("POST /quote/%016x HTTP/1.1\r\nHost: " + world2.HOST +
+        "\r\nContent-Type: application/json\r\n")
+
+program = None
+
+
+class LimitedProcess(world2.Process):
+    def command(self):
+        return [program] + super().command()[1:]
+
+    def start(self):
+        own = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, own[1]))
+        try:
+            super().start()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, own)
+
+    def peak_memory_mb(self):
+        """0 if the process has ended."""
+        try:
+            with open("/proc/%d/status" % self.process.pid) as file:
+                for line in file:
+                    if line.startswith("VmHWM:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0
+
+    def descriptors(self):
+        """0 if the process has ended."""
+        try:
+            return len(os.listdir("/proc/%d/fd" % self.process.pid))
+        except OSError:
+            return 0
+
+
+async def send_and_hold(port, parts):
+    """Sends the parts until the other end closes; keeps the connection."""
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", port), 5)
+    except (OSError, asyncio.TimeoutError):
+        return None
+    try:
+        for part in parts:
+            writer.write(part)
+            # An end that neither reads nor closes must not stop the test.
+            await asyncio.wait_for(writer.drain(), 5)
+    except (OSError, asyncio.TimeoutError):
+        pass
+    return reader, writer
+
+
+def endless(first, piece):
+    yield first
+    for _ in range(ENDLESS_BYTES // len(piece)):
+        yield piece
+
+
+def crowd_of(case):
+    """What each connection sends, one after the other."""
+    chunked = "Transfer-Encoding: chunked\r\n\r\n"
+    piece = b"x-field: " + b"v" * 1000 + b"\r\n"
+    for i in range({"idle": IDLE_CROWD, "fields": CROWD, "bodies": CROWD}.get(
+            case, SENDERS)):
+        head = HEAD % i
+        if case == "trailers":
+            yield endless((head + chunked + "2\r\n{}\r\n0\r\n").encode(),
+                          piece * 16)
+        elif case == "extensions":
+            yield endless((head + chunked + "2;x=").encode(), b"v" * 16384)
+        elif case == "fields":
+            yield [(head + "a:\r\n" * 3900 + "Content-Length: 9\r\n\r\n")
+                   .encode()]
+        elif case == "bodies":
+            yield [(head + "Content-Length: %d\r\n\r\n" % MAX_BODY).encode() +
+                   b" " * (MAX_BODY - 1)]
+        else:
+            yield []
+
+
+async def respond_without_end(reader, writer):
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        for part in endless(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"2\r\n{}\r\n0\r\n", b"x-field: " + b"v" * 16000 + b"\r\n"):
+            writer.write(part)
+            await writer.drain()
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+async def announce_hostile_workers(world):
+    server = await asyncio.start_server(respond_without_end, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    for i in range(SENDERS):
+        world.store.put("keyed.servers", "i-hostile%d" % i, {
+            "service": world2.SERVICE, "address": "127.0.0.1:%d" % port,
+            "zone": "cebu", "version": "v1", "slots": 8, "state": "ready",
+            "warmup-left-ms": 0,
+            "capacity": {"cpu": 64000, "mem-mb": 256000, "gpu": 0},
+            "labels": ["b", "r1-9"], "clock-ms": 1, "born": 1, "seq": 1})
+    await asyncio.sleep(5)
+    return server
+
+
+async def ordinary_request(world):
+    return await world.submit("quote", JOB, [STEP], [0.1], tries=ORDINARY_TRIES)
+
+
+async def play(world, case):
+    process = world.processes[0]
+    if case == "answers":
+        held = [await announce_hostile_workers(world)]
+    else:
+        held = await asyncio.gather(*[
+            send_and_hold(process.frontend, parts) for parts in crowd_of(case)])
+    descriptors = process.descriptors()
+    answered = await ordinary_request(world)
+    peak = process.peak_memory_mb()
+    print("%s: %d connections, peak memory %.0f MB, %d descriptors, "
+          "ordinary request %s" % (case, len(held), peak, descriptors,
+                                   "answered" if answered else "unanswered"))
+    if process.killed_for_memory:
+        world.breaks_rule("the process went over the memory of its VM")
+    if process.ended_by_itself or process.process.poll() is not None:
+        world.breaks_rule("the process has ended")
+    if peak > MEMORY_BOUND_MB:
+        world.breaks_rule("peak memory of %.0f MB, bound %d" %
+                          (peak, MEMORY_BOUND_MB))
+    if descriptors > DESCRIPTOR_BOUND:
+        world.breaks_rule("%d descriptors, bound %d" %
+                          (descriptors, DESCRIPTOR_BOUND))
+    if not answered:
+        world.breaks_rule("an ordinary request was not answered")
+
+
+async def main(case):
+    with tempfile.TemporaryDirectory() as folder:
+        world = world2.World(os.path.join(folder, "record"), processes=0,
+                             minions=3)
+        world.processes.append(LimitedProcess(world, 0))
+        try:
+            if not await world.start():
+                world.breaks_rule("the system did not start")
+            else:
+                await play(world, case)
+        finally:
+            await world.stop()
+        for line in world.breaks:
+            print("broken:", line)
+        sys.stdout.flush()
+        # Handlers of requests that get no answer are still waiting.
+        os._exit(1 if world.breaks else 0)
+
+
+if __name__ == "__main__":
+    program = os.path.abspath(sys.argv[2])
+    asyncio.run(main(sys.argv[1]))
