net: a client or a server that sends without end does not use up a process

Cause: the HTTP library collects a chunk extension and the trailers in the read buffer until their end has come, and that buffer had no bound. The memory of all requests together, and the descriptors that clients take, had none either.

Change: the read buffer has the size of the largest header and 4 KiB more, for requests and for responses. Requests and responses are read piece by piece; beyond a budget for each server the largest incomplete one is given up with a true 503. A server takes half of the process's descriptors at most; beyond that the connection that has been idle longest gives way, never one whose request is being handled.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -7,12 +8,14 @@
 #include <utility>
 
 #include "src/net/beast_message.h"
+#include "src/net/message_budget.h"
 
 namespace cowslipmast {
 
 using asio::ip::tcp;
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 using SteadyTime = std::chrono::steady_clock::time_point;
+using Parser = http::response_parser<http::string_body>;
 
 namespace {
 
@@ -66,7 +69,9 @@
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
   Impl(asio::io_context& io_context, const HttpClientLimits& client_limits)
-      : io(io_context), limits(client_limits) {}
+      : io(io_context),
+        limits(client_limits),
+        budget(MessageBudget::Make(client_limits.response_memory_bytes)) {}
 
   std::optional<Connection> TakeIdle(const Endpoint& endpoint,
                                      std::optional<ServerInstance> instance);
@@ -78,6 +83,10 @@
       http::request<http::string_body> message,
       bool& keep_alive,
       NetError& reason);
+  asio::awaitable<void> ReadResponse(beast::tcp_stream& stream,
+                                     beast::flat_buffer& buffer,
+                                     Parser& parser,
+                                     beast::error_code& error);
   asio::awaitable<std::optional<HttpResponse>> CallOver(
       Endpoint endpoint,
       Connection connection,
@@ -94,6 +103,7 @@
   asio::io_context& io;
   HttpClientLimits limits;
   HttpClientCounters counters;
+  std::shared_ptr<MessageBudget> budget;
   std::map<Endpoint, std::deque<Connection>> idle;
 };
 
@@ -155,13 +165,13 @@
               true, error.message()};
     co_return std::nullopt;
   }
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
+  beast::flat_buffer buffer(ReadBufferSize(limits.header_bytes));
+  Parser parser;
+  parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
   parser.body_limit(limits.max_response_bytes);
   if (message.method() == http::verb::head)
     parser.skip(true);
-  co_await http::async_read(stream, buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  co_await ReadResponse(stream, buffer, parser, error);
   if (error) {
     reason = {ReadErrorKind(error), true, error.message()};
     co_return std::nullopt;
@@ -175,6 +185,28 @@
   co_return response;
 }
 
+// Reads a response piece by piece, so that all responses together stay within
+// their memory.
+asio::awaitable<void> HttpClient::Impl::ReadResponse(beast::tcp_stream& stream,
+                                                     beast::flat_buffer& buffer,
+                                                     Parser& parser,
+                                                     beast::error_code& error) {
+  const auto share =
+      MessageBudget::Join(budget, [&stream] { stream.cancel(); });
+  while (!parser.is_done() && !error) {
+    co_await http::async_read_some(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    const std::string& body = parser.get().body();
+    share->SetBytes(buffer.capacity() +
+                    std::min(body.capacity(), 2 * body.size()));
+    if (share->is_given_up()) {
+      ++counters.shed_responses;
+      error = http::error::body_limit;
+    }
+  }
+}
+
 void HttpClient::Impl::ReturnToPool(const Endpoint& endpoint,
                                     Connection connection) {
   std::deque<Connection>& pool = idle[endpoint];
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,23 +11,17 @@
 #include "cowslipmast/units.h"
 #include "cowslipmast/vm.h"
 #include "src/net/asio.h"
+#include "src/net/http_limits.h"
 #include "src/net/http_message.h"
 #include "src/net/net_error.h"
 
 namespace cowslipmast {
 
-struct HttpClientLimits {
-  size_t max_response_bytes = 16 * 1024 * 1024;
-  size_t idle_connections_per_endpoint = 64;
-  /** Short, so that a silently dropped connection is rarely reused. */
-  Duration idle_timeout = std::chrono::seconds(15);
-  Duration connect_timeout = std::chrono::seconds(1);
-};
-
 struct HttpClientCounters {
   uint64_t connects = 0;
   uint64_t reuses = 0;
   uint64_t failures = 0;
+  uint64_t shed_responses = 0;  // given up, as all took too much memory
 };
 
 /** Tells apart the instances of a server that listen at one address one after
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,13 +1,19 @@
 #include "src/net/http_server.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <exception>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "src/net/beast_message.h"
+#include "src/net/connection_choice.h"
 #include "src/net/listen.h"
+#include "src/net/message_budget.h"
 
 namespace cowslipmast {
 
@@ -18,6 +24,21 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 using Parser = http::request_parser<http::string_body>;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// Connections that leave the process as many descriptors as they take.
+size_t HalfOfDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return SIZE_MAX;
+  return std::max<size_t>(1, limit.rlim_cur / 2);
+}
+
+// Memory that a request takes while it is read. A body grows by doubling.
+size_t HeldBytes(const Parser& parser, const beast::flat_buffer& buffer) {
+  const std::string& body = parser.get().body();
+  return buffer.capacity() + std::min(body.capacity(), 2 * body.size());
+}
 
 HttpRequest TakeRequest(Parser& parser) {
   http::request<http::string_body> message = parser.release();
@@ -27,6 +48,16 @@
                      .body = std::move(message.body())};
 }
 
+// Memory that the parsed header takes: beside its bytes, a node for each field,
+// and then two strings.
+size_t HeldByHeader(const http::fields& fields) {
+  constexpr size_t node_bytes = 160;
+  size_t bytes = 0;
+  for (const auto& field : fields)
+    bytes += node_bytes + field.name_string().size() + field.value().size();
+  return bytes;
+}
+
 bool IsTooLarge(const beast::error_code& error) {
   return error == http::error::body_limit ||
          error == http::error::header_limit ||
@@ -40,10 +71,8 @@
          error != http::error::partial_message;
 }
 
-HttpResponse MakeReadErrorResponse(bool too_large) {
-  HttpResponse response = MakeJsonResponse(
-      too_large ? 413 : 400, too_large ? R"({"error":"request_too_large"})"
-                                       : R"({"error":"malformed_request"})");
+HttpResponse MakeNotRunResponse(uint16_t status, std::string body) {
+  HttpResponse response = MakeJsonResponse(status, std::move(body));
   response.headers.push_back({"Cowslipmast-Outcome", "not-run"});
   return response;
 }
@@ -54,22 +83,38 @@
   struct Connection {
     explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
     beast::tcp_stream stream;
-    bool busy = false;
+    asio::ip::address address;
+    ConnectionPhase phase = ConnectionPhase::kIdle;
+    SteadyTime since;  // of the phase
+    bool is_replaced = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   Impl(asio::io_context& io, const HttpServerLimits& server_limits)
-      : acceptor(io), limits(server_limits) {}
+      : acceptor(io),
+        limits(server_limits),
+        budget(MessageBudget::Make(server_limits.request_memory_bytes)) {
+    limits.connections = std::min(limits.connections, HalfOfDescriptors());
+  }
 
   asio::awaitable<void> AcceptLoop();
+  bool MakeRoom();
+  static void SetPhase(Connection& connection, ConnectionPhase phase);
   asio::awaitable<void> Serve(ConnectionPtr connection);
   asio::awaitable<bool> ServeOne(ConnectionPtr connection,
                                  beast::flat_buffer& buffer);
   asio::awaitable<bool> WaitForRequest(ConnectionPtr connection,
                                        beast::flat_buffer& buffer);
+  asio::awaitable<std::optional<HttpRequest>> ReadRequest(
+      ConnectionPtr connection,
+      beast::flat_buffer& buffer,
+      MessageBudget::Share& share,
+      bool& keep_alive,
+      beast::error_code& error);
   asio::awaitable<HttpResponse> HandleRequest(HttpRequest request);
   asio::awaitable<void> RejectRequest(ConnectionPtr connection,
-                                      beast::error_code error);
+                                      beast::error_code error,
+                                      bool is_shed);
   asio::awaitable<bool> Write(ConnectionPtr connection,
                               HttpResponse response,
                               bool keep_alive);
@@ -79,6 +124,7 @@
   HttpServerLimits limits;
   HttpHandler handler;
   HttpServerCounters counters;
+  std::shared_ptr<MessageBudget> budget;
   std::set<ConnectionPtr> connections;
   size_t in_progress = 0;
   uint16_t port = 0;
@@ -102,22 +148,54 @@
           asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (connections.size() >= limits.connections) {
+    if (connections.size() >= limits.connections && !MakeRoom()) {
       ++counters.refused_connections;
       continue;
     }
     socket.set_option(tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->address =
+        connection->stream.socket().remote_endpoint(error).address();
+    connection->since = std::chrono::steady_clock::now();
     connections.insert(connection);
     asio::co_spawn(acceptor.get_executor(), Serve(connection), asio::detached);
   }
 }
 
+// Closes the connection that gives way to a new one; false if none does.
+bool HttpServer::Impl::MakeRoom() {
+  std::map<asio::ip::address, size_t> counts;
+  for (const ConnectionPtr& connection : connections)
+    ++counts[connection->address];
+  std::vector<ConnectionUse> uses;
+  uses.reserve(connections.size());
+  for (const ConnectionPtr& connection : connections)
+    uses.push_back(
+        {connection->phase, connection->since, counts[connection->address]});
+  const auto chosen = ChooseToReplace(uses, std::chrono::steady_clock::now());
+  if (!chosen)
+    return false;
+  const auto position =
+      std::next(connections.begin(), static_cast<std::ptrdiff_t>(*chosen));
+  const ConnectionPtr replaced = *position;
+  replaced->is_replaced = true;
+  replaced->stream.close();
+  connections.erase(position);
+  ++counters.replaced_connections;
+  return true;
+}
+
+void HttpServer::Impl::SetPhase(Connection& connection, ConnectionPhase phase) {
+  connection.phase = phase;
+  connection.since = std::chrono::steady_clock::now();
+}
+
 asio::awaitable<void> HttpServer::Impl::Serve(ConnectionPtr connection) {
   const auto self = shared_from_this();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(ReadBufferSize(limits.header_bytes));
   bool open = true;
-  while (open && !stopped) {
+  while (open && !stopped && !connection->is_replaced) {
+    buffer.shrink_to_fit();
     open = co_await WaitForRequest(connection, buffer);
     if (open)
       open = co_await ServeOne(connection, buffer);
@@ -144,28 +222,61 @@
 
 asio::awaitable<bool> HttpServer::Impl::ServeOne(ConnectionPtr connection,
                                                  beast::flat_buffer& buffer) {
-  Parser parser;
-  parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
-  parser.body_limit(limits.body_bytes);
+  const auto share = MessageBudget::Join(
+      budget, [raw = connection.get()] { raw->stream.cancel(); });
   beast::error_code error;
-  connection->busy = true;
-  connection->stream.expires_after(limits.read_timeout);
-  co_await http::async_read(connection->stream, buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_await RejectRequest(connection, error);
+  bool keep_alive = false;
+  SetPhase(*connection, ConnectionPhase::kReading);
+  std::optional<HttpRequest> request =
+      co_await ReadRequest(connection, buffer, *share, keep_alive, error);
+  if (connection->is_replaced)
+    co_return false;
+  if (!request) {
+    co_await RejectRequest(connection, error, share->is_given_up());
     co_return false;
   }
   ++counters.requests;
   ++in_progress;
+  share->SetComplete();
+  SetPhase(*connection, ConnectionPhase::kHandling);
   connection->stream.expires_never();
-  const bool keep_alive = parser.get().keep_alive();
-  HttpResponse response = co_await HandleRequest(TakeRequest(parser));
+  HttpResponse response = co_await HandleRequest(std::move(*request));
+  SetPhase(*connection, ConnectionPhase::kAnswering);
   const bool written =
       co_await Write(connection, std::move(response), keep_alive);
   --in_progress;
-  connection->busy = false;
-  co_return written&& keep_alive && !close_after_response;
+  SetPhase(*connection, ConnectionPhase::kIdle);
+  co_return written&& keep_alive && !close_after_response &&
+      !connection->is_replaced;
+}
+
+// Reads a request piece by piece, so that all requests together stay within
+// their memory. Nothing if it was given up or is not valid.
+asio::awaitable<std::optional<HttpRequest>> HttpServer::Impl::ReadRequest(
+    ConnectionPtr connection,
+    beast::flat_buffer& buffer,
+    MessageBudget::Share& share,
+    bool& keep_alive,
+    beast::error_code& error) {
+  Parser parser;
+  parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
+  parser.body_limit(limits.body_bytes);
+  connection->stream.expires_after(limits.read_timeout);
+  size_t header = 0;
+  while (!parser.is_done()) {
+    co_await http::async_read_some(
+        connection->stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error || share.is_given_up() || connection->is_replaced)
+      co_return std::nullopt;
+    if (header == 0 && parser.is_header_done())
+      header = HeldByHeader(parser.get());
+    share.SetBytes(header + HeldBytes(parser, buffer));
+    if (share.is_given_up())
+      co_return std::nullopt;
+  }
+  keep_alive = parser.get().keep_alive();
+  co_return TakeRequest(parser);
 }
 
 // An exception of the handler is an error of that request alone. The response
@@ -181,12 +292,24 @@
 }
 
 asio::awaitable<void> HttpServer::Impl::RejectRequest(ConnectionPtr connection,
-                                                      beast::error_code error) {
+                                                      beast::error_code error,
+                                                      bool is_shed) {
+  if (is_shed) {
+    ++counters.shed_requests;
+    HttpResponse response =
+        MakeNotRunResponse(503, R"({"error":"too_many_requests_at_once"})");
+    response.headers.push_back({"Retry-After", "1"});
+    co_await Write(connection, std::move(response), false);
+    co_return;
+  }
   const bool too_large = IsTooLarge(error);
   if (!too_large && !IsMalformed(error))
     co_return;
   ++(too_large ? counters.oversized_requests : counters.bad_requests);
-  co_await Write(connection, MakeReadErrorResponse(too_large), false);
+  HttpResponse response =
+      too_large ? MakeNotRunResponse(413, R"({"error":"request_too_large"})")
+                : MakeNotRunResponse(400, R"({"error":"malformed_request"})");
+  co_await Write(connection, std::move(response), false);
 }
 
 asio::awaitable<bool> HttpServer::Impl::Write(ConnectionPtr connection,
@@ -208,7 +331,7 @@
 
 void HttpServer::Impl::CloseIdleConnections() {
   for (const ConnectionPtr& connection : connections) {
-    if (!connection->busy)
+    if (connection->phase == ConnectionPhase::kIdle)
       connection->stream.cancel();
   }
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,30 +7,21 @@
 #include <memory>
 #include <optional>
 
-#include "cowslipmast/units.h"
 #include "cowslipmast/vm.h"
 #include "src/net/asio.h"
+#include "src/net/http_limits.h"
 #include "src/net/http_message.h"
 #include "src/net/net_error.h"
 
 namespace cowslipmast {
 
-struct HttpServerLimits {
-  size_t header_bytes = 16 * 1024;
-  size_t body_bytes = 1024 * 1024;
-  size_t connections = 4096;
-  Duration idle_timeout = std::chrono::seconds(75);
-  /** Timeout of reading a whole request, so that a slow sender cannot occupy
-   * memory. */
-  Duration read_timeout = std::chrono::seconds(10);
-  Duration write_timeout = std::chrono::seconds(10);
-};
-
 struct HttpServerCounters {
   uint64_t requests = 0;
   uint64_t bad_requests = 0;
   uint64_t oversized_requests = 0;
-  uint64_t refused_connections = 0;
+  uint64_t refused_connections = 0;   // a request was handled on all others
+  uint64_t replaced_connections = 0;  // gave way to new ones
+  uint64_t shed_requests = 0;  // given up, as all together took too much memory
   uint64_t failed_handlers = 0;  // requests whose handler threw an exception
 };
 
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -41,6 +41,12 @@
 // The number of workers counts as stable if it is the same after this time.
 constexpr Duration kWorkerCountInterval = milliseconds(400);
 
+// Connections of each server. Together, and with those to workers, they leave
+// descriptors of the 3900 for sockets on the smallest VMs.
+constexpr size_t kMaxCallerConnections = 1950;
+constexpr size_t kMaxControlConnections = 900;
+constexpr size_t kMaxReadinessConnections = 32;
+
 struct OwnedCell {
   std::shared_ptr<Cell> cell;
   TimePoint since;
@@ -68,6 +74,7 @@
   bool Listen(StartError& reason);
   std::unique_ptr<HttpServer> Serve(const Endpoint& endpoint,
                                     std::string setting,
+                                    size_t connections,
                                     HttpHandler handler,
                                     StartError& reason);
   void Connect(const CellChart& chart);
@@ -356,6 +363,28 @@
           [](const WaitingSummary& w) { return w.longest_wait; });
   longest("cowslipmast_longest_starvation_seconds",
           [](const WaitingSummary& w) { return w.longest_starvation; });
+  const auto server = [this](const std::string& name, const auto read) {
+    for (const auto& [label, entry] :
+         {std::pair("callers", caller_server.get()),
+          std::pair("control", control.get())}) {
+      metrics->Gauge(name, {{"server", label}}, [entry = entry, read] {
+        return static_cast<double>(read(*entry));
+      });
+    }
+  };
+  server("cowslipmast_connections",
+         [](const HttpServer& s) { return s.connections(); });
+  server("cowslipmast_refused_connections",
+         [](const HttpServer& s) { return s.counters().refused_connections; });
+  server("cowslipmast_replaced_connections",
+         [](const HttpServer& s) { return s.counters().replaced_connections; });
+  server("cowslipmast_shed_requests",
+         [](const HttpServer& s) { return s.counters().shed_requests; });
+  server("cowslipmast_oversized_requests",
+         [](const HttpServer& s) { return s.counters().oversized_requests; });
+  metrics->Gauge("cowslipmast_shed_responses", {}, [this] {
+    return static_cast<double>(peers.counters().shed_responses);
+  });
   metrics->Gauge("cowslipmast_owned_cells", {},
                  [this] { return static_cast<double>(cells.size()); });
   metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
@@ -376,10 +405,12 @@
 std::unique_ptr<HttpServer> SchedulerProcess::Impl::Serve(
     const Endpoint& endpoint,
     std::string setting,
+    size_t connections,
     HttpHandler handler,
     StartError& reason) {
   HttpServerLimits limits;
   limits.body_bytes = settings.max_body_bytes;
+  limits.connections = connections;
   NetError error;
   auto server =
       HttpServer::Make(io, endpoint, limits, std::move(handler), error);
@@ -390,19 +421,19 @@
 
 bool SchedulerProcess::Impl::Listen(StartError& reason) {
   caller_server = Serve(
-      settings.caller_endpoint, "callers",
+      settings.caller_endpoint, "callers", kMaxCallerConnections,
       [this](HttpRequest request) {
         return HandleCallerRequest(std::move(request));
       },
       reason);
   readiness = Serve(
-      settings.readiness_endpoint, "readiness",
+      settings.readiness_endpoint, "readiness", kMaxReadinessConnections,
       [this](HttpRequest) -> asio::awaitable<HttpResponse> {
         co_return MakeJsonResponse(IsReady() ? 200 : 503, "{}");
       },
       reason);
   control = Serve(
-      settings.control_endpoint, "control",
+      settings.control_endpoint, "control", kMaxControlConnections,
       [this](HttpRequest request) {
         return HandleControlRequest(std::move(request));
       },
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -231,6 +231,29 @@
       CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
       CHECK(fixture.server->counters().requests == 0);
     }
+    SECTION("when the trailers behind its body are too long") {
+      const std::string answer = fixture.SendRaw(
+          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\n{}\r\n0\r\nx: " +
+          std::string(8000, 'v'));
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 413");
+      CHECK(answer.find("not-run") != std::string::npos);
+      CHECK(fixture.server->counters().requests == 0);
+    }
+    SECTION("when a chunk extension is too long") {
+      const std::string answer = fixture.SendRaw(
+          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2;x=" +
+          std::string(8000, 'v'));
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 413");
+      CHECK(fixture.server->counters().oversized_requests == 1);
+    }
+    SECTION("but not when its trailers are short") {
+      const std::string answer = fixture.SendRaw(
+          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\n{}\r\n0\r\nx: v\r\n\r\n");
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
+    }
     SECTION("when it is not HTTP") {
       const std::string answer = fixture.SendRaw("hello\r\n\r\n");
       CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
