--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -177,9 +177,9 @@
     return false;
   const auto position =
       std::next(connections.begin(), static_cast<std::ptrdiff_t>(*chosen));
-  const ConnectionPtr replaced = *position;
-  replaced->is_replaced = true;
-  replaced->stream.close();
+  Connection& replaced = **position;
+  replaced.is_replaced = true;
+  replaced.stream.close();
   connections.erase(position);
   ++counters.replaced_connections;
   return true;
