scheduler: the jobs of a cell without an owner are not counted as none

Cause: a process that had owned a cell for 3 s took a cell that it knew nothing of for empty. After all processes had been killed, the jobs of a cell without an owner wait in the store, and a caller was told that none wait.

Change: the count is made by SumWaiting, which gives none unless each cell's load is known; the caller then gets a 503. A count that was told before is used for 30 s, as it was.

The cause is taken from the code and the times, not from a log. Not built alone.

--- a/src/scheduler_process/load_exchange.cc
+++ b/src/scheduler_process/load_exchange.cc
@@ -8,6 +8,7 @@
 #include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/spawn.h"
+#include "src/scheduler_process/waiting_count.h"
 
 namespace cowslipmast::sched {
 
@@ -27,9 +28,6 @@
 // waiting count is used for longer.
 constexpr Duration kMaxLoadAge = milliseconds(2500);
 constexpr Duration kMaxCountAge = std::chrono::seconds(30);
-// A process that owns a cell for this long counts a cell that it knows nothing
-// of as empty: the cell has no owner.
-constexpr Duration kLearningPeriod = std::chrono::seconds(3);
 
 struct KnownLoad {
   CellLoad load;
@@ -67,7 +65,6 @@
   std::map<CellId, KnownLoad> known;
   std::map<CellId, std::string> known_interference;
   uint64_t rounds = 0;
-  std::optional<TimePoint> owning_since;
   bool stopped = false;
 };
 
@@ -131,11 +128,6 @@
   while (!stopped) {
     const auto layout = election->layout();
     const std::vector<CellLoad> own = hooks.own_loads();
-    if (own.empty()) {
-      owning_since.reset();
-    } else if (!owning_since) {
-      owning_since = MonotonicNow();
-    }
     if (layout && layout->cells > 1 && !own.empty()) {
       hooks.on_loads(RecentLoads(own));
       if (++rounds % kRoundsPerInterference == 1) {
@@ -176,28 +168,13 @@
   if (!layout || own.empty())
     return std::nullopt;
   const TimePoint now = MonotonicNow();
-  const bool learning =
-      !m_impl->owning_since || now - *m_impl->owning_since < kLearningPeriod;
-  std::vector<const CellLoad*> loads;
-  loads.reserve(layout->cells);
-  for (const CellLoad& load : own)
-    loads.push_back(&load);
-  for (uint32_t i = 0; i < layout->cells; ++i) {
-    const bool is_own = ContainsCell(own, CellId(i));
-    if (is_own)
-      continue;
-    const auto found = m_impl->known.find(CellId(i));
-    if (found != m_impl->known.end() && now - found->second.at <= kMaxCountAge)
-      loads.push_back(&found->second.load);
-    else if (learning)
-      return std::nullopt;
-  }
-  uint64_t count = 0;
-  for (const CellLoad* load : loads) {
-    for (const QueueWaiting& entry : load->waiting)
-      count += entry.queue == queue ? entry.jobs : 0;
+  std::vector<CellLoad> loads = own;
+  for (const auto& [cell, entry] : m_impl->known) {
+    const bool is_own = ContainsCell(own, cell);
+    if (!is_own && now - entry.at <= kMaxCountAge)
+      loads.push_back(entry.load);
   }
-  return count;
+  return SumWaiting(*layout, loads, queue);
 }
 
 }  // namespace cowslipmast::sched
