keys: calls need a key of a workspace, unless their route is public

Cause: a manifest with workspaces was read as one without: any caller was served, whatever its key, and a key that was taken away went on working.

Change: the manifest has the workspaces (name, weight, cap) and their keys. A job is stored with its workspace (optional key in the record).

--- a/include/cowslipmast/sched/job.h
+++ b/include/cowslipmast/sched/job.h
@@ -15,6 +15,7 @@
 using QueueId = Id<struct QueueTag>;
 using RackId = Id<struct RackTag>;
 using WorkerId = Id<struct WorkerTag>;
+using WorkspaceId = Id<struct WorkspaceTag>;
 /** Number of a run, that is of one start of a task; 1 is the first. */
 using RunNumber = Number<struct RunNumberTag>;
 
@@ -68,6 +69,8 @@
   /** Policy of the queue at that time. It counts once the operators have
    * removed the queue; nothing in records of earlier versions. */
   std::optional<QueuePolicy> accepted_policy;
+  /** Whose key the submission had; empty for none. */
+  WorkspaceId workspace{};
 
   bool operator==(const JobDefinition&) const = default;
 };
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -108,6 +108,8 @@
   }
   if (spec.accepted_policy)
     j["qp"] = EncodePolicy(*spec.accepted_policy);
+  if (!spec.workspace.empty())
+    j["ws"] = spec.workspace.value();
   const std::vector<uint8_t> bytes = json::to_cbor(j);
   return {bytes.begin(), bytes.end()};
 }
@@ -136,6 +138,7 @@
     spec.interval = Duration(j.value("ev", int64_t{0}));
     if (const auto policy = j.find("qp"); policy != j.end())
       spec.accepted_policy = DecodePolicy(*policy);
+    spec.workspace = WorkspaceId(j.value("ws", std::string()));
     return spec;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/scheduler_process/manifest.h
+++ b/src/scheduler_process/manifest.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cowslipmast/sched/policy.h"
+#include "src/scheduler_process/caller_keys.h"
 
 namespace cowslipmast::sched {
 
@@ -13,6 +14,7 @@
   QueueId queue;
   std::string host;
   std::string path_prefix;
+  bool is_public = false;  // calls need no key
 
   bool operator==(const QueueRoute&) const = default;
 };
@@ -22,6 +24,7 @@
   bool known = false;  // false until the first version has been read
   Policy policy;
   std::vector<QueueRoute> routes;
+  CallerKeys keys;
 
   bool operator==(const Manifest&) const = default;
 };
--- a/src/scheduler_process/manifest_follower.cc
+++ b/src/scheduler_process/manifest_follower.cc
@@ -52,6 +52,8 @@
     next.routes = m_manifest.routes;
     next.policy.version = m_manifest.policy.version;
     next.policy.queues = m_manifest.policy.queues;
+    next.policy.workspaces = m_manifest.policy.workspaces;
+    next.keys = m_manifest.keys;
   }
   if (next == m_manifest)
     return;
@@ -60,6 +62,8 @@
       "manifest",
       {{"version", static_cast<int64_t>(m_manifest.policy.version.value())},
        {"routes", static_cast<int64_t>(m_manifest.routes.size())},
+       {"workspaces",
+        static_cast<int64_t>(m_manifest.policy.workspaces.size())},
        {"evacuated",
         static_cast<int64_t>(m_manifest.policy.evacuated.size())}});
   m_on_change();
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -291,9 +291,30 @@
   request.path = path;
   request.headers.push_back({"Host", "quotes.example"});
   request.body = body;
-  const Endpoint endpoint = path.starts_with("/v1/") || path == "/dump"
-                                ? process.control()
-                                : process.callers();
+  return Send(process, std::move(request));
+}
+
+std::optional<HttpResponse> TestSystem::CallWithKey(TestProcess& process,
+                                                    const std::string& key,
+                                                    const std::string& method,
+                                                    const std::string& path,
+                                                    const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.headers.push_back({"Host", "quotes.example"});
+  request.headers.push_back({"X-Api-Key", key});
+  request.body = body;
+  return Send(process, std::move(request));
+}
+
+std::optional<HttpResponse> TestSystem::Send(TestProcess& process,
+                                             HttpRequest request) {
+  const std::string& path = request.path;
+  const Endpoint endpoint =
+      path.starts_with("/v1/") || path == "/dump" || path == "/metrics"
+          ? process.control()
+          : process.callers();
   std::promise<std::optional<HttpResponse>> promise;
   asio::co_spawn(
       m_caller.io(),
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -108,6 +108,12 @@
                                    const std::string& method,
                                    const std::string& path,
                                    const std::string& body = "");
+  /** As `Call`, with a workspace's key. */
+  std::optional<HttpResponse> CallWithKey(TestProcess& process,
+                                          const std::string& key,
+                                          const std::string& method,
+                                          const std::string& path,
+                                          const std::string& body = "");
   /** Submits a job of one step; returns the HTTP status, 0 without a response.
    */
   int Submit(TestProcess& process, const std::string& id, int tasks);
@@ -142,6 +148,8 @@
   std::optional<size_t> WaitForOwner(std::chrono::seconds limit);
 
  private:
+  std::optional<HttpResponse> Send(TestProcess& process, HttpRequest request);
+
   LoopThread m_platform;
   LoopThread m_caller;
   std::unique_ptr<HttpClient> m_client;
