sched: a workspace's runs in all cells stay under its cap

Cause: nothing counted what a workspace has running, and the owners of several cells start its work at once.

Change: each cell may use its part of a cap, which follows from the layout: the parts add up to the cap, no message is needed, and a new owner knows all runs that may exist from the records. A task counts from the plan of its start to its end or the end of its lease, a best-effort one with its full CPU. What needs more than a part runs alone in one cell, where jobs that begin with it move; a gang that does waits. Steps that are held back do not rule out others. run_waits and the dump say what holds a task back and how much a cell has. Parts are not lent between cells yet.

Tests: tests/sched/workspace_caps_test.cc in virtual time: two owners that are killed and replaced, late and repeated messages, silent workers, a lowered cap, the store away.

--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/sched/jobs.h"
+#include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
 
@@ -26,6 +27,7 @@
   if (TaskOf(ref).crashes.total > 0)
     ++worker_state.suspects;
   worker_state.reserved += ReservedBy(spec);
+  AddToWorkspace(state, ref);
   if (spec.best_effort)
     worker_state.best_effort_cpu += spec.need.cpu;
   else if (spec.long_running)
@@ -43,6 +45,7 @@
   if (task.crashes.total > 0)
     --worker_state.suspects;
   worker_state.reserved -= ReservedBy(spec);
+  RemoveFromWorkspace(state, ref);
   if (spec.best_effort)
     worker_state.best_effort_cpu -= spec.need.cpu;
   else if (spec.long_running)
--- a/src/sched/dump.cc
+++ b/src/sched/dump.cc
@@ -3,10 +3,35 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/sched/workspace_caps.h"
+
 namespace cowslipmast::sched {
 
 using nlohmann::json;
 
+namespace {
+
+json DescribeWorkspace(const State& state,
+                       const WorkspaceId& workspace,
+                       const WorkspacePolicy& policy) {
+  const auto found = state.workspace_use.find(workspace);
+  const Resources use =
+      found == state.workspace_use.end() ? Resources{} : found->second;
+  const Resources part = PartOfCap(policy.cap, state.options.layout, workspace,
+                                   state.options.cell);
+  const auto describe = [](const Resources& resources) {
+    return json{{"cpu", resources.cpu.count()},
+                {"memory_mb", resources.memory.count()},
+                {"accelerators", resources.accelerators.count()}};
+  };
+  return json{{"weight", policy.weight},
+              {"running", describe(use)},
+              {"cap", describe(policy.cap)},
+              {"part_of_cap", describe(part)}};
+}
+
+}  // namespace
+
 std::string DescribeTasks(const WorkerState& worker) {
   json tasks = json::array();
   for (const TaskRef& ref : worker.tasks) {
@@ -47,6 +72,7 @@
       continue;
     jobs.push_back({{"job", id.value()},
                     {"queue", job->spec.queue.value()},
+                    {"workspace", job->spec.workspace.value()},
                     {"state", JobStateName(job->state)},
                     {"placed", job->placed_tasks},
                     {"age_ms", (now - job->arrived).count() / 1000}});
@@ -58,7 +84,11 @@
       interference[latency_critical.value()][best_effort.value()] =
           EstimateInterference(state.interference, i, k);
   }
-  return json{{"pressures", std::move(interference)},
+  json workspaces = json::object();
+  for (const auto& [workspace, policy] : state.policy.workspaces)
+    workspaces[workspace.value()] = DescribeWorkspace(state, workspace, policy);
+  return json{{"workspaces", std::move(workspaces)},
+              {"pressures", std::move(interference)},
               {"policy_version", state.policy.version.value()},
               {"ready_steps", state.ready_steps.size()},
               {"workers", std::move(workers)},
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -190,6 +190,9 @@
   // Accepted jobs of a removed queue run under its last policy.
   for (const auto& [queue, old] : state.policy.queues)
     next.queues.emplace(queue, old);
+  // So does what a removed workspace still has.
+  for (const auto& [workspace, old] : state.policy.workspaces)
+    next.workspaces.emplace(workspace, old);
   state.policy = std::move(next);
   state.needs_plan = true;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -288,6 +288,8 @@
   InterferenceModel interference;
   std::optional<TimePoint> interference_stored_at;
   LeaseNotes lease_notes;
+  /** Needs of the tasks that have a worker in this cell. */
+  std::map<WorkspaceId, Resources> workspace_use;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> jobs;
   /** Cancellations that were read before their jobs. */
   std::set<JobId> early_cancellations;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -15,6 +15,7 @@
 #include "src/sched/unplaced_steps.h"
 #include "src/sched/worker_score.h"
 #include "src/sched/workers.h"
+#include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
 
@@ -246,6 +247,10 @@
       unplaced.push_back(index);
       continue;
     }
+    if (CheckCap(state, ref) != CapVerdict::kAllowed) {
+      unplaced.push_back(index);
+      break;
+    }
     const PlacementQuery query = MakeQuery(state, ref, now);
     const bool is_scored = heap && heap->last_attempt == query.last_attempt &&
                            heap->is_overdue == query.is_overdue &&
@@ -318,6 +323,8 @@
                      std::vector<int32_t>& chosen_workers) {
   if (IsHeldBack(state, TaskRef{key.iteration, key.step, 0}))
     return false;
+  if (IsHeldBackByCap(state, key))
+    return false;
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
   if (spec.same_rack) {
     for (const RackId& rack : RacksOf(state, spec.data_rack)) {
@@ -469,6 +476,12 @@
     }
     StepState& step = key.iteration->steps[key.step];
     step.examined_at = now;
+    // Says nothing of the steps of other workspaces, which may have room.
+    if (IsHeldBackByCap(state, key)) {
+      step.is_ruled_out = false;
+      ++next;
+      continue;
+    }
     step.is_ruled_out = unplaced_steps.RulesOut(state, key, now);
     if (step.is_ruled_out) {
       ++next;
@@ -478,8 +491,10 @@
       next = state.ready_steps.erase(next);
       continue;
     }
-    unplaced_steps.Add(state, key, now);
-    ++unplaced.count;
+    if (!IsHeldBackByCap(state, key)) {
+      unplaced_steps.Add(state, key, now);
+      ++unplaced.count;
+    }
     ++next;
   }
   ForgetFinishedRanks(state, unplaced_counts);
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -14,6 +14,7 @@
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
 
@@ -429,7 +430,9 @@
     if (!own)
       own = MeasureLoad(state, now);
     const WaitingWork work = DescribeWork(state, key, now);
-    auto target = CellOfData(state, key);
+    auto target = CellOfOversizedStep(state, key);
+    if (!target)
+      target = CellOfData(state, key);
     if (!target)
       target = ChooseCell(work, *own, state.cell_loads);
     if (!target)
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -8,6 +8,7 @@
 
 #include "src/sched/order.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
 
@@ -71,7 +72,8 @@
          " with_capacity=" + std::to_string(passed.with_capacity) +
          " trusted=" + std::to_string(passed.trusted) + " waits_for_reserve=" +
          std::to_string(passed.waits_for_reserve ? 1 : 0) +
-         DescribeExamination(waiting, passed, now);
+         DescribeExamination(waiting, passed, now) +
+         DescribeCap(state, waiting.ref);
 }
 
 void AddOverdueTasks(const ReadyKey& key,
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -47,6 +47,12 @@
   }
 }
 
+void SimulatedCell::SetWorkspace(const std::string& workspace,
+                                 const WorkspacePolicy& policy) {
+  m_policy.workspaces[WorkspaceId(workspace)] = policy;
+  m_scheduler->SetPolicy(m_policy, m_now);
+}
+
 void SimulatedCell::SetQueue(const std::string& queue,
                              const QueuePolicy& policy) {
   m_policy.queues[QueueId(queue)] = policy;
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -87,6 +87,8 @@
   const SimulatedWorker& worker(size_t index) const { return m_workers[index]; }
   size_t worker_count() const { return m_workers.size(); }
   void SetQueue(const std::string& queue, const QueuePolicy& policy);
+  void SetWorkspace(const std::string& workspace,
+                    const WorkspacePolicy& policy);
   /** The operators remove the queue. */
   void RemoveQueue(const std::string& queue);
   /** Run time of a task in seconds; the step's estimate if not set. */
--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -35,6 +35,12 @@
     cell->SetQueue(queue, policy);
 }
 
+void SimulatedCells::SetWorkspace(const std::string& workspace,
+                                  const WorkspacePolicy& policy) {
+  for (const auto& cell : m_cells)
+    cell->SetWorkspace(workspace, policy);
+}
+
 size_t SimulatedCells::HomeOf(const std::string& job) const {
   return CellOfJob(m_layout, JobId(job)).value();
 }
@@ -160,6 +166,22 @@
   return count;
 }
 
+Resources SimulatedCells::RunningOf(const std::string& workspace) const {
+  Resources sum;
+  for (const auto& cell : m_cells) {
+    for (size_t w = 0; w < cell->worker_count(); ++w) {
+      if (!cell->worker(w).up)
+        continue;
+      for (const auto& [task, run] : cell->worker(w).running) {
+        const JobDefinition& job = m_jobs.at(task.job);
+        if (job.workspace == WorkspaceId(workspace))
+          sum += job.steps[task.step].need;
+      }
+    }
+  }
+  return sum;
+}
+
 std::vector<std::string> SimulatedCells::Violations() const {
   std::vector<std::string> all = m_violations;
   for (const auto& cell : m_cells) {
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -19,6 +19,8 @@
   SimulatedCells(uint32_t cells, int workers_per_cell, int64_t cores);
 
   void SetQueue(const std::string& queue, const QueuePolicy& policy);
+  void SetWorkspace(const std::string& workspace,
+                    const WorkspacePolicy& policy);
   void Submit(const JobDefinition& job);
   void Cancel(const std::string& job);
   void Run(Duration duration);
@@ -32,6 +34,8 @@
   /** State as its callers see it: that of the cell that runs it. */
   std::optional<JobState> StateOf(const std::string& job) const;
   size_t CountRunning(const std::string& job) const;
+  /** Needs of all runs of the workspace's jobs on workers that are up. */
+  Resources RunningOf(const std::string& workspace) const;
   /** Of all cells, and of the checks across them. */
   std::vector<std::string> Violations() const;
   /** Messages arrive after this time. */
