sched: bounds for what callers and workers make an owner keep and store

Change: at most 64 iterations of a job that are not done, with 4,000 tasks together, are kept; further ones that are due follow in their order as others are done, also under a later owner, and a done one keeps only its number. 96 images of each kind have models; a stored model, or one that other cells ask for, leaves images out beyond 192 KiB and says so in the log. Progress and moves are stored without checkpoints if they exceed a record. A learned record that is too large is dropped with a log line.

--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -66,6 +66,7 @@
 /** Returns nothing for a key of another kind. */
 std::optional<JobRecordKey> ParseJobRecordKey(std::string_view key);
 
+/** Leaves the checkpoints out if the record would be too large. */
 std::string EncodeTransfer(const JobTransfer& transfer);
 /** Returns nothing if the bytes are not a transfer. */
 std::optional<JobTransfer> DecodeTransfer(std::string_view bytes);
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -49,7 +49,7 @@
     worker_state.long_running_cpu -= spec.need.cpu;
   // A probe may end without showing whether the worker is healthy, for example
   // if it is cancelled; the worker then gets another one.
-  worker_state.health.probing = false;
+  worker_state.health.probe_priority.reset();
   --ref.iteration->job->placed_tasks;
   if (task.phase == SchedulingPhase::kStopping)
     state.stopping_tasks.erase(NameOf(ref));
@@ -60,6 +60,7 @@
   task.visible_from.reset();
   task.stop_sent.reset();
   task.last_progress.reset();
+  task.longest_percent.reset();
   task.load.reset();
   task.progress_percent = 0;
   task.pace_percent = 100;
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "cowslipmast/sched/job_codec.h"
-
 #include "src/core/cbor.h"
 
 namespace cowslipmast::sched {
@@ -24,9 +23,10 @@
   return std::string(prefix) + job.value();
 }
 
-json EncodeTask(const MovedTask& task) {
+json EncodeTask(const MovedTask& task, bool with_checkpoint) {
   return json::array({task.step, task.index, task.run.value(), task.failures,
-                      task.checkpoint, task.waited.count(), task.crashes.total,
+                      with_checkpoint ? task.checkpoint : std::string(),
+                      task.waited.count(), task.crashes.total,
                       task.crashes.blamed, task.crashes.proven});
 }
 
@@ -49,6 +49,20 @@
           .crashes = crashes};
 }
 
+std::string EncodeTransfer(const JobTransfer& transfer, bool with_checkpoints) {
+  json tasks = json::array();
+  for (const MovedTask& task : transfer.tasks)
+    tasks.push_back(EncodeTask(task, with_checkpoints));
+  const std::string job = EncodeJob(transfer.job);
+  const std::vector<uint8_t> bytes =
+      json::to_cbor({{"f", transfer.from.value()},
+                     {"h", transfer.hop},
+                     {"w", transfer.waited.count()},
+                     {"t", std::move(tasks)},
+                     {"j", json::binary({job.begin(), job.end()})}});
+  return {bytes.begin(), bytes.end()};
+}
+
 }  // namespace
 
 std::string SubmissionKey(const JobId& job) {
@@ -88,17 +102,9 @@
 }
 
 std::string EncodeTransfer(const JobTransfer& transfer) {
-  json tasks = json::array();
-  for (const MovedTask& task : transfer.tasks)
-    tasks.push_back(EncodeTask(task));
-  const std::string job = EncodeJob(transfer.job);
-  const std::vector<uint8_t> bytes =
-      json::to_cbor({{"f", transfer.from.value()},
-                     {"h", transfer.hop},
-                     {"w", transfer.waited.count()},
-                     {"t", std::move(tasks)},
-                     {"j", json::binary({job.begin(), job.end()})}});
-  return {bytes.begin(), bytes.end()};
+  std::string bytes = EncodeTransfer(transfer, true);
+  return bytes.size() <= kMaxRecordBytes ? bytes
+                                         : EncodeTransfer(transfer, false);
 }
 
 std::optional<JobTransfer> DecodeTransfer(std::string_view bytes) {
--- a/src/sched/health.cc
+++ b/src/sched/health.cc
@@ -27,7 +27,7 @@
     return;
   ++health.failure_streak;
   health.last_failure = now;
-  health.probing = false;
+  health.probe_priority.reset();
   if (health.failure_streak >= kFailureStreakToAvoid)
     health.avoid_until = now + kAvoidDuration;
 }
@@ -46,7 +46,7 @@
     return false;
   if (!health.avoid_until)
     return true;
-  return now >= *health.avoid_until && !health.probing;
+  return now >= *health.avoid_until && !health.probe_priority;
 }
 
 }  // namespace cowslipmast::sched
--- a/src/sched/interference_codec.cc
+++ b/src/sched/interference_codec.cc
@@ -34,6 +34,11 @@
 // A stored number takes nine bytes, and the store accepts records of 256 KB.
 // Beyond this many covariances only variances are stored.
 constexpr size_t kMaxCovariances = 4000;
+// Models that do not fit into a record of this size are left out: their images
+// are learned anew by the next owner.
+constexpr size_t kMaxEncodedBytes = 192 * 1024;
+// Of a name and the members of a map around it.
+constexpr size_t kEntryOverhead = 16;
 
 json EncodeModel(const InterferenceModel& model,
                  const LatencyCriticalModel& latency_critical,
@@ -124,18 +129,29 @@
 
 }  // namespace
 
-std::string EncodeInterference(const State& state) {
+std::string EncodeInterference(const State& state, size_t* left_out) {
   const UsedImages used = FindUsedImages(state);
   const bool with_covariances = used.latency_critical.size() *
                                     used.best_effort.size() *
                                     used.best_effort.size() <=
                                 kMaxCovariances;
   json stored = json::object();
+  size_t size = 0;
   for (const auto& [image, index] : state.interference.latency_critical_index) {
-    if (used.latency_critical.count(image) > 0)
-      stored[image.value()] = EncodeModel(
-          state.interference, state.interference.latency_critical_models[index],
-          used.best_effort, with_covariances);
+    if (used.latency_critical.count(image) == 0)
+      continue;
+    json model = EncodeModel(state.interference,
+                             state.interference.latency_critical_models[index],
+                             used.best_effort, with_covariances);
+    const size_t model_size =
+        json::to_cbor(model).size() + image.value().size() + kEntryOverhead;
+    if (size + model_size > kMaxEncodedBytes) {
+      if (left_out != nullptr)
+        ++*left_out;
+      continue;
+    }
+    size += model_size;
+    stored[image.value()] = std::move(model);
   }
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
   return {bytes.begin(), bytes.end()};
--- a/src/sched/interference_codec.h
+++ b/src/sched/interference_codec.h
@@ -14,8 +14,9 @@
 
 /** Encodes the model of the images that unfinished jobs use. Without it the
  * next owner would learn it again from some seconds of tasks over their
- * targets. */
-std::string EncodeInterference(const State& state);
+ * targets. Leaves images out of a record that the store would refuse for its
+ * size; `left_out`, if not null, counts them. */
+std::string EncodeInterference(const State& state, size_t* left_out = nullptr);
 
 /** Restores a stored model. Returns false, and changes nothing, if the bytes
  * cannot be read. */
--- a/src/sched/interference_model.cc
+++ b/src/sched/interference_model.cc
@@ -33,6 +33,18 @@
 // Limits of the idle tail latency as shares of the latency target.
 constexpr double kMinIdleShareOfTarget = 0.1;
 constexpr double kMaxIdleShareOfTarget = 0.3;
+// A model needs memory for each pair of best-effort images. Callers choose the
+// names of images, so that their number has no other bound.
+constexpr size_t kMaxImages = 96;
+
+// Images beyond the bound share the model of tasks without an image.
+ImageId BoundedImage(
+    const absl::flat_hash_map<ImageId, ImageIndex>& known_images,
+    const ImageId& image) {
+  const bool has_own_model =
+      known_images.contains(image) || known_images.size() < kMaxImages;
+  return has_own_model ? image : ImageId();
+}
 
 double Predict(const LatencyCriticalModel& model,
                const std::vector<BestEffortShare>& shares) {
@@ -101,7 +113,8 @@
                                      const ImageId& image) {
   const auto next =
       static_cast<ImageIndex>(model.latency_critical_index.size());
-  const auto [entry, added] = model.latency_critical_index.emplace(image, next);
+  const auto [entry, added] = model.latency_critical_index.emplace(
+      BoundedImage(model.latency_critical_index, image), next);
   if (added)
     model.latency_critical_models.emplace_back();
   return entry->second;
@@ -110,7 +123,9 @@
 ImageIndex BestEffortImageIndex(InterferenceModel& model,
                                 const ImageId& image) {
   const auto next = static_cast<ImageIndex>(model.best_effort_index.size());
-  return model.best_effort_index.emplace(image, next).first->second;
+  return model.best_effort_index
+      .emplace(BoundedImage(model.best_effort_index, image), next)
+      .first->second;
 }
 
 double UtilisationAt(const LatencyCriticalModel& model,
--- a/src/sched/interference_model.h
+++ b/src/sched/interference_model.h
@@ -47,7 +47,8 @@
   double share = 0;
 };
 
-/** Index of an image, which is added if it is new. */
+/** Index of an image, which is added if it is new. Once there are 96 images,
+ * further ones count as tasks without an image. */
 ImageIndex LatencyCriticalImageIndex(InterferenceModel& model,
                                      const ImageId& image);
 ImageIndex BestEffortImageIndex(InterferenceModel& model, const ImageId& image);
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -18,6 +18,43 @@
 // the newest records in pages, and a page takes up to a second.
 constexpr Duration kDeletedJobRetention = std::chrono::seconds(60);
 
+// The iterations of a job that are not done have as many tasks together as one
+// iteration of an accepted job may have, so that a job whose iterations are all
+// overdue needs no more memory than another one.
+constexpr size_t kMaxOpenTasks = 4000;
+constexpr size_t kMaxOpenIterations = 64;
+
+size_t CountTasks(const JobDefinition& spec) {
+  size_t tasks = 0;
+  for (const StepSpec& step : spec.steps)
+    tasks += step.count;
+  return tasks;
+}
+
+// True if the job's next iteration need not wait until an earlier one is done.
+bool MayCreateIteration(const Job& job) {
+  const size_t open = job.iterations.size();
+  return open == 0 || (open < kMaxOpenIterations &&
+                       (open + 1) * CountTasks(job.spec) <= kMaxOpenTasks);
+}
+
+void SetDone(Iteration& iteration) {
+  iteration.unfinished_steps = 0;
+  for (StepState& step : iteration.steps) {
+    step.unfinished_tasks = 0;
+    for (Task& task : step.tasks)
+      task.phase = SchedulingPhase::kDone;
+  }
+}
+
+// Passes over iterations that an earlier owner has seen done, and returns when
+// the next one is due.
+WallTime SkipDoneIterations(Job& job, WallTime due) {
+  for (; IsDone(job, job.next_iteration); ++job.next_iteration)
+    due += job.spec.interval;
+  return due;
+}
+
 bool AreDependenciesDone(const Iteration& iteration, const StepSpec& spec) {
   return std::all_of(spec.depends_on.begin(), spec.depends_on.end(),
                      [&](uint32_t earlier) {
@@ -33,7 +70,7 @@
 
 void FinishIteration(State& state, Iteration& iteration, TimePoint now) {
   Job& job = *iteration.job;
-  ++job.iterations_done;
+  NoteDone(job, iteration.number);
   if (job.iterations_done < IterationCount(job.spec) ||
       job.state == JobState::kFailed || job.state == JobState::kCancelled)
     return;
@@ -129,6 +166,8 @@
             ? BestEffortImageIndex(state.interference, spec.image)
             : LatencyCriticalImageIndex(state.interference, spec.image);
   }
+  if (IsDone(job, number))
+    SetDone(*slot);
   state.needs_plan = true;
   return *slot;
 }
@@ -137,10 +176,20 @@
   while (!state.upcoming_iterations.empty() &&
          state.upcoming_iterations.begin()->first <= wall) {
     Job& job = *state.upcoming_iterations.begin()->second;
-    const WallTime due = state.upcoming_iterations.begin()->first;
+    const WallTime due =
+        SkipDoneIterations(job, state.upcoming_iterations.begin()->first);
     state.upcoming_iterations.erase(state.upcoming_iterations.begin());
-    if (job.ended_at)
+    if (job.ended_at || job.next_iteration >= IterationCount(job.spec))
+      continue;
+    if (due > wall) {
+      state.upcoming_iterations.emplace(due, &job);
       continue;
+    }
+    if (!job.iterations.contains(job.next_iteration) &&
+        !MayCreateIteration(job)) {
+      job.overdue_since = due;
+      continue;
+    }
     Iteration& iteration =
         GetOrCreateIteration(state, job, job.next_iteration, now);
     ++job.next_iteration;
@@ -150,6 +199,36 @@
   }
 }
 
+bool IsDone(const Job& job, uint32_t iteration) {
+  return iteration < job.done_iterations.size() &&
+         job.done_iterations[iteration];
+}
+
+void NoteDone(Job& job, uint32_t iteration) {
+  if (iteration >= job.done_iterations.size())
+    job.done_iterations.resize(iteration + 1);
+  job.done_iterations[iteration] = true;
+  ++job.iterations_done;
+}
+
+void ForgetDoneIteration(State& state, Job& job, uint32_t number) {
+  if (IterationCount(job.spec) == 1 || job.ended_at || !IsDone(job, number))
+    return;
+  const auto found = job.iterations.find(number);
+  if (found == job.iterations.end() || found->second->dirty)
+    return;
+  const Iteration* iteration = found->second.get();
+  std::erase_if(state.ready_steps, [iteration](const ReadyKey& key) {
+    return key.iteration == iteration;
+  });
+  job.iterations.erase(found);
+  if (!job.overdue_since)
+    return;
+  state.upcoming_iterations.emplace(*job.overdue_since, &job);
+  job.overdue_since.reset();
+  state.needs_plan = true;
+}
+
 void MakeReady(State& state,
                const TaskRef& ref,
                TimePoint now,
@@ -282,6 +361,10 @@
       progress.push_back(ProgressKey(id, number));
       std::erase(state.dirty_iterations, iteration.get());
     }
+    for (uint32_t number = 0; number < job.done_iterations.size(); ++number) {
+      if (IsDone(job, number) && !job.iterations.contains(number))
+        progress.push_back(ProgressKey(id, number));
+    }
     std::erase_if(state.ready_steps, [&job](const ReadyKey& key) {
       return key.iteration->job == &job;
     });
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -11,9 +11,18 @@
                                 uint32_t number,
                                 TimePoint due);
 
-/** Creates the iterations that are due. */
+/** Creates the iterations that are due. A job gets only some of many that are
+ * overdue, and further ones as they are done. */
 void CreateDueIterations(State& state, TimePoint now, WallTime wall);
 
+/** True if the iteration is done, whether or not its tasks are kept. */
+bool IsDone(const Job& job, uint32_t iteration);
+void NoteDone(Job& job, uint32_t iteration);
+
+/** Frees the tasks of an iteration that is done and whose record is encoded, if
+ * its job has more of them. */
+void ForgetDoneIteration(State& state, Job& job, uint32_t number);
+
 /** Queues the tasks of each step whose dependencies are done. */
 void UnblockSteps(State& state, Iteration& iteration, TimePoint now);
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -1,3 +1,4 @@
+#include "cowslipmast/sched/job_codec.h"
 #include "src/sched/progress.h"
 
 #include <algorithm>
@@ -31,7 +32,10 @@
 }
 
 // `is_suspect` is true if a worker has ended under a task of the step.
-json EncodeTaskProgress(const State& state, const Task& task, bool is_suspect) {
+json EncodeTaskProgress(const State& state,
+                        const Task& task,
+                        bool is_suspect,
+                        bool with_checkpoint) {
   if (task.phase == SchedulingPhase::kDone)
     return json(kDoneCode);
   json fields = json::array();
@@ -42,7 +46,7 @@
                                : kWaitingCode);
   fields.push_back(task.run.value());
   fields.push_back(task.failures);
-  fields.push_back(task.checkpoint);
+  fields.push_back(with_checkpoint ? task.checkpoint : std::string());
   if (placed) {
     fields.push_back(
         state.workers[static_cast<size_t>(task.worker)].info.id.value());
@@ -116,6 +120,10 @@
                           Job& job,
                           uint32_t number,
                           const json& stored) {
+  if (number >= IterationCount(job.spec))
+    return false;
+  if (IsDone(job, number))
+    return true;
   Iteration& iteration =
       GetOrCreateIteration(state, job, number, state.claimed_at);
   const json& steps = stored.at("t");
@@ -132,7 +140,7 @@
       --iteration.unfinished_steps;
   }
   if (iteration.unfinished_steps == 0)
-    ++job.iterations_done;
+    NoteDone(job, number);
   return true;
 }
 
@@ -153,7 +161,11 @@
   return id.value() + "." + std::to_string(iteration);
 }
 
-ProgressRecord EncodeProgress(const State& state, const Iteration& iteration) {
+namespace {
+
+std::string EncodeIteration(const State& state,
+                            const Iteration& iteration,
+                            bool with_checkpoints) {
   json steps = json::array();
   for (const StepState& step : iteration.steps) {
     json tasks = json::array();
@@ -161,7 +173,8 @@
         std::any_of(step.tasks.begin(), step.tasks.end(),
                     [](const Task& task) { return task.crashes.total > 0; });
     for (const Task& task : step.tasks)
-      tasks.push_back(EncodeTaskProgress(state, task, is_suspect));
+      tasks.push_back(
+          EncodeTaskProgress(state, task, is_suspect, with_checkpoints));
     steps.push_back(std::move(tasks));
   }
   json stored = {{"s", static_cast<int>(iteration.job->state)},
@@ -171,8 +184,17 @@
   if (job.moved_to)
     stored["m"] = {job.moved_to->value(), job.hop};
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
-  return {ProgressKey(iteration.job->spec.id, iteration.number),
-          std::string(bytes.begin(), bytes.end())};
+  return {bytes.begin(), bytes.end()};
+}
+
+}  // namespace
+
+ProgressRecord EncodeProgress(const State& state, const Iteration& iteration) {
+  ProgressRecord record{ProgressKey(iteration.job->spec.id, iteration.number),
+                        EncodeIteration(state, iteration, true)};
+  if (record.key.size() + record.value.size() > kMaxRecordBytes)
+    record.value = EncodeIteration(state, iteration, false);
+  return record;
 }
 
 bool ApplyProgress(State& state, const ProgressRecord& record) {
@@ -204,6 +226,7 @@
     if (has_started == stored.end() ? job.may_have_started
                                     : has_started->get<bool>())
       NoteStart(job);
+    ForgetDoneIteration(state, job, key->second);
     return true;
   } catch (const json::exception&) {
     return false;
--- a/src/sched/progress.h
+++ b/src/sched/progress.h
@@ -11,7 +11,8 @@
 std::string ProgressKey(const JobId& id, uint32_t iteration);
 
 /** Encodes which workers have an iteration's tasks, and which tasks are done.
- */
+ * Leaves the checkpoints out if the store would refuse the record for its size:
+ * the tasks would then start from the beginning under another owner. */
 ProgressRecord EncodeProgress(const State& state, const Iteration& iteration);
 
 /** Restores a stored record. Returns false if it cannot be read, or if its job
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -35,6 +35,7 @@
 constexpr Duration kInterferenceStoreInterval = std::chrono::seconds(3);
 // Decisions kept between two calls of `TakeDecisions`; later ones are dropped.
 constexpr size_t kMaxDecisions = 4096;
+constexpr size_t kMaxDeletionsPerPlan = 1000;
 
 std::optional<TaskRef> FindRun(const State& state,
                                const WorkerId& worker,
@@ -52,12 +53,25 @@
   for (Iteration* iteration : state.dirty_iterations) {
     iteration->dirty = false;
     plan.records.push_back(EncodeProgress(state, *iteration));
-    state.jobs_to_publish.emplace_back(iteration->job->spec.id,
-                                       iteration->job->state);
+    Job& job = *iteration->job;
+    state.jobs_to_publish.emplace_back(job.spec.id, job.state);
+    ForgetDoneIteration(state, job, iteration->number);
   }
   state.dirty_iterations.clear();
 }
 
+// Deletes progress of deleted jobs, some keys in each plan: a recurring job has
+// a record for each iteration.
+void PlanProgressDeletions(State& state, Plan& plan) {
+  std::vector<std::string>& keys = state.deleted_progress;
+  for (size_t i = 0; i < kMaxDeletionsPerPlan && !keys.empty(); ++i) {
+    plan.records.push_back({std::move(keys.back()), ""});
+    keys.pop_back();
+  }
+  if (!keys.empty())
+    state.needs_plan = true;
+}
+
 // Adds the interference model to an append that is due anyway.
 void EncodeLearnedInterference(State& state, TimePoint now, Plan& plan) {
   const bool is_due =
@@ -66,8 +80,17 @@
   if (plan.records.empty() || !is_due)
     return;
   state.interference_stored_at = now;
+  size_t left_out = 0;
+  std::string encoded = EncodeInterference(state, &left_out);
+  if (left_out > 0 && state.decisions.size() < kMaxDecisions)
+    state.decisions.push_back(
+        Decision{.event = "learned_data_left_out",
+                 .task = {},
+                 .run = {},
+                 .worker = {},
+                 .detail = "images=" + std::to_string(left_out)});
   plan.records.push_back(
-      {std::string(kInterferenceKey), EncodeInterference(state)});
+      {std::string(kInterferenceKey), std::move(encoded)});
 }
 
 // Something else answers in place of the worker's instance.
@@ -468,8 +491,7 @@
   EncodeLearnedInterference(state, now, plan);
   EncodeLeaseNotes(state, now, plan);
   DeleteEndedJobs(state, now, plan);
-  for (std::string& key : std::exchange(state.deleted_progress, {}))
-    plan.records.push_back({std::move(key), ""});
+  PlanProgressDeletions(state, plan);
   plan.messages = std::exchange(state.messages, {});
   for (WorkerState& worker : state.workers) {
     if (worker.instance)
--- a/src/sched/shared_interference.cc
+++ b/src/sched/shared_interference.cc
@@ -21,6 +21,9 @@
 // each counts as if its variance were this much larger.
 constexpr double kPeerVarianceFactor = 1.5;
 constexpr double kMinVariance = 1e-6;
+// Images that do not fit into an answer of this size are left out.
+constexpr size_t kMaxEncodedBytes = 192 * 1024;
+constexpr size_t kEntryOverhead = 16;
 
 struct LearnedPair {
   std::string best_effort;
@@ -97,6 +100,7 @@
   for (const auto& [image, index] : model.best_effort_index)
     names[index] = image.value();
   json stored = json::object();
+  size_t total = 0;
   for (const auto& [image, index] : model.latency_critical_index) {
     const LatencyCriticalModel& known = model.latency_critical_models[index];
     const size_t size = known.mean.size();
@@ -107,9 +111,15 @@
         pairs.push_back(
             {names[static_cast<ImageIndex>(i)], known.mean[i], variance});
     }
-    if (!pairs.empty() || known.shortest_tail_ms > 0)
-      stored[image.value()] = {{"t", known.shortest_tail_ms},
-                               {"p", std::move(pairs)}};
+    if (pairs.empty() && known.shortest_tail_ms <= 0)
+      continue;
+    json entry = {{"t", known.shortest_tail_ms}, {"p", std::move(pairs)}};
+    const size_t entry_size =
+        json::to_cbor(entry).size() + image.value().size() + kEntryOverhead;
+    if (total + entry_size > kMaxEncodedBytes)
+      continue;
+    total += entry_size;
+    stored[image.value()] = std::move(entry);
   }
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
   return {bytes.begin(), bytes.end()};
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -105,6 +105,11 @@
   uint32_t target_pace_percent = 100;  // as last calculated
   /** Lowest pace since the last progress. */
   uint32_t slowest_pace_percent = 100;
+  /** Longest time at full pace that a percent of this run has taken; nothing
+   * until it is listed, 0 until its progress has been seen to change. */
+  std::optional<Duration> longest_percent;
+  /** Runs of the task that this owner has stopped as stalled. */
+  uint32_t stalled_runs = 0;
   /** A best-effort task that runs at the pace that the other tasks of its
    * worker leave to it, so that its job has a run at all. */
   bool is_opportunistic = false;
@@ -151,6 +156,10 @@
   std::map<uint32_t, std::unique_ptr<Iteration>> iterations;
   uint32_t next_iteration = 0;
   uint32_t iterations_done = 0;
+  /** Iterations that are done, by number, whether or not they are kept. */
+  std::vector<bool> done_iterations;
+  /** When the next iteration was due, if it waits for an earlier one to end. */
+  std::optional<WallTime> overdue_since;
   uint64_t sequence = 0;  // order of arrival
   TimePoint arrived;
   uint32_t placed_tasks = 0;  // tasks that have a worker
@@ -191,7 +200,11 @@
   uint32_t failure_streak = 0;  // failed runs since the last completed one
   TimePoint last_failure;
   std::optional<TimePoint> avoid_until;
-  bool probing = false;  // runs one task to show whether it works again
+  /** Most urgent priority of the tasks that run there to show whether it works
+   * again; nothing if none does. */
+  std::optional<uint32_t> probe_priority;
+  /** Longest time that one of the failed runs in a row took. */
+  Duration longest_failed_run{0};
 };
 
 /** What this owner knows of one instance of a worker. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -165,7 +165,7 @@
   // A long-running task does not end, so as a probe it would keep all other
   // tasks off the worker for ever.
   if (worker_state.health.avoid_until && !SpecOf(ref).long_running)
-    worker_state.health.probing = true;
+    worker_state.health.probe_priority = 0;
   MarkDirty(state, *ref.iteration);
   plan.starts.push_back(StartRunCommand{.worker = CurrentInstance(worker_state),
                                         .task = NameOf(ref),
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -26,12 +26,25 @@
 // After a slow append the store counts as slow for this long; a store is slow
 // for some seconds.
 constexpr Duration kSlowAppendPause = std::chrono::milliseconds(1000);
+// Half of the largest request body that the store accepts.
+constexpr size_t kMaxAppendBytes = 1024 * 1024;
+
+using PendingRecordPtr = std::shared_ptr<PendingRecord>;
+
+// Takes the records of the next append, in their order.
+std::vector<PendingRecordPtr> TakeBatch(std::vector<PendingRecordPtr>& waiting) {
+  size_t bytes = 0;
+  auto end = waiting.begin();
+  for (; end != waiting.end() && bytes < kMaxAppendBytes; ++end)
+    bytes += (*end)->record.key.size() + (*end)->record.value.size();
+  std::vector<PendingRecordPtr> batch(waiting.begin(), end);
+  waiting.erase(waiting.begin(), end);
+  return batch;
+}
 
 }  // namespace
 
 struct JobIntake::Impl : std::enable_shared_from_this<JobIntake::Impl> {
-  using PendingRecordPtr = std::shared_ptr<PendingRecord>;
-
   Impl(asio::io_context& context, const StorePort& store_port)
       : io(context), store(store_port) {}
 
@@ -85,7 +98,7 @@
   Queue& queue = queues[cell];
   while (!queue.waiting.empty()) {
     const std::vector<PendingRecordPtr> batch =
-        std::exchange(queue.waiting, {});
+        TakeBatch(queue.waiting);
     std::vector<KeyedRecord> records;
     records.reserve(batch.size());
     for (const PendingRecordPtr& pending : batch)
--- a/src/scheduler_process/progress_writer.cc
+++ b/src/scheduler_process/progress_writer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cowslipmast/sched/job_codec.h"
+#include "src/sched/interference_codec.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
 
@@ -18,6 +20,18 @@
 // Half of the largest request body that the store accepts.
 constexpr size_t kMaxAppendBytes = 1024 * 1024;
 
+// False for a record that the store would refuse each time. What this owner has
+// learned need not be stored; the other records are kept small where they are
+// encoded.
+bool FitsIntoStore(const ProgressRecord& record) {
+  const size_t bytes = record.key.size() + record.value.size();
+  if (bytes <= kMaxRecordBytes)
+    return true;
+  LogEvent("record_too_large",
+           {{"key", record.key}, {"bytes", static_cast<int64_t>(bytes)}});
+  return record.key != kInterferenceKey;
+}
+
 }  // namespace
 
 ProgressWriter::ProgressWriter(const StorePort& store, CellId cell, Epoch epoch)
@@ -64,6 +78,9 @@
 
 asio::awaitable<bool> ProgressWriter::Store(
     std::vector<ProgressRecord> records) {
+  std::erase_if(records, [](const ProgressRecord& record) {
+    return !FitsIntoStore(record);
+  });
   size_t next = 0;
   while (next < records.size()) {
     AppendRequest request;
