sched: urgent work does not wait for a probe

Change: a worker on probe also gets a task of each more urgent priority, and any task once a run there has made progress for twice as long as the failed runs took.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -163,7 +163,8 @@
                 "percent=" + std::to_string(task.progress_percent));
     StopTask(state, ref);
     // A stalled run says as much about its worker's health as a failed one.
-    RecordRunOutcome(state, worker, RunOutcome::kFailed, now);
+    RecordRunOutcome(state, worker, RunOutcome::kFailed,
+                     task.started ? now - *task.started : Duration(0), now);
   }
 }
 
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -90,7 +90,8 @@
               "end=" + std::to_string(ended.number));
   if (!ended.checkpoint.empty())
     task.checkpoint = ended.checkpoint;
-  RecordRunOutcome(state, worker, ended.outcome, now);
+  RecordRunOutcome(state, worker, ended.outcome,
+                   task.started ? now - *task.started : Duration(0), now);
   if (ended.outcome == RunOutcome::kDone ||
       ended.outcome == RunOutcome::kFailed)
     ClearSuspicion(state, *ref);
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -96,7 +96,8 @@
   return worker.info.service == query.policy.service &&
          HasCapacity(worker, query.spec) &&
          EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
-         (query.is_overdue || IsTrusted(worker, query.last_attempt, now)) &&
+         (query.is_overdue || IsTrusted(worker, query.policy.priority,
+                                       query.last_attempt, now)) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
          AllowsTask(worker, query);
 }
@@ -164,8 +165,11 @@
     SetTargetPaces(state, worker);
   // A long-running task does not end, so as a probe it would keep all other
   // tasks off the worker for ever.
-  if (worker_state.health.avoid_until && !SpecOf(ref).long_running)
-    worker_state.health.probe_priority = 0;
+  if (worker_state.health.avoid_until && !SpecOf(ref).long_running) {
+    const uint32_t priority = PolicyOf(state, job).priority;
+    std::optional<uint32_t>& probe = worker_state.health.probe_priority;
+    probe = std::min(probe.value_or(priority), priority);
+  }
   MarkDirty(state, *ref.iteration);
   plan.starts.push_back(StartRunCommand{.worker = CurrentInstance(worker_state),
                                         .task = NameOf(ref),
@@ -210,7 +214,8 @@
     // An overdue task goes to a worker that fails its runs only if no other one
     // has capacity, and a last attempt to one with an earlier failure.
     const bool trusted =
-        IsTrusted(worker_state, query.last_attempt, now) &&
+        IsTrusted(worker_state, query.policy.priority, query.last_attempt,
+                  now) &&
         !(query.last_attempt && worker_state.health.failure_streak > 0);
     heap.workers.push_back(
         {*score - (trusted ? 0.0 : kUntrustedPenalty), worker});
@@ -440,7 +445,7 @@
     if (!HasCapacity(worker, query.spec))
       continue;
     ++passed.with_capacity;
-    if (!IsTrusted(worker, query.last_attempt, now))
+    if (!IsTrusted(worker, query.policy.priority, query.last_attempt, now))
       continue;
     ++passed.trusted;
     if (query.spec.best_effort)
