sched: a run is stalled by the measure of its own pace

Change: a run stands still if it shows nothing for three times as long as a percent has taken it before, and 2.5 s at least. Until its pace is known, the step's estimate counts, or for a run of an earlier owner the age of its job; each run of a task that was stopped on such a guess doubles the time. A guess counts against the worker only once for a task, and only if nothing else on that worker makes progress.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -18,9 +18,15 @@
 
 namespace {
 
-// A healthy run shows progress about every second, and listings come about once
-// a second. Slowed runs need longer.
+// Listings come about once a second, so that a run of up to a minute shows
+// progress within this time. Longer and slowed runs need more.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(2500);
+// A run stands still if it shows no progress for this many times as long as a
+// percent has taken it before.
+constexpr int kStallFactor = 3;
+// With each run of a task that was stopped on a guess the next one gets twice
+// as long, this many times at most.
+constexpr uint32_t kMaxStallDoublings = 10;
 
 // Workers list at most this many ends. Beyond that, a run that is missing may
 // have ended.
@@ -38,7 +44,22 @@
   state.needs_plan = true;
 }
 
+// The first listing shows where a run continues, and nothing of its pace.
+void RecordPace(Task& task, const ActiveRun& running, TimePoint now) {
+  if (!task.longest_percent) {
+    task.longest_percent = Duration(0);
+    return;
+  }
+  if (!task.last_progress || running.percent <= task.progress_percent)
+    return;
+  const Duration time = (now - *task.last_progress) *
+                        task.slowest_pace_percent / 100 /
+                        (running.percent - task.progress_percent);
+  task.longest_percent = std::max(*task.longest_percent, time);
+}
+
 void RecordProgress(Task& task, const ActiveRun& running, TimePoint now) {
+  RecordPace(task, running, now);
   if (!task.last_progress || running.percent != task.progress_percent ||
       running.checkpoint != task.checkpoint) {
     task.last_progress = now;
@@ -87,12 +108,49 @@
   RequeueTask(state, ref, now);
 }
 
+bool IsPaceKnown(const Task& task) {
+  return task.longest_percent && *task.longest_percent > Duration(0);
+}
+
+// Time that a percent of the run takes at full pace, as far as is known.
+Duration PercentTime(const TaskRef& ref, TimePoint now) {
+  const Task& task = TaskOf(ref);
+  if (IsPaceKnown(task))
+    return *task.longest_percent;
+  // A run of an earlier owner has lasted since its job arrived at most.
+  if (!task.started && task.progress_percent > 0)
+    return (now - ref.iteration->job->arrived) / task.progress_percent;
+  return SpecOf(ref).estimate / 100;
+}
+
 // True if the run has made no progress for longer than it needs at its pace.
-bool IsStalled(const Task& task, TimePoint now) {
-  return task.last_progress &&
-         task.slowest_pace_percent >= kMinPaceOfProgress &&
-         now - *task.last_progress >=
-             kStallTimeout * 100 / task.slowest_pace_percent;
+bool IsStalled(const TaskRef& ref, TimePoint now) {
+  const Task& task = TaskOf(ref);
+  if (!task.last_progress || task.slowest_pace_percent < kMinPaceOfProgress)
+    return false;
+  Duration patience =
+      std::max(kStallTimeout, kStallFactor * PercentTime(ref, now));
+  if (!IsPaceKnown(task))
+    patience *= int64_t{1} << std::min(task.stalled_runs, kMaxStallDoublings);
+  return now - *task.last_progress >=
+         patience * 100 / task.slowest_pace_percent;
+}
+
+// True if a run that seems to stand still says that its worker does not work:
+// a run whose pace is not known may be a long one, unless all runs of the
+// worker stand still.
+bool IsWorkerInDoubt(const WorkerState& worker, const TaskRef& stalled) {
+  const Task& task = TaskOf(stalled);
+  if (IsPaceKnown(task))
+    return true;
+  return task.stalled_runs == 0 &&
+         std::none_of(worker.tasks.begin(), worker.tasks.end(),
+                      [&](const TaskRef& other) {
+                        const Task& running = TaskOf(other);
+                        return !SpecOf(other).long_running &&
+                               running.progress_percent > 0 &&
+                               running.last_progress > task.last_progress;
+                      });
 }
 
 }  // namespace
@@ -157,13 +215,17 @@
     Task& task = TaskOf(ref);
     const StepSpec& spec = SpecOf(ref);
     if (task.phase != SchedulingPhase::kRunning || spec.long_running ||
-        spec.gang || !IsStalled(task, now))
+        spec.gang || !IsStalled(ref, now))
       continue;
+    const bool worker_in_doubt =
+        IsWorkerInDoubt(state.workers[static_cast<size_t>(worker)], ref);
+    task.stalled_runs += IsPaceKnown(task) ? 0 : 1;
     LogDecision(state, "run_stalled", ref,
                 "percent=" + std::to_string(task.progress_percent));
     StopTask(state, ref);
-    // A stalled run says as much about its worker's health as a failed one.
-    RecordRunOutcome(state, worker, RunOutcome::kFailed,
+    // It then says as much about its worker's health as a failed run.
+    if (worker_in_doubt)
+      RecordRunOutcome(state, worker, RunOutcome::kFailed,
                      task.started ? now - *task.started : Duration(0), now);
   }
 }
