--- a/tests/sched/long_day.cc
+++ b/tests/sched/long_day.cc
@@ -196,8 +196,11 @@
 }
 
 void LongDay::SubmitUrgentJob() {
-  StepSpec step = MakeStep(static_cast<uint32_t>(Pick(5, 30)), 1, 500,
-                           static_cast<double>(Pick(3, 25)) / 10);
+  // Each draw is a statement of its own: the order of the arguments of a call
+  // depends on the compiler, and a seed would be another day.
+  const auto tasks = static_cast<uint32_t>(Pick(5, 30));
+  const double run_s = static_cast<double>(Pick(3, 25)) / 10;
+  StepSpec step = MakeStep(tasks, 1, 500, run_s);
   step.need.cpu = MilliCores(Pick(2, 6) * 500);
   m_system.Submit(
       MakeJob("u" + std::to_string(m_next_job++), "urgent", {step}));
@@ -214,8 +217,9 @@
   std::vector<StepSpec> steps;
   const int64_t count = Pick(1, 3);
   for (int64_t i = 0; i < count; ++i) {
-    StepSpec step = MakeStep(static_cast<uint32_t>(Pick(2, 16)), 1, 1000,
-                             static_cast<double>(Pick(10, 50)) / 10);
+    const auto tasks = static_cast<uint32_t>(Pick(2, 16));
+    const double run_s = static_cast<double>(Pick(10, 50)) / 10;
+    StepSpec step = MakeStep(tasks, 1, 1000, run_s);
     step.need.cpu = MilliCores(Pick(4, 14) * 250);
     step.best_effort = true;
     step.checkpointing = checkpointing;
@@ -232,8 +236,9 @@
 
 // Some go on until after the end of the load.
 void LongDay::SubmitScheduledJob() {
-  StepSpec step = MakeStep(static_cast<uint32_t>(Pick(1, 6)), 1, 500,
-                           static_cast<double>(Pick(5, 20)) / 10);
+  const auto tasks = static_cast<uint32_t>(Pick(1, 6));
+  const double run_s = static_cast<double>(Pick(5, 20)) / 10;
+  StepSpec step = MakeStep(tasks, 1, 500, run_s);
   const bool best_effort = Happens(0.5);
   if (best_effort) {
     step.best_effort = true;
--- a/tests/sched/waiting_work_hunt_test.cc
+++ b/tests/sched/waiting_work_hunt_test.cc
@@ -143,8 +143,11 @@
 }
 
 void Hunt::SubmitLongRunningJob() {
-  StepSpec step =
-      MakeStep(static_cast<uint32_t>(Pick(4, 28)), Pick(2, 5), 6000, 0);
+  // Each draw is a statement of its own: the order of the arguments of a call
+  // depends on the compiler, and a seed would be another day.
+  const auto tasks = static_cast<uint32_t>(Pick(4, 28));
+  const int64_t cores_of_task = Pick(2, 5);
+  StepSpec step = MakeStep(tasks, cores_of_task, 6000, 0);
   step.long_running = true;
   if (Happens(0.5))
     step.max_per_worker = static_cast<uint32_t>(Pick(1, 2));
@@ -161,8 +164,9 @@
 
 void Hunt::SubmitShortJob(bool urgent) {
   const auto make_step = [&] {
-    StepSpec step = MakeStep(static_cast<uint32_t>(Pick(10, 40)), 1, 500,
-                             static_cast<double>(Pick(3, 25)) / 10);
+    const auto tasks = static_cast<uint32_t>(Pick(10, 40));
+    const double run_s = static_cast<double>(Pick(3, 25)) / 10;
+    StepSpec step = MakeStep(tasks, 1, 500, run_s);
     step.need.cpu = MilliCores(Pick(2, 7) * 500);
     if (Happens(0.2))
       step.data_rack = RackId("r" + std::to_string(Pick(0, 2) * 1000));
@@ -180,8 +184,10 @@
 }
 
 void Hunt::SubmitBestEffortJob() {
-  StepSpec step = MakeStep(static_cast<uint32_t>(Pick(2, 6)), Pick(2, 5), 2000,
-                           static_cast<double>(Pick(5, 30)) / 10);
+  const auto tasks = static_cast<uint32_t>(Pick(2, 6));
+  const int64_t cores = Pick(2, 5);
+  const double run_s = static_cast<double>(Pick(5, 30)) / 10;
+  StepSpec step = MakeStep(tasks, cores, 2000, run_s);
   step.best_effort = true;
   step.image = ImageId("filler");
   m_system.Submit(MakeJob("f" + std::to_string(m_next_job++), "batch", {step}));
