--- a/tests/scheduler_process/large_records_test.cc
+++ b/tests/scheduler_process/large_records_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/sched/interference_codec.h"
+#include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/job_intake.h"
 #include "src/scheduler_process/progress_writer.h"
 #include "src/scheduler_process/spawn.h"
