sched: under overload what can be on time goes first, and work in hand before new work

Cause: in order of arrival each job of an overload starts when its objective is almost over, and any delay or wrong estimate makes it late. While the store is silent, records that no append has contained wait behind one that is never answered; their callers get 504 although nothing was sent, and cannot repeat the call.

Change: with the feature overload_order started jobs go first by the time at which their step must start, then the newest that can be on time, then late ones; a late job has a turn after three times the span of its objective, one a second. With the feature admission a record that waits behind an append without a response is taken back and refused, a process gives a stalled store no further records, and a forwarded record carries the time that its sender waits. Without the features all is as before, except that a refusal while another attempt of the same job is in progress says 504 rather than 503.

Tests run: overload_order, load_replay, waiting best-effort, late_successor, scheduler (18 cases) and job_intake (2 cases); the others not.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -108,6 +108,8 @@
   uint64_t bad_records = 0;
   uint64_t moved_jobs = 0;   // moved to other cells before they started
   uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
+  uint64_t late_steps = 0;   // put behind work that can meet its objective
+  uint64_t turns = 0;        // of late work that has waited for too long
 };
 
 /** Work that waits for a worker longer than it should. */
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -5,13 +5,27 @@
 
 namespace cowslipmast::sched {
 
+/** Order within a priority. */
+enum class ReadyRank : uint8_t {
+  kOverdue,  // long-running tasks, and late work that has a turn
+  kStarted,  // on time, with work that is running or done
+  kOnTime,
+  kLate,
+  kLongRunning,
+};
+
 /** Position of a waiting step in the queue.
  *
  * Meant for bursts of more work than capacity that last for seconds. Within a
  * priority, steps that can still meet their objective go before steps that
  * cannot, so that a burst makes some jobs late instead of all. Long-running
  * tasks come last, because they never release their worker while short work
- * soon does. Equal steps go in order of arrival. */
+ * soon does. Equal steps go in order of arrival.
+ *
+ * With `overload_order` a job that has started goes first, by the time at which
+ * its step must start. Of the others that can meet their objective the newest
+ * goes first: in order of arrival each job of an overload would start when its
+ * objective is almost over, and any delay would make it late. */
 ReadyKey MakeReadyKey(const State& state,
                       Iteration& iteration,
                       uint32_t step,
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -140,6 +140,8 @@
   std::vector<StepState> steps;
   uint32_t unfinished_steps = 0;
   TimePoint due;
+  /** Goes before other work of its priority: it has waited for too long. */
+  bool has_turn = false;
   bool dirty = false;  // changed since its record was encoded
 };
 
@@ -257,14 +259,18 @@
 /** Order in which waiting steps get workers; the smallest is first. */
 struct ReadyKey {
   uint32_t priority = 0;
-  uint32_t rank = 0;  // see `Rank` in order.cc
+  uint32_t rank = 0;  // see `Rank` in order.h
+  /** When the step must start to meet the objective; the same for all steps
+   * whose order does not depend on it. */
+  TimePoint latest_start{};
   uint64_t sequence = 0;
   uint32_t iteration_number = 0;
   uint32_t step = 0;
   Iteration* iteration = nullptr;
 
   auto AsTuple() const {
-    return std::tie(priority, rank, sequence, iteration_number, step);
+    return std::tie(priority, rank, latest_start, sequence, iteration_number,
+                    step);
   }
   bool operator<(const ReadyKey& other) const {
     return AsTuple() < other.AsTuple();
@@ -306,6 +312,7 @@
   /** Stops of runs that no task accounts for. */
   std::vector<StopRunCommand> pending_stops;
   TimePoint next_waiting_log;
+  TimePoint next_turn;                 // of late work under overload
   TimePoint next_opportunistic_start;  // under load
   TimePoint next_pause_check;
   size_t pause_check_position = 0;  // the worker that was considered last
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -11,6 +11,7 @@
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
+#include "src/sched/overload_order.h"
 #include "src/sched/pacing.h"
 #include "src/sched/unplaced_steps.h"
 #include "src/sched/worker_score.h"
@@ -390,6 +391,11 @@
       ReadyKey{.priority = key.priority, .rank = key.rank + 1});
 }
 
+bool BecameLate(const ReadyKey& before, const ReadyKey& now) {
+  const auto late = static_cast<uint32_t>(ReadyRank::kLate);
+  return before.rank != late && now.rank == late;
+}
+
 // A rank that was planned to its end starts again after its first steps.
 void ForgetFinishedRanks(State& state, const UnplacedCounts& unplaced) {
   std::erase_if(state.resume_at, [&unplaced](const auto& entry) {
@@ -450,6 +456,8 @@
 }
 
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
+  if (state.options.features.overload_order)
+    GiveTurnToLateWork(state, now);
   UnplacedSteps unplaced_steps;
   UnplacedCounts unplaced_counts;
   std::vector<ReadyKey> reordered;
@@ -463,6 +471,7 @@
     }
     const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
     if (key < current || current < key) {
+      state.counters.late_steps += BecameLate(key, current) ? 1 : 0;
       reordered.push_back(current);
       next = state.ready_steps.erase(next);
       continue;
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/sched/admission.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
 #include "src/scheduler_process/spawn.h"
@@ -32,8 +33,10 @@
 struct JobIntake::Impl : std::enable_shared_from_this<JobIntake::Impl> {
   using PendingRecordPtr = std::shared_ptr<PendingRecord>;
 
-  Impl(asio::io_context& context, const StorePort& store_port)
-      : io(context), store(store_port) {}
+  Impl(asio::io_context& context,
+       const StorePort& store_port,
+       const SchedulerFeatures& enabled)
+      : io(context), store(store_port), features(enabled) {}
 
   struct Queue {
     std::vector<PendingRecordPtr> waiting;
@@ -44,9 +47,12 @@
   asio::awaitable<void> Flush(CellId cell);
   asio::awaitable<IntakeResult> Append(CellId cell,
                                        std::vector<KeyedRecord> records);
+  StoreCondition Condition() const;
+  void RefuseWaiting(Queue& queue);
 
   asio::io_context& io;
   StorePort store;
+  SchedulerFeatures features;
   std::map<CellId, Queue> queues;
   std::optional<TimePoint> failed_at;
   std::optional<TimePoint> slow_at;
@@ -80,6 +86,30 @@
                                                        : IntakeResult::kUnknown;
 }
 
+StoreCondition JobIntake::Impl::Condition() const {
+  const TimePoint now = MonotonicNow();
+  StoreCondition condition;
+  if (failed_at)
+    condition.failed_ago = now - *failed_at;
+  for (const auto& [cell, queue] : queues) {
+    if (queue.sent_at)
+      condition.longest_append =
+          std::max(condition.longest_append, now - *queue.sent_at);
+  }
+  return condition;
+}
+
+// Ends the wait of records that no append has contained.
+void JobIntake::Impl::RefuseWaiting(Queue& queue) {
+  if (!queue.waiting.empty())
+    LogEvent("intake_withdrawn",
+             {{"records", static_cast<int64_t>(queue.waiting.size())}});
+  for (const PendingRecordPtr& pending : std::exchange(queue.waiting, {})) {
+    pending->result = IntakeResult::kRefused;
+    pending->done.Notify();
+  }
+}
+
 asio::awaitable<void> JobIntake::Impl::Flush(CellId cell) {
   const auto self = shared_from_this();
   Queue& queue = queues[cell];
@@ -88,13 +118,17 @@
         std::exchange(queue.waiting, {});
     std::vector<KeyedRecord> records;
     records.reserve(batch.size());
-    for (const PendingRecordPtr& pending : batch)
+    for (const PendingRecordPtr& pending : batch) {
+      pending->is_sent = true;
       records.push_back(pending->record);
+    }
     const IntakeResult result = co_await Append(cell, std::move(records));
     for (const PendingRecordPtr& pending : batch) {
       pending->result = result;
       pending->done.Notify();
     }
+    if (features.admission && result != IntakeResult::kStored)
+      RefuseWaiting(queue);
   }
   queue.flushing = false;
 }
@@ -103,9 +137,10 @@
 JobIntake::~JobIntake() = default;
 
 std::shared_ptr<JobIntake> JobIntake::Make(asio::io_context& io,
-                                           const StorePort& store) {
+                                           const StorePort& store,
+                                           const SchedulerFeatures& features) {
   return std::shared_ptr<JobIntake>(
-      new JobIntake(std::make_shared<Impl>(io, store)));
+      new JobIntake(std::make_shared<Impl>(io, store, features)));
 }
 
 std::shared_ptr<PendingRecord> JobIntake::Append(CellId cell,
@@ -118,7 +153,21 @@
   return pending;
 }
 
+bool JobIntake::Withdraw(CellId cell, PendingRecord& pending) {
+  if (pending.is_sent || pending.result)
+    return pending.result == IntakeResult::kRefused;
+  std::erase_if(m_impl->queues[cell].waiting,
+                [&pending](const Impl::PendingRecordPtr& waiting) {
+                  return waiting.get() == &pending;
+                });
+  pending.result = IntakeResult::kRefused;
+  LogEvent("intake_withdrawn", {{"records", int64_t{1}}});
+  return true;
+}
+
 bool JobIntake::IsStoreResponding() const {
+  if (m_impl->features.admission && IsStoreStalled(m_impl->Condition()))
+    return false;
   return !m_impl->failed_at ||
          MonotonicNow() - *m_impl->failed_at > kFailedAppendPause;
 }
--- a/src/scheduler_process/job_intake.h
+++ b/src/scheduler_process/job_intake.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "cowslipmast/sched/features.h"
 #include "cowslipmast/sched/job.h"
 #include "src/net/asio.h"
 #include "src/scheduler_process/platform_ports.h"
@@ -26,6 +27,7 @@
   KeyedRecord record;
   WakeSignal done;
   std::optional<IntakeResult> result;  // set when the append has ended
+  bool is_sent = false;                // to the store, as part of an append
 };
 
 /** Waits up to `limit` for the result; nothing if there is none by then. */
@@ -38,14 +40,20 @@
 class JobIntake {
  public:
   static std::shared_ptr<JobIntake> Make(asio::io_context& io,
-                                         const StorePort& store);
+                                         const StorePort& store,
+                                         const SchedulerFeatures& features);
   ~JobIntake();
 
   /** Adds a record to the next append to the cell's job stream. */
   std::shared_ptr<PendingRecord> Append(CellId cell, KeyedRecord record);
 
+  /** Takes a record back that no append has contained yet, and sets its result
+   * to `kRefused`. False if the store may have it. */
+  bool Withdraw(CellId cell, PendingRecord& pending);
+
   /** False shortly after a failed append, when the next one would most likely
-   * time out. */
+   * time out. With the feature `admission` also while an append to any cell has
+   * had no response for long. */
   bool IsStoreResponding() const;
 
   /** False during or shortly after a slow append. The store takes the appends
--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -5,8 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/job_codec.h"
+#include "src/core/strings.h"
 #include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
@@ -28,6 +30,13 @@
 // Callers wait 3 s; the process that forwarded the record times out before
 // that.
 constexpr Duration kForwardedAppendTimeout = milliseconds(3000);
+// A record that no append contains after this time is taken back, while its
+// caller has time for another attempt.
+constexpr Duration kMaxWaitForAppend = milliseconds(1500);
+// Header of a forwarded record: how long the sender waits for the response.
+constexpr std::string_view kTimeLeftHeader = "X-Time-Left-Ms";
+// Part of that time that the response needs on its way.
+constexpr Duration kForwardResponseMargin = milliseconds(100);
 // No further attempt starts when less time than this remains.
 constexpr Duration kMinAttemptTime = milliseconds(100);
 // An owner whose last answer is younger than this is expected to answer again.
@@ -54,6 +63,17 @@
   return request;
 }
 
+// How long to wait for a forwarded record, by the time that its sender has.
+Duration ForwardedAppendTimeout(const HttpRequest& request) {
+  const auto header = FindHeader(request.headers, std::string(kTimeLeftHeader));
+  const auto left = header ? ParseUnsigned(*header) : std::nullopt;
+  if (!left)
+    return kForwardedAppendTimeout;
+  const Duration limit = milliseconds(std::min<uint64_t>(*left, 10000));
+  return std::clamp<Duration>(limit - kForwardResponseMargin, kMinAttemptTime,
+                              kForwardedAppendTimeout);
+}
+
 std::optional<JobState> StateFromName(std::string_view name) {
   for (const JobState state :
        {JobState::kQueued, JobState::kActive, JobState::kCompleted,
@@ -98,17 +118,23 @@
        std::shared_ptr<JobIntake> job_intake,
        std::shared_ptr<OwnerElection> owner_election,
        std::shared_ptr<LoadExchange> load_exchange,
-       std::function<std::shared_ptr<Cell>(CellId)> own_cell)
+       std::function<std::shared_ptr<Cell>(CellId)> own_cell,
+       const SchedulerFeatures& enabled)
       : client(http),
         intake(std::move(job_intake)),
         election(std::move(owner_election)),
         loads(std::move(load_exchange)),
-        cell(std::move(own_cell)) {}
+        cell(std::move(own_cell)),
+        features(enabled) {}
 
   std::optional<Endpoint> OtherOwner(CellId id) const;
   asio::awaitable<IntakeResult> Store(CellId id,
                                       KeyedRecord record,
                                       Duration timeout);
+  asio::awaitable<std::optional<IntakeResult>> AppendOrWithdraw(
+      CellId id,
+      std::shared_ptr<PendingRecord> pending,
+      Duration limit);
   asio::awaitable<IntakeResult> Forward(Endpoint owner,
                                         CellId id,
                                         KeyedRecord record,
@@ -120,19 +146,23 @@
   HttpResponse WaitingCountResponse(std::string_view queue) const;
   asio::awaitable<HttpResponse> HandleForwardedRecord(CellId id,
                                                       std::string key,
-                                                      std::string value);
+                                                      std::string value,
+                                                      Duration timeout);
 
   HttpClient& client;
   std::shared_ptr<JobIntake> intake;
   std::shared_ptr<OwnerElection> election;
   std::shared_ptr<LoadExchange> loads;
   std::function<std::shared_ptr<Cell>(CellId)> cell;
+  SchedulerFeatures features;
   // Cell whose owner is asked for waiting counts; another one after a failure.
   uint64_t next_counting_cell = 0;
   std::map<QueueId, CachedCount> waiting;
   /** When a submission last ended without a known result, by job; the job may
    * be stored. */
   std::map<JobId, TimePoint> unknown_outcomes;
+  /** Number of attempts to submit a job that have no result yet. */
+  std::map<JobId, size_t> open_attempts;
 };
 
 // Control address of the cell's owner, if that is another process that is
@@ -155,6 +185,9 @@
                                                         KeyedRecord record,
                                                         Duration timeout) {
   HttpRequest request = MakeForwardRequest(id, record);
+  if (features.admission)
+    request.headers.push_back(
+        {std::string(kTimeLeftHeader), std::to_string(ToMillis(timeout))});
   NetError error;
   const auto response =
       co_await client.Call(owner, std::move(request), timeout, error);
@@ -168,6 +201,22 @@
                                     : IntakeResult::kUnknown;
 }
 
+// Waits for the record's append. A record that waits for its turn for too long
+// is taken back instead, and refused.
+asio::awaitable<std::optional<IntakeResult>> JobService::Impl::AppendOrWithdraw(
+    CellId id,
+    std::shared_ptr<PendingRecord> pending,
+    Duration limit) {
+  if (!features.admission)
+    co_return co_await AwaitResult(pending, limit);
+  const TimePoint deadline = MonotonicNow() + limit;
+  auto result =
+      co_await AwaitResult(pending, std::min(limit, kMaxWaitForAppend));
+  if (result || intake->Withdraw(id, *pending))
+    co_return pending->result;
+  co_return co_await AwaitResult(pending, deadline - MonotonicNow());
+}
+
 // Appends the record from this process, or through the owner if this process
 // cannot reach the store or the store is slow. A record stored twice has the
 // same effect as once.
@@ -180,11 +229,14 @@
   std::shared_ptr<PendingRecord> pending;
   if (intake->IsStoreResponding() && (!owner || intake->IsStoreFast())) {
     pending = intake->Append(id, record);
-    const auto result = co_await AwaitResult(
-        pending,
+    const auto result = co_await AppendOrWithdraw(
+        id, pending,
         owner ? std::min(remaining(), kLocalAppendTimeout) : remaining());
     if (result == IntakeResult::kStored)
       co_return *result;
+    // The store has nothing of a refused record, which may be sent again.
+    if (features.admission && result == IntakeResult::kRefused)
+      pending.reset();
   }
   IntakeResult forwarded = IntakeResult::kRefused;
   if (owner && remaining() > kMinAttemptTime) {
@@ -197,7 +249,7 @@
     pending = intake->Append(id, std::move(record));
   if (!pending)
     co_return forwarded;
-  const auto result = co_await AwaitResult(pending, remaining());
+  const auto result = co_await AppendOrWithdraw(id, pending, remaining());
   if (result == IntakeResult::kStored)
     co_return *result;
   co_return CombineFailures(result.value_or(IntakeResult::kUnknown), forwarded);
@@ -272,13 +324,16 @@
 asio::awaitable<HttpResponse> JobService::Impl::HandleForwardedRecord(
     CellId id,
     std::string key,
-    std::string value) {
+    std::string value,
+    Duration timeout) {
   KeyedRecord record{std::move(key), std::move(value)};
   const auto layout = election->layout();
   if (!ParseJobRecordKey(record.key) || !layout || id.value() >= layout->cells)
     co_return MakeJsonResponse(400, R"({"error":"bad_record"})");
+  if (features.admission && !intake->IsStoreResponding())
+    co_return MakeJsonResponse(503, R"({"error":"store_unavailable"})");
   const auto pending = intake->Append(id, std::move(record));
-  const auto result = co_await AwaitResult(pending, kForwardedAppendTimeout);
+  const auto result = co_await AppendOrWithdraw(id, pending, timeout);
   if (result == IntakeResult::kStored)
     co_return MakeJsonResponse(200, "{}");
   if (result == IntakeResult::kRefused)
@@ -295,10 +350,11 @@
     HttpClient& client,
     std::shared_ptr<OwnerElection> election,
     std::shared_ptr<LoadExchange> loads,
-    std::function<std::shared_ptr<Cell>(CellId)> cell) {
+    std::function<std::shared_ptr<Cell>(CellId)> cell,
+    const SchedulerFeatures& features) {
   return std::shared_ptr<JobService>(new JobService(std::make_shared<Impl>(
-      client, JobIntake::Make(io, store), std::move(election), std::move(loads),
-      std::move(cell))));
+      client, JobIntake::Make(io, store, features), std::move(election),
+      std::move(loads), std::move(cell), features)));
 }
 
 std::optional<CellId> HomeCell(const OwnerElection& election, const JobId& id) {
@@ -314,17 +370,24 @@
   if (!home)
     co_return IntakeResult::kRefused;
   KeyedRecord record{SubmissionKey(id), EncodeJob(spec)};
+  ++impl->open_attempts[id];
+  const auto end_attempt = absl::MakeCleanup([impl, id] {
+    if (--impl->open_attempts[id] == 0)
+      impl->open_attempts.erase(id);
+  });
   const IntakeResult result =
       co_await impl->Store(*home, std::move(record), timeout);
+  const bool is_only_attempt = impl->open_attempts[id] == 1;
   const TimePoint now = MonotonicNow();
   std::erase_if(impl->unknown_outcomes, [now](const auto& entry) {
     return now - entry.second > kUnknownRetention;
   });
   if (result == IntakeResult::kUnknown)
     impl->unknown_outcomes[id] = now;
-  // A refusal promises that the job never runs, but an earlier attempt may have
+  // A refusal promises that the job never runs, but another attempt may have
   // stored it.
-  if (result == IntakeResult::kRefused && impl->unknown_outcomes.count(id) > 0)
+  if (result == IntakeResult::kRefused &&
+      (!is_only_attempt || impl->unknown_outcomes.count(id) > 0))
     co_return IntakeResult::kUnknown;
   co_return result;
 }
@@ -413,8 +476,9 @@
   if (request.method == "POST" && cell_path &&
       cell_path->resource.starts_with(kRecordsResource)) {
     std::string key(cell_path->resource.substr(kRecordsResource.size()));
+    const Duration timeout = ForwardedAppendTimeout(request);
     co_return co_await impl->HandleForwardedRecord(
-        cell_path->cell, std::move(key), std::move(request.body));
+        cell_path->cell, std::move(key), std::move(request.body), timeout);
   }
   co_return impl->AnswerFromOwnCell(path);
 }
--- a/src/scheduler_process/job_service.h
+++ b/src/scheduler_process/job_service.h
@@ -36,7 +36,8 @@
       HttpClient& client,
       std::shared_ptr<OwnerElection> election,
       std::shared_ptr<LoadExchange> loads,
-      std::function<std::shared_ptr<Cell>(CellId)> cell);
+      std::function<std::shared_ptr<Cell>(CellId)> cell,
+      const SchedulerFeatures& features);
   ~JobService();
 
   /** Stores the job within `timeout`. */
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -347,6 +347,10 @@
           [](const Cell& c) { return c.counters().moved_jobs; });
   counter("cowslipmast_moved_tasks",
           [](const Cell& c) { return c.counters().moved_tasks; });
+  counter("cowslipmast_late_steps",
+          [](const Cell& c) { return c.counters().late_steps; });
+  counter("cowslipmast_late_turns",
+          [](const Cell& c) { return c.counters().turns; });
   counter("cowslipmast_overdue_tasks",
           [](const Cell& c) { return c.Waiting().overdue_tasks; });
   counter("cowslipmast_starved_jobs",
@@ -473,7 +477,8 @@
       };
   loads = LoadExchange::Make(io, peers, election, std::move(load_hooks));
   service = JobService::Make(io, ports.store, peers, election, loads,
-                             [this](CellId id) { return FindCell(id); });
+                             [this](CellId id) { return FindCell(id); },
+                             settings.features);
   election->Start();
 }
 
