--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -106,8 +106,12 @@
   uint64_t unexpected_runs =
       0;  // listed runs that the scheduler does not expect
   uint64_t bad_records = 0;
-  uint64_t moved_jobs = 0;   // moved to other cells before they started
-  uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
+  uint64_t moved_jobs = 0;           // moved to other cells before they started
+  uint64_t moved_tasks = 0;          // long-running tasks moved to other cells
+  uint64_t reservations_made = 0;    // of capacity, for large waiting tasks
+  uint64_t reservations_kept = 0;    // whose step has started
+  uint64_t reservations_failed = 0;  // dropped while the step still waited
+  uint64_t tasks_backfilled = 0;     // started on a worker reserved for another
 };
 
 /** Work that waits for a worker longer than it should. */
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -8,6 +8,7 @@
 #include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
+#include "src/sched/reservations.h"
 
 namespace cowslipmast::sched {
 
@@ -91,6 +92,8 @@
   if (!ended.checkpoint.empty())
     task.checkpoint = ended.checkpoint;
   RecordRunOutcome(state, worker, ended.outcome, now);
+  if (state.options.features.look_ahead && ended.outcome == RunOutcome::kDone)
+    LearnRunTime(state, *ref, now);
   if (ended.outcome == RunOutcome::kDone ||
       ended.outcome == RunOutcome::kFailed)
     ClearSuspicion(state, *ref);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -17,6 +17,7 @@
 #include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/scheduler.h"
 #include "src/sched/interference_model.h"
+#include "src/sched/look_ahead.h"
 
 namespace cowslipmast::sched {
 
@@ -286,6 +287,7 @@
   uint64_t next_message_number = 1;
   Policy policy;
   InterferenceModel interference;
+  LookAhead look_ahead;
   std::optional<TimePoint> interference_stored_at;
   LeaseNotes lease_notes;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> jobs;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -12,6 +12,7 @@
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
 #include "src/sched/pacing.h"
+#include "src/sched/reservations.h"
 #include "src/sched/unplaced_steps.h"
 #include "src/sched/worker_score.h"
 #include "src/sched/workers.h"
@@ -98,7 +99,8 @@
          EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
          (query.is_overdue || IsTrusted(worker, query.last_attempt, now)) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
-         AllowsTask(worker, query);
+         AllowsTask(worker, query) &&
+         FindBlockingReservation(state, worker, query.ref, now) == nullptr;
 }
 
 int32_t BestWorker(const State& state,
@@ -149,6 +151,7 @@
                Plan& plan) {
   Task& task = TaskOf(ref);
   Job& job = *ref.iteration->job;
+  UpdateReservationsForStart(state, ref, worker, now);
   task.phase = SchedulingPhase::kPlanned;
   task.run = task.run.Next();
   job.may_have_started = true;
@@ -362,6 +365,45 @@
   return PlaceTasks(state, key, now, plan);
 }
 
+// True if a reservation alone keeps the step's next task off some worker. Such
+// a step says nothing of others: they may end in time, or hold the reservation.
+bool IsHeldBackByReservation(const State& state,
+                             const ReadyKey& key,
+                             TimePoint now) {
+  const StepState& step = key.iteration->steps[key.step];
+  if (step.ready_tasks.empty())
+    return false;
+  const TaskRef ref{key.iteration, key.step, step.ready_tasks.back()};
+  const auto& reservations = state.look_ahead.reservations;
+  return std::any_of(
+      reservations.begin(), reservations.end(), [&](const Reservation& r) {
+        const WorkerState& worker =
+            state.workers[static_cast<size_t>(r.worker)];
+        return HasCapacity(worker, SpecOf(ref)) &&
+               FindBlockingReservation(state, worker, ref, now) != nullptr &&
+               MayRunOn(state, worker, ref, now);
+      });
+}
+
+// Searches for one plan, each at the cost of a look at the workers.
+constexpr size_t kMaxReservationSearches = 2;
+
+// Reserves capacity for the first of the steps that found none.
+void ReserveForUnplaced(State& state,
+                        const std::vector<ReadyKey>& unplaced,
+                        TimePoint now) {
+  size_t searches = 0;
+  for (const ReadyKey& key : unplaced) {
+    const StepState& step = key.iteration->steps[key.step];
+    if (step.ready_tasks.empty() || searches >= kMaxReservationSearches)
+      continue;
+    const TaskRef ref{key.iteration, key.step, step.ready_tasks.back()};
+    if (IsHeldBack(state, ref) || MakeQuery(state, ref, now).must_wait)
+      continue;
+    searches += ReserveForStep(state, key, now) ? 1 : 0;
+  }
+}
+
 // Steps of one priority and rank that a plan could not place.
 struct UnplacedCount {
   size_t count = 0;
@@ -421,6 +463,25 @@
   return BestWorker(state, MakeQuery(state, ref, now), now);
 }
 
+bool MayRunOn(const State& state,
+              const WorkerState& worker,
+              const TaskRef& ref,
+              TimePoint now) {
+  const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
+  const StepSpec& spec = SpecOf(ref);
+  const Task& task = TaskOf(ref);
+  // Without what `MakeQuery` finds by looking at all workers.
+  const PlacementQuery query{.spec = spec,
+                             .policy = policy,
+                             .ref = ref,
+                             .last_attempt = IsLastAttempt(policy, spec, task),
+                             .is_overdue = IsOverdue(spec, task, now)};
+  return worker.info.service == policy.service &&
+         EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
+         (query.is_overdue || IsTrusted(worker, query.last_attempt, now)) &&
+         AllowsTask(worker, query);
+}
+
 PlacementConditions CheckPlacement(const State& state,
                                    const TaskRef& ref,
                                    TimePoint now) {
@@ -445,6 +506,9 @@
     ++passed.trusted;
     if (query.spec.best_effort)
       CountBestEffortConditions(state, worker, ref, passed);
+    if (const Reservation* reservation =
+            FindBlockingReservation(state, worker, ref, now))
+      passed.held_back_by = reservation->step;
   }
   return passed;
 }
@@ -453,6 +517,10 @@
   UnplacedSteps unplaced_steps;
   UnplacedCounts unplaced_counts;
   std::vector<ReadyKey> reordered;
+  const bool looks_ahead = state.options.features.look_ahead;
+  std::vector<ReadyKey> to_reserve;
+  if (looks_ahead)
+    ReviewReservations(state, now);
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
     const ReadyKey key = *next;
@@ -478,10 +546,14 @@
       next = state.ready_steps.erase(next);
       continue;
     }
-    unplaced_steps.Add(state, key, now);
+    if (!IsHeldBackByReservation(state, key, now))
+      unplaced_steps.Add(state, key, now);
+    if (looks_ahead)
+      to_reserve.push_back(key);
     ++unplaced.count;
     ++next;
   }
+  ReserveForUnplaced(state, to_reserve, now);
   ForgetFinishedRanks(state, unplaced_counts);
   state.ready_steps.insert(reordered.begin(), reordered.end());
   if (!reordered.empty())
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -30,6 +30,8 @@
   uint32_t with_headroom = 0;   // of best-effort tasks only
   /** Of a best-effort task, on the workers with idle time. */
   std::optional<double> best_headroom;
+  /** A step for which a worker is reserved that passes all conditions. */
+  std::optional<StepName> held_back_by;
   /** The task leaves the remaining capacity to short work. */
   bool waits_for_reserve = false;
 };
@@ -38,6 +40,13 @@
                                    const TaskRef& ref,
                                    TimePoint now);
 
+/** True if only the worker's free capacity, its reservations and what the
+ * service as a whole has left may keep the task off it. */
+bool MayRunOn(const State& state,
+              const WorkerState& worker,
+              const TaskRef& ref,
+              TimePoint now);
+
 /** Assigns waiting tasks to workers, in order, and adds their starts to the
  * plan. */
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan);
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/sched/order.h"
+#include "src/sched/reservations.h"
 #include "src/sched/task_placement.h"
 
 namespace cowslipmast::sched {
@@ -71,6 +72,9 @@
          " with_capacity=" + std::to_string(passed.with_capacity) +
          " trusted=" + std::to_string(passed.trusted) + " waits_for_reserve=" +
          std::to_string(passed.waits_for_reserve ? 1 : 0) +
+         (passed.held_back_by
+              ? " reserved_for=" + ToString(*passed.held_back_by)
+              : "") +
          DescribeExamination(waiting, passed, now);
 }
 
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -347,6 +347,14 @@
           [](const Cell& c) { return c.counters().moved_jobs; });
   counter("cowslipmast_moved_tasks",
           [](const Cell& c) { return c.counters().moved_tasks; });
+  counter("cowslipmast_reservations_made",
+          [](const Cell& c) { return c.counters().reservations_made; });
+  counter("cowslipmast_reservations_kept",
+          [](const Cell& c) { return c.counters().reservations_kept; });
+  counter("cowslipmast_reservations_failed",
+          [](const Cell& c) { return c.counters().reservations_failed; });
+  counter("cowslipmast_tasks_backfilled",
+          [](const Cell& c) { return c.counters().tasks_backfilled; });
   counter("cowslipmast_overdue_tasks",
           [](const Cell& c) { return c.Waiting().overdue_tasks; });
   counter("cowslipmast_starved_jobs",
