--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -110,6 +110,10 @@
   uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
   uint64_t late_steps = 0;   // put behind work that can meet its objective
   uint64_t turns = 0;        // of late work that has waited for too long
+  uint64_t reservations_made = 0;    // of capacity, for large waiting tasks
+  uint64_t reservations_kept = 0;    // whose step has started
+  uint64_t reservations_failed = 0;  // dropped while the step still waited
+  uint64_t tasks_backfilled = 0;     // started on a worker reserved for another
 };
 
 /** Work that waits for a worker longer than it should. */
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -8,6 +8,7 @@
 #include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
+#include "src/sched/reservations.h"
 
 namespace cowslipmast::sched {
 
@@ -92,6 +93,8 @@
     task.checkpoint = ended.checkpoint;
   RecordRunOutcome(state, worker, ended.outcome,
                    task.started ? now - *task.started : Duration(0), now);
+  if (state.options.features.look_ahead && ended.outcome == RunOutcome::kDone)
+    LearnRunTime(state, *ref, now);
   if (ended.outcome == RunOutcome::kDone ||
       ended.outcome == RunOutcome::kFailed)
     ClearSuspicion(state, *ref);
