sched: awaited silent ends hold starts back without proven crashes

Cause: starts were held back only after two proven crashes, so that a task was started a sixth time while answers that could prove the rest were due. A later owner would have waited again for an answer that the one before had given up.

Change: ends and awaited silent ends together hold back the start that might be one too many. If no answer comes in 20 s, the job is given up with two proven crashes, as before, and the task starts again otherwise. The stored entry says that the wait is over; a late answer is still judged.

--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -311,8 +311,10 @@
       FindSuspects(state, WorkerAt(state, worker),
                    StartedTasks(WorkerAt(state, worker)), now);
   RequeueAllTasks(state, worker, "lease expired", now);
-  for (const Suspect& suspect : suspects)
-    KeepSilentEnd(state, worker, suspect.name, suspect.evidence, now);
+  for (const Suspect& suspect : suspects) {
+    KeepSilentEnd(state, worker, suspect.name, suspect.evidence);
+    AwaitProof(state, worker, suspect.name, now);
+  }
 }
 
 void ResolveSilentEnds(State& state,
@@ -386,12 +388,16 @@
   }
   for (const TaskName& name : late) {
     const auto ref = FindTask(state, name);
-    if (ref && IsHeldBack(state, *ref))
+    if (ref && IsHeldBack(state, *ref) &&
+        TaskOf(CountedTask(*ref)).crashes.proven >= kMinProvenCrashes)
       GiveUp(
           state, *ref,
           "proven=" + std::to_string(TaskOf(CountedTask(*ref)).crashes.proven) +
               " reason=no worker answers after its start",
           now);
+    // A later owner does not wait again.
+    if (ref && !ref->iteration->job->ended_at)
+      MarkDirty(state, *ref->iteration);
     auto& awaited = state.awaited_proofs.at(name);
     std::erase_if(awaited,
                   [now](const auto& entry) { return now >= entry.second; });
@@ -403,7 +409,7 @@
 bool IsHeldBack(const State& state, const TaskRef& ref) {
   const TaskRef counted = CountedTask(ref);
   const CrashCount& crashes = TaskOf(counted).crashes;
-  if (crashes.proven < kMinProvenCrashes || ref.iteration->job->ended_at)
+  if (ref.iteration->job->ended_at)
     return false;
   const auto awaited = state.awaited_proofs.find(NameOf(counted));
   return awaited != state.awaited_proofs.end() &&
--- a/src/sched/crash_suspects.h
+++ b/src/sched/crash_suspects.h
@@ -55,7 +55,7 @@
  * that was held back for them. */
 void EndWaitForLateProofs(State& state, TimePoint now);
 
-/** True while a start of the task must wait: workers have crashed under it, and
+/** True while a start of the task must wait: workers have ended under it, and
  * with those that fell silent at its start they may be as many as a task may
  * crash. */
 bool IsHeldBack(const State& state, const TaskRef& ref);
--- a/src/sched/silent_ends.cc
+++ b/src/sched/silent_ends.cc
@@ -36,6 +36,7 @@
 constexpr uint32_t kAloneBit = 16;
 constexpr uint32_t kLoneEndBit = 32;
 constexpr uint32_t kInCommonBit = 64;
+constexpr uint32_t kWaitOverBit = 128;
 
 uint32_t Bit(bool is_set, uint32_t bit) {
   return is_set ? bit : 0;
@@ -55,6 +56,8 @@
   uint32_t index = 0;
   WorkerId worker;
   CrashEvidence evidence;
+  /** No answer came in time; a later one is still judged. */
+  bool is_wait_over = false;
 };
 
 json Encode(const StoredEnd& end) {
@@ -63,7 +66,7 @@
           end.evidence.run.run.value(),
           end.worker.value(),
           end.evidence.run.start_time_ms,
-          EncodeFlags(end.evidence),
+          EncodeFlags(end.evidence) | Bit(end.is_wait_over, kWaitOverBit),
           end.evidence.unexplained_ends};
 }
 
@@ -86,6 +89,7 @@
                   .lone_end = is_set(kLoneEndBit),
                   .in_common = is_set(kInCommonBit),
                   .unexplained_ends = stored.at(6).get<size_t>()};
+  end.is_wait_over = is_set(kWaitOverBit);
   return end;
 }
 
@@ -97,6 +101,11 @@
          !HasAnnouncedLeaving(worker, run.start_time_ms);
 }
 
+bool IsAwaited(const State& state, const TaskRef& counted, RunNumber run) {
+  const auto found = state.awaited_proofs.find(NameOf(counted));
+  return found != state.awaited_proofs.end() && found->second.count(run) > 0;
+}
+
 // The run that a silent worker has, while its lease lasts.
 void EncodePlacedRun(const State& state, const TaskRef& ref, json& ends) {
   const Task& task = TaskOf(ref);
@@ -108,17 +117,26 @@
                           .is_confirmed = task.is_confirmed,
                           .had_just_started = true};
   if (IsWorthKeeping(worker, TaskOf(CountedTask(ref)), run))
-    ends.push_back(Encode({ref.step, ref.index, worker.info.id, {.run = run}}));
+    ends.push_back(Encode({.step = ref.step,
+                           .index = ref.index,
+                           .worker = worker.info.id,
+                           .evidence = {.run = run}}));
 }
 
 void EncodeLapsedRuns(const State& state, const TaskRef& ref, json& ends) {
   for (const int32_t index : TaskOf(ref).silent_workers) {
     const WorkerState& worker = state.workers[static_cast<size_t>(index)];
     const auto found = worker.silent_tasks.find(NameOf(ref));
-    if (found != worker.silent_tasks.end() &&
-        IsWorthKeeping(worker, TaskOf(CountedTask(ref)), found->second.run))
-      ends.push_back(
-          Encode({ref.step, ref.index, worker.info.id, found->second}));
+    const TaskRef counted = CountedTask(ref);
+    if (found == worker.silent_tasks.end() ||
+        !IsWorthKeeping(worker, TaskOf(counted), found->second.run))
+      continue;
+    ends.push_back(Encode(
+        {.step = ref.step,
+         .index = ref.index,
+         .worker = worker.info.id,
+         .evidence = found->second,
+         .is_wait_over = !IsAwaited(state, counted, found->second.run.run)}));
   }
 }
 
@@ -127,7 +145,9 @@
   const int32_t worker = GetOrCreateWorkerIndex(state, end.worker);
   const RunOnInstance& run = end.evidence.run;
   if (task.worker != worker || task.run != run.run) {
-    KeepSilentEnd(state, worker, NameOf(ref), end.evidence, state.claimed_at);
+    KeepSilentEnd(state, worker, NameOf(ref), end.evidence);
+    if (!end.is_wait_over)
+      AwaitProof(state, worker, NameOf(ref), state.claimed_at);
     return;
   }
   task.is_silent_since_start = true;
@@ -173,18 +193,12 @@
 void KeepSilentEnd(State& state,
                    int32_t worker,
                    const TaskName& name,
-                   const CrashEvidence& evidence,
-                   TimePoint now) {
-  WorkerState& silent = state.workers[static_cast<size_t>(worker)];
-  silent.silent_tasks[name] = evidence;
-  if (!MayHaveEndedAtStart(evidence.run))
-    return;
-  silent.proof_awaited_until = now + kMaxWaitForProof;
+                   const CrashEvidence& evidence) {
+  state.workers[static_cast<size_t>(worker)].silent_tasks[name] = evidence;
   const auto ref = FindTask(state, name);
-  if (!ref || ref->iteration->job->ended_at)
+  if (!MayHaveEndedAtStart(evidence.run) || !ref ||
+      ref->iteration->job->ended_at)
     return;
-  state.awaited_proofs[NameOf(CountedTask(*ref))][evidence.run.run] =
-      now + kMaxWaitForProof;
   std::vector<int32_t>& workers = TaskOf(*ref).silent_workers;
   std::erase(workers, worker);
   if (workers.size() >= kMaxSilentEndsOfTask)
@@ -192,6 +206,21 @@
   workers.push_back(worker);
 }
 
+void AwaitProof(State& state,
+                int32_t worker,
+                const TaskName& name,
+                TimePoint now) {
+  WorkerState& silent = state.workers[static_cast<size_t>(worker)];
+  const RunOnInstance& run = silent.silent_tasks.at(name).run;
+  if (!MayHaveEndedAtStart(run))
+    return;
+  const TimePoint until = now + kMaxWaitForProof;
+  silent.proof_awaited_until = until;
+  const auto ref = FindTask(state, name);
+  if (ref && !ref->iteration->job->ended_at)
+    state.awaited_proofs[NameOf(CountedTask(*ref))][run.run] = until;
+}
+
 void EndWaitForProofs(State& state, int32_t worker) {
   WorkerState& answering = state.workers[static_cast<size_t>(worker)];
   answering.proof_awaited_until.reset();
--- a/src/sched/silent_ends.h
+++ b/src/sched/silent_ends.h
@@ -29,13 +29,18 @@
 /** The worker answers and has the run. */
 void EndSilence(State& state, const TaskRef& ref);
 
-/** The lease of a silent worker has expired under the run. Awaits its next
- * answer until `now` and 20 s if it may have ended at its start. */
+/** The lease of a silent worker has expired under the run. */
 void KeepSilentEnd(State& state,
                    int32_t worker,
                    const TaskName& name,
-                   const CrashEvidence& evidence,
-                   TimePoint now);
+                   const CrashEvidence& evidence);
+
+/** Awaits the worker's next answer for 20 s from `now` on if the run that was
+ * kept may have ended at its start. */
+void AwaitProof(State& state,
+                int32_t worker,
+                const TaskName& name,
+                TimePoint now);
 
 /** Something answers at the address of the worker: its silent ends are not
  * awaited any more, and are no longer part of the records. */
--- a/tests/sched/held_back_test.cc
+++ b/tests/sched/held_back_test.cc
@@ -38,15 +38,15 @@
   return plan.starts;
 }
 
-// Four ends under the task, two of them proven crashes.
-std::unique_ptr<Scheduler> MakeSchedulerWithSuspect() {
+// Four ends under the task, `proven` of them proven crashes.
+std::unique_ptr<Scheduler> MakeSchedulerWithSuspect(int proven) {
   auto scheduler = Scheduler::Make(SchedulerOptions(), kClaimed);
   Policy policy;
   policy.queues[QueueId("urgent")] = MakePolicy(0, 4);
   scheduler->SetPolicy(policy, kClaimed);
   scheduler->AddJob(MakeJob("job", "urgent", {MakeStep(1, 2, 1000, 0.8)}),
                     kClaimed, WallTime(kClaimed.time_since_epoch()));
-  const nlohmann::json task = {0, 4, 0, "", nullptr, 4, 1, 0, 2, false};
+  const nlohmann::json task = {0, 4, 0, "", nullptr, 4, 1, 0, proven, false};
   REQUIRE(scheduler->RestoreProgress(
       {"job.0", AsBytes({{"s", 1}, {"t", {{task}}}})}));
   scheduler->FinishRestore(kClaimed);
@@ -64,7 +64,7 @@
 
 TEST_CASE("a task starts once more before its last crash is proven",
           "[sched]") {
-  auto scheduler = MakeSchedulerWithSuspect();
+  auto scheduler = MakeSchedulerWithSuspect(2);
   const std::vector<StartRunCommand> starts = PlanStarts(*scheduler, kClaimed);
   REQUIRE(starts.size() == 1);
   scheduler->OnStarted(starts[0], kClaimed + milliseconds(10));
@@ -91,5 +91,27 @@
   }
 }
 
+TEST_CASE(
+    "a task without two proven crashes starts before a silent worker answers",
+    "[sched]") {
+  auto scheduler = MakeSchedulerWithSuspect(1);
+  const std::vector<StartRunCommand> starts = PlanStarts(*scheduler, kClaimed);
+  REQUIRE(starts.size() == 1);
+  scheduler->OnStarted(starts[0], kClaimed + milliseconds(10));
+  scheduler->OnUnreachable(starts[0].worker.id, kClaimed + seconds(1));
+  CHECK(PlanStarts(*scheduler, kLapsed).empty());
+
+  SECTION("or is given up, although nothing proves that it crashes workers") {
+    CHECK(PlanStarts(*scheduler, kLapsed + seconds(19)).empty());
+    CHECK(PlanStarts(*scheduler, kLapsed + seconds(21)).size() == 1);
+    CHECK(scheduler->StateOf(kJob) == JobState::kActive);
+  }
+  SECTION("or waits on, although its worker was only partitioned") {
+    Answer(*scheduler, starts[0].worker.id, 1, kLapsed + seconds(3));
+    CHECK(PlanStarts(*scheduler, kLapsed + seconds(3)).size() == 1);
+    CHECK(scheduler->StateOf(kJob) == JobState::kActive);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
--- a/tests/sched/silent_ends_test.cc
+++ b/tests/sched/silent_ends_test.cc
@@ -162,16 +162,16 @@
 }
 
 TEST_CASE("the record of a job that lost all its workers", "[sched]") {
-  constexpr uint32_t kTasks = 2000;
+  constexpr uint32_t task_count = 2000;
   size_t record_bytes = 0;
   SimulatedCell cell;
   cell.AddWorkers(140, 16, 64000);
   cell.SetQueue("urgent", MakePolicy(0, 4));
   cell.Run(seconds(1));
-  cell.Submit(MakeJob("a", "urgent", {MakeLongRunningStep(kTasks, 1)}));
-  for (int i = 0; i < 200 && cell.CountRunning("a") < kTasks; ++i)
+  cell.Submit(MakeJob("a", "urgent", {MakeLongRunningStep(task_count, 1)}));
+  for (int i = 0; i < 200 && cell.CountRunning("a") < task_count; ++i)
     cell.Advance();
-  REQUIRE(cell.CountRunning("a") == kTasks);
+  REQUIRE(cell.CountRunning("a") == task_count);
   for (size_t w = 0; w < cell.worker_count(); ++w)
     cell.worker(w).reachable = false;
   cell.Run(kLapse);
