--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "cowslipmast/sched/job_codec.h"
 #include "src/sched/assignment.h"
 #include "src/sched/order.h"
 #include "src/sched/progress.h"
@@ -88,6 +89,7 @@
   std::unique_ptr<Job>& slot = state.jobs[spec.id];
   slot = std::make_unique<Job>();
   slot->spec = spec;
+  slot->encoded_bytes = EncodeJob(spec).size();
   slot->sequence = state.next_sequence++;
   slot->arrived = now - std::max(Duration(0), wall - spec.accepted);
   state.needs_plan = true;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -159,6 +159,7 @@
 
 struct Job {
   JobDefinition spec;
+  size_t encoded_bytes = 0;  // of `spec` in the store
   JobState state = JobState::kQueued;
   /** As stored: the state that callers are told. */
   JobState published_state = JobState::kQueued;
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cowslipmast/sched/job_codec.h"
 #include "src/sched/assignment.h"
 #include "src/sched/cell_load.h"
 #include "src/sched/choose_cell.h"
@@ -123,12 +124,16 @@
   size_t tasks = 0;
 };
 
+bool IsSmallEnoughToMove(const Job& job) {
+  return job.encoded_bytes <= kMaxMovedJobBytes;
+}
+
 bool MayMoveTasks(const ReadyKey& key, TimePoint now) {
   const Job& job = *key.iteration->job;
   const StepSpec& spec = job.spec.steps[key.step];
   const StepState& step = key.iteration->steps[key.step];
   if (!spec.long_running || spec.gang || job.spec.iterations > 0 ||
-      step.ready_tasks.empty())
+      step.ready_tasks.empty() || !IsSmallEnoughToMove(job))
     return false;
   const Task& oldest = step.tasks[step.ready_tasks.back()];
   const Duration waited = now - oldest.ready_since;
@@ -183,7 +188,7 @@
 bool MayMove(const Job& job) {
   return !job.may_have_started && job.placed_tasks == 0 && !job.ended_at &&
          !job.moved_to && job.spec.iterations == 0 && job.hop < kMaxHops &&
-         !job.is_part;
+         !job.is_part && IsSmallEnoughToMove(job);
 }
 
 // A task to name in the decision log for a whole job.
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -170,7 +170,7 @@
   if (pending.is_sent || pending.result)
     return pending.result == IntakeResult::kRefused;
   std::erase_if(m_impl->queues[cell].waiting,
-                [&pending](const Impl::PendingRecordPtr& waiting) {
+                [&pending](const PendingRecordPtr& waiting) {
                   return waiting.get() == &pending;
                 });
   pending.result = IntakeResult::kRefused;
