sched: a step whose reserved worker is lost gets another reservation at once

Cause: a new test, in which the reserved worker is to be emptied, failed: the step got no reservation for 2 s, was late by then, and came behind all work that was still on time. Change: the pause after a failed reservation applies only if the expectation failed, not if the worker may not be used any more; the log line tells which.

--- a/src/sched/reservations.cc
+++ b/src/sched/reservations.cc
@@ -291,24 +291,27 @@
                  waiting.ready_tasks.back()};
 }
 
-// Renews the expectation. False if it can no longer be met.
-bool Renew(const State& state, Reservation& reservation, TimePoint now) {
+enum class Renewal { kRenewed, kWorkerLost, kTooLate };
+
+// Renews the expectation, unless it can no longer be met.
+Renewal Renew(const State& state, Reservation& reservation, TimePoint now) {
   const auto ref = FindWaitingTask(state, reservation.step);
   const WorkerState& worker =
       state.workers[static_cast<size_t>(reservation.worker)];
-  if (!ref || now >= reservation.ends_at ||
-      !MayRunOn(state, worker, *ref, now) ||
+  if (!ref || now >= reservation.ends_at)
+    return Renewal::kTooLate;
+  if (!MayRunOn(state, worker, *ref, now) ||
       !Fits(reservation.need, worker.info.capacity))
-    return false;
+    return Renewal::kWorkerLost;
   std::vector<Slot> slots;
   AddSlots(state, reservation.worker, reservation.need, 1, now, slots);
   if (slots.empty() || slots.front().from > reservation.ends_at)
-    return false;
+    return Renewal::kTooLate;
   // A gang starts with its last member.
   if (!SpecOf(*ref).gang || slots.front().from > reservation.expected_start)
     reservation.expected_start = slots.front().from;
   reservation.surplus = SurplusAt(state, worker, reservation, now);
-  return true;
+  return Renewal::kRenewed;
 }
 
 void DropReservations(State& state, const StepName& step) {
@@ -316,11 +319,20 @@
                 [&step](const Reservation& r) { return r.step == step; });
 }
 
-void FailReservation(State& state, const StepName& step, TimePoint now) {
+void FailReservation(State& state,
+                     const StepName& step,
+                     Renewal failure,
+                     TimePoint now) {
   if (const auto ref = FindWaitingTask(state, step)) {
     ++state.counters.reservations_failed;
-    LogDecision(state, "reservation_failed", *ref);
-    state.look_ahead.retry_at.insert_or_assign(step, now + kRetryAfterFailure);
+    LogDecision(state, "reservation_failed", *ref,
+                failure == Renewal::kWorkerLost ? "worker_lost" : "too_late");
+    // A worker that is lost says nothing against the estimates.
+    if (failure == Renewal::kTooLate)
+      state.look_ahead.retry_at.insert_or_assign(step,
+                                                 now + kRetryAfterFailure);
+    else
+      state.look_ahead.retry_at.erase(step);
   }
   DropReservations(state, step);
 }
@@ -330,15 +342,14 @@
 void ReviewReservations(State& state, TimePoint now) {
   std::erase_if(state.look_ahead.retry_at,
                 [now](const auto& entry) { return entry.second <= now; });
-  std::vector<StepName> failed;
+  std::map<StepName, Renewal> failed;  // a gang needs all of its workers
   for (Reservation& reservation : state.look_ahead.reservations) {
-    if (!Renew(state, reservation, now))
-      failed.push_back(reservation.step);
+    const Renewal renewal = Renew(state, reservation, now);
+    if (renewal != Renewal::kRenewed)
+      failed.emplace(reservation.step, renewal);
   }
-  // A gang needs all of its workers.
-  failed.erase(std::unique(failed.begin(), failed.end()), failed.end());
-  for (const StepName& step : failed)
-    FailReservation(state, step, now);
+  for (const auto& [step, failure] : failed)
+    FailReservation(state, step, failure, now);
 }
 
 bool ReserveForStep(State& state, const ReadyKey& key, TimePoint now) {
