--- a/src/sched/reservations.cc
+++ b/src/sched/reservations.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/sched/assignment.h"
+#include "src/sched/expected_ends.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
 #include "src/sched/task_placement.h"
@@ -24,19 +25,14 @@
 // room.
 constexpr double kLargeShare = 0.2;
 constexpr int64_t kLargeFactor = 2;
-// Estimates further ahead are too uncertain to leave capacity idle for.
-constexpr Duration kMaxWaitForStart = seconds(6);
 // Ends are known once a worker is listed.
 constexpr Duration kMinTolerance = milliseconds(800);
-constexpr Duration kMinOverdueWait = milliseconds(100);
 // After a failed reservation, so that other work gets the capacity in between.
 constexpr Duration kRetryAfterFailure = seconds(2);
 constexpr Duration kSearchInterval = milliseconds(300);
 constexpr size_t kMaxReservations = 16;
 // Bounds the cost of one search.
 constexpr size_t kMaxWorkersPerSearch = 256;
-// Progress below this does not tell the speed of a run.
-constexpr uint32_t kMinProgressPercent = 10;
 
 StepName NameOfStep(const ReadyKey& key) {
   return {key.iteration->job->spec.id, key.iteration_number, key.step};
@@ -53,101 +49,6 @@
                    .accelerators = need.accelerators * factor};
 }
 
-// The run's remaining time by its own progress; nothing if that does not tell.
-std::optional<Duration> RemainingByProgress(const Task& task, TimePoint now) {
-  if (!task.started || !task.last_progress ||
-      task.progress_percent < kMinProgressPercent ||
-      task.progress_percent > 100 || *task.last_progress <= *task.started)
-    return std::nullopt;
-  const Duration taken = *task.last_progress - *task.started;
-  const Duration rest = taken * (100 - task.progress_percent) /
-                        static_cast<int64_t>(task.progress_percent);
-  return rest - (now - *task.last_progress);
-}
-
-// A run that has outlasted its estimate may go on for as long again; one that
-// has just done so has probably ended, and waits to be listed.
-Duration OverdueWait(Duration overdue) {
-  return std::max<Duration>(kMinOverdueWait, overdue);
-}
-
-// When a running task is expected to end; nothing for one that does not end.
-std::optional<TimePoint> ExpectedEnd(const State& state,
-                                     const TaskRef& ref,
-                                     TimePoint now) {
-  const Task& task = TaskOf(ref);
-  if (task.phase == SchedulingPhase::kStopping)
-    return now;
-  if (SpecOf(ref).long_running)
-    return std::nullopt;
-  const auto by_progress = RemainingByProgress(task, now);
-  if (by_progress)
-    return now + std::max(*by_progress, OverdueWait(-*by_progress));
-  const RunTime run_time = EstimateRunTime(
-      state.look_ahead.estimates, ref.iteration->job->spec.queue, SpecOf(ref));
-  const Duration elapsed = task.started ? now - *task.started : Duration(0);
-  if (elapsed < run_time.expected)
-    return now + (run_time.expected - elapsed);
-  if (elapsed < run_time.upper)
-    return now + (run_time.upper - elapsed);
-  return now + OverdueWait(elapsed - run_time.upper);
-}
-
-struct CapacityChange {
-  TimePoint at;
-  Resources freed;
-};
-
-std::vector<CapacityChange> ExpectedChanges(const State& state,
-                                            const WorkerState& worker,
-                                            TimePoint now) {
-  std::vector<CapacityChange> changes;
-  for (const TaskRef& ref : worker.tasks) {
-    const auto end = ExpectedEnd(state, ref, now);
-    if (end && *end <= now + kMaxWaitForStart)
-      changes.push_back({*end, ReservedBy(SpecOf(ref))});
-  }
-  std::sort(changes.begin(), changes.end(),
-            [](const CapacityChange& a, const CapacityChange& b) {
-              return a.at < b.at;
-            });
-  return changes;
-}
-
-struct Slot {
-  TimePoint from;
-  int32_t worker = kNoWorker;
-  RackId rack;
-};
-
-// When each of up to `count` tasks is expected to fit on the worker.
-void AddSlots(const State& state,
-              int32_t index,
-              const Resources& need,
-              size_t count,
-              TimePoint now,
-              std::vector<Slot>& slots) {
-  const WorkerState& worker = state.workers[static_cast<size_t>(index)];
-  const std::vector<CapacityChange> changes =
-      ExpectedChanges(state, worker, now);
-  Resources free = FreeCapacity(worker);
-  TimePoint at = now;
-  auto change = changes.begin();
-  for (size_t fitting = 0; fitting < count;) {
-    if (Fits(need, free)) {
-      free -= need;
-      slots.push_back({at, index, worker.info.rack});
-      ++fitting;
-      continue;
-    }
-    if (change == changes.end())
-      return;
-    free += change->freed;
-    at = change->at;
-    ++change;
-  }
-}
-
 bool IsReserved(const State& state, int32_t worker) {
   const auto& reservations = state.look_ahead.reservations;
   return std::any_of(reservations.begin(), reservations.end(),
