--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -226,7 +226,7 @@
     // It then says as much about its worker's health as a failed run.
     if (worker_in_doubt)
       RecordRunOutcome(state, worker, RunOutcome::kFailed,
-                     task.started ? now - *task.started : Duration(0), now);
+                       task.started ? now - *task.started : Duration(0), now);
   }
 }
 
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -89,8 +89,7 @@
                  .run = {},
                  .worker = {},
                  .detail = "images=" + std::to_string(left_out)});
-  plan.records.push_back(
-      {std::string(kInterferenceKey), std::move(encoded)});
+  plan.records.push_back({std::string(kInterferenceKey), std::move(encoded)});
 }
 
 // Something else answers in place of the worker's instance.
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -96,8 +96,8 @@
   return worker.info.service == query.policy.service &&
          HasCapacity(worker, query.spec) &&
          EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
-         (query.is_overdue || IsTrusted(worker, query.policy.priority,
-                                       query.last_attempt, now)) &&
+         (query.is_overdue ||
+          IsTrusted(worker, query.policy.priority, query.last_attempt, now)) &&
          (query.rack == nullptr || worker.info.rack == *query.rack) &&
          AllowsTask(worker, query);
 }
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -32,7 +32,8 @@
 using PendingRecordPtr = std::shared_ptr<PendingRecord>;
 
 // Takes the records of the next append, in their order.
-std::vector<PendingRecordPtr> TakeBatch(std::vector<PendingRecordPtr>& waiting) {
+std::vector<PendingRecordPtr> TakeBatch(
+    std::vector<PendingRecordPtr>& waiting) {
   size_t bytes = 0;
   auto end = waiting.begin();
   for (; end != waiting.end() && bytes < kMaxAppendBytes; ++end)
@@ -97,8 +98,7 @@
   const auto self = shared_from_this();
   Queue& queue = queues[cell];
   while (!queue.waiting.empty()) {
-    const std::vector<PendingRecordPtr> batch =
-        TakeBatch(queue.waiting);
+    const std::vector<PendingRecordPtr> batch = TakeBatch(queue.waiting);
     std::vector<KeyedRecord> records;
     records.reserve(batch.size());
     for (const PendingRecordPtr& pending : batch)
--- a/tests/sched/long_run_test.cc
+++ b/tests/sched/long_run_test.cc
@@ -1,5 +1,5 @@
-// Workers list progress in whole percents. A run that takes 300 s shows a new one
-// every 3 s, and one of hours every few minutes: neither stands still.
+// Workers list progress in whole percents. A run that takes 300 s shows a new
+// one every 3 s, and one of hours every few minutes: neither stands still.
 
 #include <catch2/catch.hpp>
 
--- a/tests/sched/overdue_iterations_test.cc
+++ b/tests/sched/overdue_iterations_test.cc
@@ -56,8 +56,8 @@
 TEST_CASE("iterations that are all overdue use up the memory", "[sched]") {
   State state;
   state.restored = true;
-  Job& job = AddJobWithoutIterations(
-      state, MakeOverdueJob(kIterations, kTasks), TimePoint(), WallTime());
+  Job& job = AddJobWithoutIterations(state, MakeOverdueJob(kIterations, kTasks),
+                                     TimePoint(), WallTime());
   state.upcoming_iterations.emplace(job.spec.first_due, &job);
 
   uint32_t latest = 0;
--- a/tests/scheduler_process/large_records_test.cc
+++ b/tests/scheduler_process/large_records_test.cc
@@ -76,8 +76,8 @@
   std::vector<std::string> keys;
   for (int i = 0; i < 40; ++i) {
     keys.push_back("j/" + std::to_string(i));
-    pending.push_back(intake->Append(
-        CellId(0), {keys.back(), std::string(128 * 1024, 'x')}));
+    pending.push_back(
+        intake->Append(CellId(0), {keys.back(), std::string(128 * 1024, 'x')}));
   }
   io.run_for(milliseconds(500));
   for (const auto& record : pending)
