sched: a started job goes on in a cell that has workers for it

The transfer names the tasks that are done and, with a higher run number, all others; it is sent once the move is stored, as that of a job that has not started, and a repeated or late one changes nothing. A recurring job, and one with a long-running step, still waits.

The simulation of a cell takes tasks for done that a transfer names, so that the receiver may start later steps and must not start these, and that of all cells reports a transfer that names a task which was done nowhere.

--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -24,6 +24,14 @@
   bool operator==(const MovedTask&) const = default;
 };
 
+/** A task of a job's only iteration. */
+struct TaskPosition {
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  bool operator==(const TaskPosition&) const = default;
+};
+
 /** A job, or some of its tasks, that another cell is to run. */
 struct JobTransfer {
   JobDefinition job;
@@ -35,6 +43,9 @@
   /** Long-running tasks that move; empty for a whole job of which no task has
    * started. */
   std::vector<MovedTask> tasks;
+  /** Set for a whole job that has started and is to go on elsewhere: the tasks
+   * that are done; `tasks` has all others. */
+  std::optional<std::vector<TaskPosition>> done_tasks = std::nullopt;
 
   bool operator==(const JobTransfer&) const = default;
 };
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -54,12 +54,17 @@
   for (const MovedTask& task : transfer.tasks)
     tasks.push_back(EncodeTask(task, with_checkpoints));
   const std::string job = EncodeJob(transfer.job);
-  const std::vector<uint8_t> bytes =
-      json::to_cbor({{"f", transfer.from.value()},
-                     {"h", transfer.hop},
-                     {"w", transfer.waited.count()},
-                     {"t", std::move(tasks)},
-                     {"j", json::binary({job.begin(), job.end()})}});
+  json stored = {{"f", transfer.from.value()},
+                 {"h", transfer.hop},
+                 {"w", transfer.waited.count()},
+                 {"t", std::move(tasks)},
+                 {"j", json::binary({job.begin(), job.end()})}};
+  if (transfer.done_tasks) {
+    stored["d"] = json::array();
+    for (const TaskPosition& done : *transfer.done_tasks)
+      stored["d"].push_back({done.step, done.index});
+  }
+  const std::vector<uint8_t> bytes = json::to_cbor(stored);
   return {bytes.begin(), bytes.end()};
 }
 
@@ -123,6 +128,12 @@
                          .tasks = {}};
     for (const json& task : j.at("t"))
       transfer.tasks.push_back(DecodeTask(task));
+    if (j.contains("d")) {
+      transfer.done_tasks.emplace();
+      for (const json& done : j.at("d"))
+        transfer.done_tasks->push_back(
+            {done.at(0).get<uint32_t>(), done.at(1).get<uint32_t>()});
+    }
     return transfer;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -1,5 +1,5 @@
-#include "cowslipmast/sched/job_codec.h"
 #include "src/sched/progress.h"
+#include "cowslipmast/sched/job_codec.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -71,6 +71,9 @@
 
 void ApplyTaskProgress(State& state, const TaskRef& ref, const json& stored) {
   Task& task = TaskOf(ref);
+  // The transfer that brought the job here says so.
+  if (task.phase == SchedulingPhase::kDone)
+    return;
   if (stored.is_number()) {
     task.phase = SchedulingPhase::kDone;
     --StepOf(ref).unfinished_tasks;
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -185,6 +185,76 @@
          !job.is_part;
 }
 
+bool HasLongRunningStep(const Job& job) {
+  return std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                     [](const StepSpec& spec) { return spec.long_running; });
+}
+
+bool HasTasksElsewhere(const Job& job) {
+  for (const auto& [number, iteration] : job.iterations) {
+    for (const StepState& step : iteration->steps) {
+      for (const Task& task : step.tasks) {
+        if (task.phase == SchedulingPhase::kElsewhere)
+          return true;
+      }
+    }
+  }
+  return false;
+}
+
+// True if the job has started, and nothing of it runs or may still run, so that
+// it can go on in another cell. Its long-running tasks move alone.
+bool MayGoOnElsewhere(const State& state, const ReadyKey& key, TimePoint now) {
+  const Job& job = *key.iteration->job;
+  const StepState& step = key.iteration->steps[key.step];
+  if (!job.may_have_started || job.placed_tasks > 0 || job.ended_at ||
+      job.moved_to || job.spec.iterations > 0 || job.hop >= kMaxHops ||
+      job.is_part || WaitedFor(key, now) < kMinWaitToMoveTask)
+    return false;
+  return !HasLongRunningStep(job) && !HasTasksElsewhere(job) &&
+         std::none_of(step.ready_tasks.begin(), step.ready_tasks.end(),
+                      [&](uint32_t index) {
+                        return IsHeldBack(
+                            state, TaskRef{key.iteration, key.step, index});
+                      });
+}
+
+// True if the cell has a worker that may get the work once it has capacity.
+bool HasWorkerFor(const CellLoad& load, const WaitingWork& work) {
+  const ServiceLoad* service = FindServiceLoad(load, work.service);
+  return service != nullptr && service->workers > 0 &&
+         (work.label.empty() ||
+          std::find(service->labels.begin(), service->labels.end(),
+                    work.label) != service->labels.end());
+}
+
+MovedTask DescribeTask(const TaskRef& ref, Duration waited) {
+  const Task& task = TaskOf(ref);
+  return {.step = ref.step,
+          .index = ref.index,
+          .run = task.run,
+          .failures = task.failures,
+          .checkpoint = task.checkpoint,
+          .waited = waited,
+          .crashes = task.crashes};
+}
+
+// Adds how far a job has come that goes on in another cell.
+void AddTaskStates(const Job& job, JobTransfer& transfer) {
+  transfer.done_tasks.emplace();
+  for (const auto& [number, iteration] : job.iterations) {
+    for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
+      for (uint32_t k = 0; k < iteration->steps[i].tasks.size(); ++k) {
+        const TaskRef ref{iteration.get(), i, k};
+        if (TaskOf(ref).phase == SchedulingPhase::kDone)
+          transfer.done_tasks->push_back({i, k});
+        else
+          transfer.tasks.push_back(DescribeTask(ref, Duration(0)));
+      }
+    }
+  }
+}
+
 // A task to name in the decision log for a whole job.
 std::optional<TaskRef> FirstTaskOf(const Job& job) {
   for (const auto& [number, iteration] : job.iterations) {
@@ -197,11 +267,15 @@
 }
 
 void SendTransfer(State& state, const Job& job, Duration waited) {
-  const JobTransfer transfer{.job = job.spec,
-                             .from = state.options.cell,
-                             .hop = job.hop + 1,
-                             .waited = waited,
-                             .tasks = {}};
+  JobTransfer transfer{.job = job.spec,
+                       .from = state.options.cell,
+                       .hop = job.hop + 1,
+                       .waited = waited,
+                       .tasks = {}};
+  // Long-running tasks that came back alone say nothing of how far the job had
+  // come when it moved.
+  if (job.may_have_started && !HasLongRunningStep(job))
+    AddTaskStates(job, transfer);
   state.messages.push_back(
       {*job.moved_to,
        TransferKey(job.spec.id, "h" + std::to_string(transfer.hop)),
@@ -231,8 +305,14 @@
             waited, now - step.tasks[step.ready_tasks.back()].ready_since);
       step.ready_tasks.clear();
       step.unblocked = false;
-      for (Task& task : step.tasks)
+      for (Task& task : step.tasks) {
+        if (task.phase == SchedulingPhase::kDone)
+          continue;
         task.phase = SchedulingPhase::kElsewhere;
+        // A higher number than any that this cell has used.
+        if (job.may_have_started)
+          task.run = task.run.Next();
+      }
     }
     MarkDirty(state, *iteration);
   }
@@ -243,17 +323,6 @@
                 "to_cell=" + std::to_string(target.value()));
 }
 
-MovedTask DescribeTask(const TaskRef& ref, Duration waited) {
-  const Task& task = TaskOf(ref);
-  return {.step = ref.step,
-          .index = ref.index,
-          .run = task.run,
-          .failures = task.failures,
-          .checkpoint = task.checkpoint,
-          .waited = waited,
-          .crashes = task.crashes};
-}
-
 void SendTasks(State& state,
                const Job& job,
                CellId target,
@@ -359,6 +428,40 @@
   }
 }
 
+bool HasTask(const Iteration& iteration, uint32_t step, uint32_t index) {
+  return step < iteration.steps.size() &&
+         index < iteration.steps[step].tasks.size();
+}
+
+// A job that started in another cell goes on here.
+void ApplyTaskStates(State& state, Job& job, const JobTransfer& transfer) {
+  if (!transfer.done_tasks)
+    return;
+  Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
+  job.may_have_started = true;
+  NoteStart(job);
+  for (const MovedTask& moved : transfer.tasks) {
+    if (!HasTask(iteration, moved.step, moved.index))
+      continue;
+    const TaskRef ref{&iteration, moved.step, moved.index};
+    Task& task = TaskOf(ref);
+    task.run = std::max(task.run, moved.run);
+    task.failures = moved.failures;
+    task.checkpoint = moved.checkpoint;
+    SetCrashes(state, ref, moved.crashes);
+  }
+  for (const TaskPosition& done : *transfer.done_tasks) {
+    if (!HasTask(iteration, done.step, done.index))
+      continue;
+    StepState& step = iteration.steps[done.step];
+    if (step.tasks[done.index].phase == SchedulingPhase::kDone)
+      continue;
+    step.tasks[done.index].phase = SchedulingPhase::kDone;
+    if (--step.unfinished_tasks == 0)
+      --iteration.unfinished_steps;
+  }
+}
+
 // A job of which this cell only runs the tasks that are moved here.
 Job& AddPartialJob(State& state,
                    const JobTransfer& transfer,
@@ -421,7 +524,8 @@
   std::vector<std::pair<Job*, CellId>> moves;
   for (const ReadyKey& key : state.ready_steps) {
     Job& job = *key.iteration->job;
-    if (key.iteration->steps[key.step].ready_tasks.empty() || !MayMove(job) ||
+    if (key.iteration->steps[key.step].ready_tasks.empty() ||
+        (!MayMove(job) && !MayGoOnElsewhere(state, key, now)) ||
         (!moves.empty() && moves.back().first == &job))
       continue;
     if (++considered > kMaxStepsConsidered)
@@ -429,6 +533,8 @@
     if (!own)
       own = MeasureLoad(state, now);
     const WaitingWork work = DescribeWork(state, key, now);
+    if (job.may_have_started && HasWorkerFor(*own, work))
+      continue;
     auto target = CellOfData(state, key);
     if (!target)
       target = ChooseCell(work, *own, state.cell_loads);
@@ -474,7 +580,7 @@
                    TimePoint now,
                    WallTime wall) {
   const auto found = state.jobs.find(transfer.job.id);
-  if (!transfer.tasks.empty()) {
+  if (!transfer.tasks.empty() && !transfer.done_tasks) {
     Job& job = found == state.jobs.end()
                    ? AddPartialJob(state, transfer, now, wall)
                    : *found->second;
@@ -486,6 +592,7 @@
     job.received_from = transfer.from;
     job.hop = transfer.hop;
     job.base_run = RunNumber(transfer.hop);
+    ApplyTaskStates(state, job, transfer);
     StartFirstIteration(state, job, now);
     AddEarlierWait(job, transfer.waited);
   } else if (found->second->hop < transfer.hop) {
@@ -499,6 +606,7 @@
     if (!job.ended_at && (job.moved_to || !state.restored)) {
       job.moved_to.reset();
       ReturnTasks(job);
+      ApplyTaskStates(state, job, transfer);
       StartFirstIteration(state, job, now);
       AddEarlierWait(job, transfer.waited);
     }
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -89,6 +89,13 @@
 
 void SimulatedCell::Deliver(const CellMessage& message) {
   m_received_records[message.key] = message.value;
+  // A job that goes on here has tasks that another cell has seen done: its
+  // later steps may start, and these tasks may not.
+  const auto transfer = DecodeTransfer(message.value);
+  if (transfer && transfer->done_tasks) {
+    for (const TaskPosition& done : *transfer->done_tasks)
+      m_observations.done.insert({transfer->job.id, 0, done.step, done.index});
+  }
   if (m_has_owner)
     ApplyRecord(message.key, message.value);
 }
--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -13,6 +13,24 @@
 // Racks are numbered so that each cell gets its own ones.
 constexpr size_t kWorkersPerRack = 8;
 
+// A job that moves names no task as done that has not been done in any cell.
+void CheckDoneTasks(const std::vector<std::unique_ptr<SimulatedCell>>& cells,
+                    const CellMessage& message,
+                    std::vector<std::string>& violations) {
+  const auto transfer = DecodeTransfer(message.value);
+  if (!transfer || !transfer->done_tasks)
+    return;
+  for (const TaskPosition& done : *transfer->done_tasks) {
+    const TaskName task{transfer->job.id, 0, done.step, done.index};
+    const bool was_done =
+        std::any_of(cells.begin(), cells.end(), [&task](const auto& cell) {
+          return cell->observations().done.contains(task);
+        });
+    if (!was_done)
+      violations.push_back("moves as done: " + task.job.value());
+  }
+}
+
 }  // namespace
 
 SimulatedCells::SimulatedCells(uint32_t cells,
@@ -98,6 +116,7 @@
   std::erase_if(m_in_transit, [&](const MessageInTransit& entry) {
     if (entry.arrives > now)
       return false;
+    CheckDoneTasks(m_cells, entry.message, m_violations);
     m_cells[entry.message.to.value()]->Deliver(entry.message);
     return true;
   });
