sched: a decision without a task is built by name

Cause: with -O3 the compiler takes a braced temporary of a decision for uninitialised, and warnings are errors: the build of the deploy file failed.

Change: the decision has a name.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -83,13 +83,12 @@
   state.interference_stored_at = now;
   size_t left_out = 0;
   std::string encoded = EncodeInterference(state, &left_out);
-  if (left_out > 0 && state.decisions.size() < kMaxDecisions)
-    state.decisions.push_back(
-        Decision{.event = "learned_data_left_out",
-                 .task = {},
-                 .run = {},
-                 .worker = {},
-                 .detail = "images=" + std::to_string(left_out)});
+  if (left_out > 0 && state.decisions.size() < kMaxDecisions) {
+    Decision decision;
+    decision.event = "learned_data_left_out";
+    decision.detail = "images=" + std::to_string(left_out);
+    state.decisions.push_back(std::move(decision));
+  }
   plan.records.push_back({std::string(kInterferenceKey), std::move(encoded)});
 }
 
