--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -484,9 +484,9 @@
         }
       };
   loads = LoadExchange::Make(io, peers, election, std::move(load_hooks));
-  service = JobService::Make(io, ports.store, peers, election, loads,
-                             [this](CellId id) { return FindCell(id); },
-                             settings.features);
+  service = JobService::Make(
+      io, ports.store, peers, election, loads,
+      [this](CellId id) { return FindCell(id); }, settings.features);
   election->Start();
 }
 
--- a/tests/scheduler_process/large_records_test.cc
+++ b/tests/scheduler_process/large_records_test.cc
@@ -71,7 +71,8 @@
 TEST_CASE("submissions during a slow append exceed a call", "[sched]") {
   asio::io_context io;
   LimitedStore store;
-  const auto intake = JobIntake::Make(io, store.MakePort());
+  const auto intake =
+      JobIntake::Make(io, store.MakePort(), SchedulerFeatures{});
   std::vector<std::shared_ptr<PendingRecord>> pending;
   std::vector<std::string> keys;
   for (int i = 0; i < 40; ++i) {
