--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -250,7 +250,8 @@
     }
     SECTION("but not when its trailers are short") {
       const std::string answer = fixture.SendRaw(
-          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n"
           "2\r\n{}\r\n0\r\nx: v\r\n\r\n");
       CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
     }
