--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -94,6 +94,7 @@
   asio::awaitable<HttpResponse> HandleOffer(CellId id, std::string body);
   std::string Dump() const;
   void RegisterGauges();
+  void RegisterConnectionGauges();
   asio::awaitable<void> FlushLog();
   asio::awaitable<void> GiveUpCells();
   asio::awaitable<void> Drain(std::function<void()> on_stopped);
@@ -375,6 +376,16 @@
           [](const WaitingSummary& w) { return w.longest_wait; });
   longest("cowslipmast_longest_starvation_seconds",
           [](const WaitingSummary& w) { return w.longest_starvation; });
+  metrics->Gauge("cowslipmast_owned_cells", {},
+                 [this] { return static_cast<double>(cells.size()); });
+  metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
+    return static_cast<double>(lag->Recent().count()) / 1e6;
+  });
+  metrics->Gauge("cowslipmast_dropped_log_lines", {},
+                 [] { return static_cast<double>(DroppedLogLines()); });
+}
+
+void SchedulerProcess::Impl::RegisterConnectionGauges() {
   const auto server = [this](const std::string& name, const auto read) {
     for (const auto& [label, entry] :
          {std::pair("callers", caller_server.get()),
@@ -397,13 +408,6 @@
   metrics->Gauge("cowslipmast_shed_responses", {}, [this] {
     return static_cast<double>(peers.counters().shed_responses);
   });
-  metrics->Gauge("cowslipmast_owned_cells", {},
-                 [this] { return static_cast<double>(cells.size()); });
-  metrics->Gauge("cowslipmast_loop_lag_seconds", {}, [this] {
-    return static_cast<double>(lag->Recent().count()) / 1e6;
-  });
-  metrics->Gauge("cowslipmast_dropped_log_lines", {},
-                 [] { return static_cast<double>(DroppedLogLines()); });
 }
 
 asio::awaitable<void> SchedulerProcess::Impl::FlushLog() {
@@ -562,6 +566,7 @@
   if (!impl->Listen(reason))
     return nullptr;
   impl->RegisterGauges();
+  impl->RegisterConnectionGauges();
   Spawn(io, "log_flush", impl->FlushLog());
   LogEvent("started", {{"control_port", impl->settings.control_endpoint.port}});
   return std::unique_ptr<SchedulerProcess>(
--- a/tests/sched/workspace_caps_test.cc
+++ b/tests/sched/workspace_caps_test.cc
@@ -30,7 +30,7 @@
                       const std::string& workspace,
                       size_t cell,
                       StepSpec step) {
-  const std::string id = system.MakeIdFor(cell, workspace);
+  std::string id = system.MakeIdFor(cell, workspace);
   JobDefinition job = MakeJob(id, "urgent", {std::move(step)});
   job.workspace = WorkspaceId(workspace);
   system.Submit(job);
