net, scheduler, tests: what the change had written twice is written once

Cause: a read of the whole change. A process encoded each submission twice, once to see its size; the server and the client each counted the memory of a message; the pause after a failed append stood in two files; two calls of the tests built the same request.

Change: JobService::Submit encodes once and tells kTooLarge, which is the same 413 as before; HeldBytes serves server and client; the intake asks IsStoreStalled with and without the feature admission; the tests share MakeRequest. Behaviour and assertions stay.

--- a/src/net/beast_message.cc
+++ b/src/net/beast_message.cc
@@ -1,5 +1,6 @@
 #include "src/net/beast_message.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,10 @@
   return headers;
 }
 
+size_t HeldBytes(const std::string& body, const beast::flat_buffer& buffer) {
+  return buffer.capacity() + std::min(body.capacity(), 2 * body.size());
+}
+
 void AddBeastFields(const std::vector<HttpHeader>& headers,
                     http::fields& fields) {
   for (const HttpHeader& header : headers) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,6 +1,5 @@
 #include "src/net/http_client.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -197,9 +196,7 @@
     co_await http::async_read_some(
         stream, buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
-    const std::string& body = parser.get().body();
-    share->SetBytes(buffer.capacity() +
-                    std::min(body.capacity(), 2 * body.size()));
+    share->SetBytes(HeldBytes(parser.get().body(), buffer));
     if (share->is_given_up()) {
       ++counters.shed_responses;
       error = http::error::body_limit;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -34,12 +34,6 @@
   return std::max<size_t>(1, limit.rlim_cur / 2);
 }
 
-// Memory that a request takes while it is read. A body grows by doubling.
-size_t HeldBytes(const Parser& parser, const beast::flat_buffer& buffer) {
-  const std::string& body = parser.get().body();
-  return buffer.capacity() + std::min(body.capacity(), 2 * body.size());
-}
-
 HttpRequest TakeRequest(Parser& parser) {
   http::request<http::string_body> message = parser.release();
   return HttpRequest{.method = std::string(message.method_string()),
@@ -271,7 +265,7 @@
       co_return std::nullopt;
     if (header == 0 && parser.is_header_done())
       header = HeldByHeader(parser.get());
-    share.SetBytes(header + HeldBytes(parser, buffer));
+    share.SetBytes(header + HeldBytes(parser.get().body(), buffer));
     if (share.is_given_up())
       co_return std::nullopt;
   }
--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -19,8 +19,6 @@
 // 100 times as long, and 0.2 s more for each append queued before it. Callers
 // wait 3 s in all.
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(2200);
-// After a failed append no other is tried from this process for this long.
-constexpr Duration kFailedAppendPause = std::chrono::milliseconds(700);
 // An append that takes longer counts as slow: eight times the 30 ms of the far
 // region.
 constexpr Duration kSlowAppendThreshold = std::chrono::milliseconds(250);
@@ -179,10 +177,11 @@
 }
 
 bool JobIntake::IsStoreResponding() const {
-  if (m_impl->features.admission && IsStoreStalled(m_impl->Condition()))
-    return false;
-  return !m_impl->failed_at ||
-         MonotonicNow() - *m_impl->failed_at > kFailedAppendPause;
+  StoreCondition condition = m_impl->Condition();
+  // An append that is only slow does not count without the feature.
+  if (!m_impl->features.admission)
+    condition.longest_append = Duration(0);
+  return !IsStoreStalled(condition);
 }
 
 bool JobIntake::IsStoreFast() const {
--- a/src/scheduler_process/job_intake.h
+++ b/src/scheduler_process/job_intake.h
@@ -15,8 +15,9 @@
 
 enum class IntakeResult {
   kStored,
-  kRefused,  // not stored, and never will be
-  kUnknown,  // may have been stored, or may still be
+  kRefused,   // not stored, and never will be
+  kTooLarge,  // as `kRefused`: no record can hold it
+  kUnknown,   // may have been stored, or may still be
 };
 
 /** A record that waits for its append to the store. */
--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -366,10 +366,12 @@
                                                  Duration timeout) {
   const auto impl = m_impl;
   const JobId id = spec.id;
+  KeyedRecord record{SubmissionKey(id), EncodeJob(spec)};
+  if (record.value.size() > kMaxJobBytes)
+    co_return IntakeResult::kTooLarge;
   const auto home = HomeCell(*impl->election, id);
   if (!home)
     co_return IntakeResult::kRefused;
-  KeyedRecord record{SubmissionKey(id), EncodeJob(spec)};
   ++impl->open_attempts[id];
   const auto end_attempt = absl::MakeCleanup([impl, id] {
     if (--impl->open_attempts[id] == 0)
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -79,6 +79,17 @@
       .dump();
 }
 
+HttpRequest MakeRequest(const std::string& method,
+                        const std::string& path,
+                        const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.headers.push_back({"Host", "quotes.example"});
+  request.body = body;
+  return request;
+}
+
 }  // namespace
 
 LoopThread::LoopThread() : m_io(1), m_work(asio::make_work_guard(m_io)) {
@@ -286,12 +297,7 @@
                                              const std::string& method,
                                              const std::string& path,
                                              const std::string& body) {
-  HttpRequest request;
-  request.method = method;
-  request.path = path;
-  request.headers.push_back({"Host", "quotes.example"});
-  request.body = body;
-  return Send(process, std::move(request));
+  return Send(process, MakeRequest(method, path, body));
 }
 
 std::optional<HttpResponse> TestSystem::CallWithKey(TestProcess& process,
@@ -299,12 +305,8 @@
                                                     const std::string& method,
                                                     const std::string& path,
                                                     const std::string& body) {
-  HttpRequest request;
-  request.method = method;
-  request.path = path;
-  request.headers.push_back({"Host", "quotes.example"});
+  HttpRequest request = MakeRequest(method, path, body);
   request.headers.push_back({"X-Api-Key", key});
-  request.body = body;
   return Send(process, std::move(request));
 }
 
