sched: a task that its cell cannot start goes on in a cell that can

Cause: whether started work may leave its cell was decided by job, kind and phase. A recurring job, a job with a long-running step and one whose cell has a suitable worker without room stayed. Where work may go was decided by free pieces whatever the label of their workers, and by labels whatever their size.

The job keeps its coordinator, which alone decides on steps, iterations and ends; a part reports what it has done, and its failure. Attempts, crash counts and checkpoints travel with the task. Owners tell free pieces and worker sizes by label.

The simulation now checks order and ends across cells.

--- a/include/cowslipmast/sched/cell.h
+++ b/include/cowslipmast/sched/cell.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,19 @@
 
 /** Length of `ServiceLoad::free_pieces` at most. */
 inline constexpr size_t kMaxFreePieces = 24;
+/** Length of `LabelLoad::free_pieces` at most, and number of labels. */
+inline constexpr size_t kMaxLabelPieces = 12;
+inline constexpr size_t kMaxLabels = 32;
+/** Number of different worker sizes that an owner tells at most. */
+inline constexpr size_t kMaxWorkerSizes = 8;
+
+/** The workers of a service that have one label. */
+struct LabelLoad {
+  std::vector<Resources> free_pieces;   // largest ones, largest first
+  std::vector<Resources> worker_sizes;  // see `ServiceLoad::worker_sizes`
+
+  bool operator==(const LabelLoad&) const = default;
+};
 
 /** Use of one service's workers in a cell. Counts only workers that may get new
  * tasks. */
@@ -57,6 +71,11 @@
   std::vector<std::string> labels;  // of the workers, without their racks
   /** Free capacities of single workers: the largest ones, largest first. */
   std::vector<Resources> free_pieces;
+  /** Capacities of workers, without those that another one exceeds; empty if
+   * unknown. */
+  std::vector<Resources> worker_sizes;
+  /** By label, without racks; empty if unknown. */
+  std::map<std::string, LabelLoad> by_label;
 
   bool operator==(const ServiceLoad&) const = default;
 };
--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -24,7 +24,7 @@
   bool operator==(const MovedTask&) const = default;
 };
 
-/** A task of a job's only iteration. */
+/** A task of one iteration of a job. */
 struct TaskPosition {
   uint32_t step = 0;
   uint32_t index = 0;
@@ -40,16 +40,31 @@
   uint32_t hop = 0;
   /** How long the whole job has waited for a worker, in all cells so far. */
   Duration waited{0};
-  /** Long-running tasks that move; empty for a whole job of which no task has
-   * started. */
+  /** Tasks of one iteration that move; empty for a whole job of which no task
+   * has started. */
   std::vector<MovedTask> tasks;
-  /** Set for a whole job that has started and is to go on elsewhere: the tasks
-   * that are done; `tasks` has all others. */
+  /** Set for a whole job that an earlier version has moved after its start: the
+   * tasks that are done; `tasks` has all others. */
   std::optional<std::vector<TaskPosition>> done_tasks = std::nullopt;
+  uint32_t iteration = 0;  // of `tasks`
+  Duration age{0};         // of that iteration, since it was due
+  /** The cell that decides on the job's steps and ends; nothing in records of
+   * earlier versions. */
+  std::optional<CellId> coordinator = std::nullopt;
 
   bool operator==(const JobTransfer&) const = default;
 };
 
+/** Tells the coordinator of a job which of the moved tasks another cell has
+ * done: all of an iteration so far. */
+struct PartReport {
+  CellId from;
+  uint32_t iteration = 0;
+  std::vector<TaskPosition> done_tasks;
+
+  bool operator==(const PartReport&) const = default;
+};
+
 /** Record for the job stream of another cell. */
 struct CellMessage {
   CellId to;
@@ -61,11 +76,20 @@
 };
 
 /** Kinds of records in a cell's job stream, by the prefix of their key. */
-enum class JobRecordKind { kSubmission, kCancellation, kTransfer, kEnd };
+enum class JobRecordKind {
+  kSubmission,
+  kCancellation,
+  kTransfer,
+  kEnd,
+  kPartReport,
+  kPartEnd,
+};
 
 struct JobRecordKey {
   JobRecordKind kind = JobRecordKind::kSubmission;
   JobId job;
+  /** Of a `kPartEnd` or `kPartReport`; nothing if it is for the whole job. */
+  std::optional<uint32_t> iteration = std::nullopt;
 };
 
 std::string SubmissionKey(const JobId& job);
@@ -74,6 +98,10 @@
  * whole job. */
 std::string TransferKey(const JobId& job, std::string_view part);
 std::string EndKey(const JobId& job);
+/** A newer report of the same cell on the same iteration replaces this one. */
+std::string PartReportKey(const JobId& job, uint32_t iteration, CellId from);
+/** Without an iteration, the whole job has ended. */
+std::string PartEndKey(const JobId& job, std::optional<uint32_t> iteration);
 /** Returns nothing for a key of another kind. */
 std::optional<JobRecordKey> ParseJobRecordKey(std::string_view key);
 
@@ -82,6 +110,10 @@
 /** Returns nothing if the bytes are not a transfer. */
 std::optional<JobTransfer> DecodeTransfer(std::string_view bytes);
 
+std::string EncodePartReport(const PartReport& report);
+/** Returns nothing if the bytes are not a report. */
+std::optional<PartReport> DecodePartReport(std::string_view bytes);
+
 /** State in which a moved job has ended; nothing if the bytes name none. */
 std::string EncodeEnd(JobState state);
 std::optional<JobState> DecodeEnd(std::string_view bytes);
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -107,7 +107,7 @@
       0;  // listed runs that the scheduler does not expect
   uint64_t bad_records = 0;
   uint64_t moved_jobs = 0;   // moved to other cells before they started
-  uint64_t moved_tasks = 0;  // long-running tasks moved to other cells
+  uint64_t moved_tasks = 0;  // single tasks moved to other cells
   uint64_t late_steps = 0;   // put behind work that can meet its objective
   uint64_t turns = 0;        // of late work that has waited for too long
   uint64_t reservations_made = 0;    // of capacity, for large waiting tasks
@@ -158,6 +158,14 @@
   void AddTransfer(const JobTransfer& transfer, TimePoint now, WallTime wall);
   /** The cell that runs a moved job reports its end. */
   void EndMovedJob(const JobId& id, JobState end, TimePoint now);
+  /** Another cell reports which moved tasks of the job it has done. Must be
+   * called after the progress of the job is replayed, as the next call. */
+  void AddPartReport(const JobId& id, const PartReport& report, TimePoint now);
+  /** The job, or one iteration of it, has ended, of which this cell runs moved
+   * tasks. */
+  void EndPartOfJob(const JobId& id,
+                    std::optional<uint32_t> iteration,
+                    TimePoint now);
   /** The message that tells another cell of the job's end has been stored. */
   void OnEndMessageStored(const JobId& id);
 
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -11,6 +11,32 @@
 
 namespace {
 
+// Keeps only sizes that no other one exceeds.
+void AddWorkerSize(std::vector<Resources>& sizes, const Resources& size) {
+  const auto fits_in = [](const Resources& small) {
+    return [small](const Resources& large) { return Fits(small, large); };
+  };
+  if (std::any_of(sizes.begin(), sizes.end(), fits_in(size)))
+    return;
+  std::erase_if(sizes, [&size](const Resources& s) { return Fits(s, size); });
+  if (sizes.size() < kMaxWorkerSizes)
+    sizes.push_back(size);
+}
+
+// Null for a label beyond the number that is told.
+LabelLoad* AddLabel(ServiceLoad& load,
+                    const std::string& label,
+                    const WorkerState& worker) {
+  if (std::find(load.labels.begin(), load.labels.end(), label) ==
+      load.labels.end())
+    load.labels.push_back(label);
+  if (load.by_label.size() >= kMaxLabels && !load.by_label.contains(label))
+    return nullptr;
+  LabelLoad& entry = load.by_label[label];
+  AddWorkerSize(entry.worker_sizes, worker.info.capacity);
+  return &entry;
+}
+
 void AddWorker(ServiceLoad& load, const WorkerState& worker) {
   ++load.workers;
   load.capacity += worker.info.capacity.cpu;
@@ -21,20 +47,39 @@
   const Resources free = FreeCapacity(worker);
   if (free.cpu.count() > 0)
     load.free_pieces.push_back(free);
+  AddWorkerSize(load.worker_sizes, worker.info.capacity);
   for (const std::string& label : worker.info.labels) {
-    if (label != worker.info.rack.value() &&
-        std::find(load.labels.begin(), load.labels.end(), label) ==
-            load.labels.end())
-      load.labels.push_back(label);
+    LabelLoad* entry = label != worker.info.rack.value()
+                           ? AddLabel(load, label, worker)
+                           : nullptr;
+    if (entry != nullptr && free.cpu.count() > 0)
+      entry->free_pieces.push_back(free);
   }
 }
 
-void KeepLargestPieces(ServiceLoad& load) {
+// It has refused a start just now: no capacity is known to be free there, but
+// the work need not go elsewhere for good.
+void AddFullWorker(ServiceLoad& load, const WorkerState& worker) {
+  ++load.workers;
+  AddWorkerSize(load.worker_sizes, worker.info.capacity);
+  for (const std::string& label : worker.info.labels) {
+    if (label != worker.info.rack.value())
+      AddLabel(load, label, worker);
+  }
+}
+
+void KeepLargest(std::vector<Resources>& pieces, size_t count) {
   std::sort(
-      load.free_pieces.begin(), load.free_pieces.end(),
+      pieces.begin(), pieces.end(),
       [](const Resources& a, const Resources& b) { return a.cpu > b.cpu; });
-  if (load.free_pieces.size() > kMaxFreePieces)
-    load.free_pieces.resize(kMaxFreePieces);
+  if (pieces.size() > count)
+    pieces.resize(count);
+}
+
+void KeepLargestPieces(ServiceLoad& load) {
+  KeepLargest(load.free_pieces, kMaxFreePieces);
+  for (auto& [label, entry] : load.by_label)
+    KeepLargest(entry.free_pieces, kMaxLabelPieces);
 }
 
 void AddWaitingStep(ServiceLoad& load, const ReadyKey& key) {
@@ -68,8 +113,11 @@
 CellLoad MeasureLoad(const State& state, TimePoint now) {
   std::map<ServiceId, ServiceLoad> loads;
   for (const WorkerState& worker : state.workers) {
-    if (EligibilityOf(state, worker, now) == WorkerEligibility::kEligible)
+    const WorkerEligibility eligibility = EligibilityOf(state, worker, now);
+    if (eligibility == WorkerEligibility::kEligible)
       AddWorker(loads[worker.info.service], worker);
+    else if (eligibility == WorkerEligibility::kFull)
+      AddFullWorker(loads[worker.info.service], worker);
   }
   for (const ReadyKey& key : state.ready_steps)
     AddWaitingStep(loads[PolicyOf(state, *key.iteration->job).service], key);
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -1,10 +1,12 @@
 #include "cowslipmast/sched/cell_message.h"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "cowslipmast/sched/job_codec.h"
 #include "src/core/cbor.h"
+#include "src/core/strings.h"
 
 namespace cowslipmast::sched {
 
@@ -17,6 +19,8 @@
 constexpr std::string_view kCancellationPrefix = "x/";
 constexpr std::string_view kTransferPrefix = "t/";
 constexpr std::string_view kEndPrefix = "e/";
+constexpr std::string_view kPartReportPrefix = "r/";
+constexpr std::string_view kPartEndPrefix = "p/";
 constexpr char kPartSeparator = '.';
 
 std::string Key(std::string_view prefix, const JobId& job) {
@@ -49,6 +53,38 @@
           .crashes = crashes};
 }
 
+json EncodePositions(const std::vector<TaskPosition>& positions) {
+  json encoded = json::array();
+  for (const TaskPosition& position : positions)
+    encoded.push_back({position.step, position.index});
+  return encoded;
+}
+
+std::vector<TaskPosition> DecodePositions(const json& encoded) {
+  std::vector<TaskPosition> positions;
+  for (const json& position : encoded)
+    positions.push_back(
+        {position.at(0).get<uint32_t>(), position.at(1).get<uint32_t>()});
+  return positions;
+}
+
+std::string ToBytes(const json& stored) {
+  const std::vector<uint8_t> bytes = json::to_cbor(stored);
+  return {bytes.begin(), bytes.end()};
+}
+
+// The iteration that a key names between its separator and the next '-'.
+std::optional<uint32_t> ParseIteration(std::string_view key) {
+  const size_t separator = key.find(kPartSeparator);
+  if (separator == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view part = key.substr(separator + 1);
+  const auto number = ParseUnsigned(part.substr(0, part.find('-')));
+  return number && *number <= UINT32_MAX
+             ? std::optional(static_cast<uint32_t>(*number))
+             : std::nullopt;
+}
+
 std::string EncodeTransfer(const JobTransfer& transfer, bool with_checkpoints) {
   json tasks = json::array();
   for (const MovedTask& task : transfer.tasks)
@@ -59,13 +95,15 @@
                  {"w", transfer.waited.count()},
                  {"t", std::move(tasks)},
                  {"j", json::binary({job.begin(), job.end()})}};
-  if (transfer.done_tasks) {
-    stored["d"] = json::array();
-    for (const TaskPosition& done : *transfer.done_tasks)
-      stored["d"].push_back({done.step, done.index});
-  }
-  const std::vector<uint8_t> bytes = json::to_cbor(stored);
-  return {bytes.begin(), bytes.end()};
+  if (transfer.done_tasks)
+    stored["d"] = EncodePositions(*transfer.done_tasks);
+  if (transfer.iteration != 0)
+    stored["i"] = transfer.iteration;
+  if (transfer.age != Duration(0))
+    stored["u"] = transfer.age.count();
+  if (transfer.coordinator)
+    stored["o"] = transfer.coordinator->value();
+  return ToBytes(stored);
 }
 
 }  // namespace
@@ -89,6 +127,18 @@
   return Key(kEndPrefix, job);
 }
 
+std::string PartReportKey(const JobId& job, uint32_t iteration, CellId from) {
+  return Key(kPartReportPrefix, job) + kPartSeparator +
+         std::to_string(iteration) + "-" + std::to_string(from.value());
+}
+
+std::string PartEndKey(const JobId& job, std::optional<uint32_t> iteration) {
+  std::string key = Key(kPartEndPrefix, job);
+  if (iteration)
+    key += kPartSeparator + std::to_string(*iteration);
+  return key;
+}
+
 std::optional<JobRecordKey> ParseJobRecordKey(std::string_view key) {
   const auto parse = [key](std::string_view prefix, JobRecordKind kind) {
     const std::string_view rest = key.substr(prefix.size());
@@ -103,6 +153,15 @@
     return parse(kTransferPrefix, JobRecordKind::kTransfer);
   if (key.starts_with(kEndPrefix))
     return parse(kEndPrefix, JobRecordKind::kEnd);
+  for (const auto& [prefix, kind] :
+       {std::pair(kPartReportPrefix, JobRecordKind::kPartReport),
+        std::pair(kPartEndPrefix, JobRecordKind::kPartEnd)}) {
+    if (!key.starts_with(prefix))
+      continue;
+    JobRecordKey parsed = parse(prefix, kind);
+    parsed.iteration = ParseIteration(key);
+    return parsed;
+  }
   return std::nullopt;
 }
 
@@ -128,18 +187,37 @@
                          .tasks = {}};
     for (const json& task : j.at("t"))
       transfer.tasks.push_back(DecodeTask(task));
-    if (j.contains("d")) {
-      transfer.done_tasks.emplace();
-      for (const json& done : j.at("d"))
-        transfer.done_tasks->push_back(
-            {done.at(0).get<uint32_t>(), done.at(1).get<uint32_t>()});
-    }
+    if (j.contains("d"))
+      transfer.done_tasks = DecodePositions(j.at("d"));
+    transfer.iteration = j.value("i", uint32_t{0});
+    transfer.age = Duration(j.value("u", int64_t{0}));
+    if (j.contains("o"))
+      transfer.coordinator = CellId(j.at("o").get<uint64_t>());
     return transfer;
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
 
+std::string EncodePartReport(const PartReport& report) {
+  return ToBytes({{"f", report.from.value()},
+                  {"i", report.iteration},
+                  {"d", EncodePositions(report.done_tasks)}});
+}
+
+std::optional<PartReport> DecodePartReport(std::string_view bytes) {
+  const json j = ParseCbor(bytes);
+  if (!j.is_object())
+    return std::nullopt;
+  try {
+    return PartReport{.from = CellId(j.at("f").get<uint64_t>()),
+                      .iteration = j.at("i").get<uint32_t>(),
+                      .done_tasks = DecodePositions(j.at("d"))};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeEnd(JobState state) {
   return std::string(JobStateName(state));
 }
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -19,6 +19,8 @@
 constexpr double kKeptAboveMeanPerHop = 0.06;
 // Work that has moved this often moves again only if it cannot run here.
 constexpr uint32_t kMaxMovesForLoad = 2;
+// A cell that is used less takes overdue work whatever else waits there.
+constexpr double kMinUseToRefuse = 0.5;
 // A move takes about 0.1 s, so shorter waits are left to the cell.
 constexpr Duration kMinShortWait = milliseconds(150);
 constexpr Duration kMinBestEffortWait = milliseconds(300);
@@ -91,6 +93,15 @@
          moved->second >= size_t{load.workers} * work.max_per_worker;
 }
 
+// True if more waits in the cell than it has room for, unless that work alone
+// does not fit: full cells must not exchange their queues.
+bool IsBusy(const ServiceLoad& load, const WaitingWork& work) {
+  const double capacity = Cores(load.capacity);
+  const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
+  return free < Cores(work.task_need.cpu) &&
+         Cores(load.reserved) >= kMinUseToRefuse * capacity;
+}
+
 // Capacity of a cell that the work could use.
 double SpareFor(const WaitingWork& work,
                 const ServiceLoad& load,
@@ -99,23 +110,39 @@
   switch (work.kind) {
     case WorkKind::kLongRunning:
       return mean_use * capacity - LongRunningCores(load);
-    case WorkKind::kOverdueLongRunning:
-      return static_cast<double>(CountFittingTasks(load, work));
+    case WorkKind::kOverdueLongRunning: {
+      const size_t fitting = CountFittingTasks(load, work);
+      return fitting < work.min_tasks ? 0 : static_cast<double>(fitting);
+    }
+    case WorkKind::kOverdueShort: {
+      const size_t fitting = CountFittingTasks(load, work);
+      return fitting < work.min_tasks || IsBusy(load, work)
+                 ? 0
+                 : static_cast<double>(fitting);
+    }
     case WorkKind::kShort: {
       const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
       return free < Cores(work.need) ? 0 : free;
     }
-    case WorkKind::kBestEffort: {
+    case WorkKind::kBestEffort:
+    case WorkKind::kOverdueBestEffort: {
+      const MilliCores need =
+          work.kind == WorkKind::kBestEffort ? work.need : work.task_need.cpu;
       const bool others_wait =
           Cores(load.waiting_best_effort) > kNegligibleShare * capacity;
-      return others_wait || Cores(load.idle) < Cores(work.need)
-                 ? 0
-                 : Cores(load.idle);
+      return others_wait || Cores(load.idle) < Cores(need) ? 0
+                                                           : Cores(load.idle);
     }
   }
   return 0;
 }
 
+bool IsOverdue(WorkKind kind) {
+  return kind == WorkKind::kOverdueShort ||
+         kind == WorkKind::kOverdueLongRunning ||
+         kind == WorkKind::kOverdueBestEffort;
+}
+
 double MeanUse(const ServiceId& service,
                const ServiceLoad& own,
                const std::vector<CellLoad>& others) {
@@ -134,8 +161,9 @@
                  const ServiceLoad& own,
                  double mean_use) {
   const double capacity = Cores(own.capacity);
-  if (work.kind != WorkKind::kOverdueLongRunning &&
-      work.hop >= kMaxMovesForLoad)
+  if (IsOverdue(work.kind))
+    return true;
+  if (work.hop >= kMaxMovesForLoad)
     return false;
   switch (work.kind) {
     case WorkKind::kLongRunning: {
@@ -143,22 +171,56 @@
       return use > kMinUseToMove &&
              use > mean_use + kKeptAboveMean + kKeptAboveMeanPerHop * work.hop;
     }
-    case WorkKind::kOverdueLongRunning:
-      return true;
     case WorkKind::kShort:
       return work.waited >= kMinShortWait;
     case WorkKind::kBestEffort:
       return work.waited >= kMinBestEffortWait &&
              Cores(own.waiting_best_effort) > kNegligibleShare * capacity;
+    case WorkKind::kOverdueShort:
+    case WorkKind::kOverdueLongRunning:
+    case WorkKind::kOverdueBestEffort:
+      return true;
   }
   return false;
 }
 
+const std::vector<Resources>& PiecesFor(const ServiceLoad& load,
+                                        const WaitingWork& work) {
+  const auto labelled = load.by_label.find(work.label);
+  return labelled == load.by_label.end() ? load.free_pieces
+                                         : labelled->second.free_pieces;
+}
+
+// Takes the smallest suitable pieces first, which leaves large ones whole.
+void TakeFrom(std::vector<Resources>& pieces,
+              const WaitingWork& work,
+              size_t tasks) {
+  for (auto piece = pieces.rbegin(); piece != pieces.rend() && tasks > 0;
+       ++piece) {
+    const size_t kept = tasks - std::min(tasks, TaskLimitOfPiece(work));
+    for (; tasks > kept && Fits(work.task_need, *piece); --tasks)
+      *piece -= work.task_need;
+  }
+}
+
 }  // namespace
 
+bool CouldRun(const ServiceLoad& load, const WaitingWork& work) {
+  if (load.workers == 0 || !HasLabel(load, work.label))
+    return false;
+  const auto labelled = load.by_label.find(work.label);
+  const std::vector<Resources>& sizes = labelled == load.by_label.end()
+                                            ? load.worker_sizes
+                                            : labelled->second.worker_sizes;
+  return sizes.empty() ||
+         std::any_of(sizes.begin(), sizes.end(), [&](const Resources& size) {
+           return Fits(work.task_need, size);
+         });
+}
+
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work) {
   size_t count = 0;
-  for (Resources piece : load.free_pieces) {
+  for (Resources piece : PiecesFor(load, work)) {
     const size_t limit = count + TaskLimitOfPiece(work);
     for (; Fits(work.task_need, piece) && count < limit; ++count)
       piece -= work.task_need;
@@ -167,12 +229,10 @@
 }
 
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
-  // The smallest suitable pieces first, which leaves large ones whole.
-  for (auto piece = load.free_pieces.rbegin();
-       piece != load.free_pieces.rend() && tasks > 0; ++piece) {
-    const size_t kept = tasks - std::min(tasks, TaskLimitOfPiece(work));
-    for (; tasks > kept && Fits(work.task_need, *piece); --tasks)
-      *piece -= work.task_need;
+  TakeFrom(load.free_pieces, work, tasks);
+  for (auto& [label, labelled] : load.by_label) {
+    if (work.label.empty() || work.label == label)
+      TakeFrom(labelled.free_pieces, work, tasks);
   }
 }
 
@@ -193,8 +253,7 @@
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others) {
   const ServiceLoad* load = FindServiceLoad(own, work.service);
-  const bool can_stay =
-      load != nullptr && load->workers > 0 && HasLabel(*load, work.label);
+  const bool can_stay = load != nullptr && CouldRun(*load, work);
   double mean_use = 1;
   if (can_stay) {
     mean_use = MeanUse(work.service, *load, others);
@@ -205,8 +264,7 @@
   std::vector<Candidate> with_workers;
   for (const CellLoad& other : others) {
     const ServiceLoad* entry = FindServiceLoad(other, work.service);
-    if (other.cell == own.cell || entry == nullptr || entry->workers == 0 ||
-        !HasLabel(*entry, work.label))
+    if (other.cell == own.cell || entry == nullptr || !CouldRun(*entry, work))
       continue;
     with_workers.push_back({other.cell, Cores(entry->capacity)});
     const double spare = SpareFor(work, *entry, mean_use);
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -14,8 +14,11 @@
 enum class WorkKind {
   kShort,
   kLongRunning,
-  kOverdueLongRunning,  // must get a worker at once, in any cell
-  kBestEffort
+  kBestEffort,
+  // Tasks that have waited too long: they go to any cell that can start them.
+  kOverdueShort,
+  kOverdueLongRunning,
+  kOverdueBestEffort
 };
 
 /** Work that waits in a cell. */
@@ -25,6 +28,7 @@
   MilliCores need;  // of all its tasks that wait; part of the cell's own load
   Resources task_need{};        // of one task
   uint32_t max_per_worker = 0;  // tasks on one worker; 0 for no limit
+  size_t min_tasks = 1;  // that a cell must be able to start: all of a gang
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
@@ -45,15 +49,21 @@
  * many long-running jobs as another, and failed workers leave a cell full while
  * others have capacity. Long-running work leaves a cell only down to the mean
  * use of all cells, so that cells with the same view do not overload the
- * emptiest one; overdue work goes only where a worker has a piece of free
- * capacity that is large enough for one task. Short and best-effort work leaves
- * only after it has waited, for a cell where nothing waits. */
+ * emptiest one; overdue work goes only where workers that may run it have free
+ * capacity in pieces that are large enough. Short and best-effort work leaves
+ * only after it has waited, for a cell where nothing waits; overdue short work
+ * also for one with capacity beside what waits, or that is less than half used.
+ * Work that no worker here could ever run goes to any cell where one could. */
 std::optional<CellId> ChooseCell(const WaitingWork& work,
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others);
 
+/** True if the cell has a worker with the work's label that is large enough for
+ * one task, used or not. */
+bool CouldRun(const ServiceLoad& load, const WaitingWork& work);
+
 /** Number of the work's tasks that the free pieces of the service's workers
- * hold. */
+ * with its label hold. */
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work);
 
 /** Takes the capacity for that many tasks out of the free pieces. */
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -7,6 +7,7 @@
 
 #include "cowslipmast/sched/job_codec.h"
 #include "src/sched/assignment.h"
+#include "src/sched/job_parts.h"
 #include "src/sched/order.h"
 #include "src/sched/progress.h"
 #include "src/sched/transfers.h"
@@ -48,6 +49,14 @@
   }
 }
 
+// Of a part, only the tasks that are moved here are in this cell.
+void SetElsewhere(Iteration& iteration) {
+  for (StepState& step : iteration.steps) {
+    for (Task& task : step.tasks)
+      task.phase = SchedulingPhase::kElsewhere;
+  }
+}
+
 // Passes over iterations that an earlier owner has seen done, and returns when
 // the next one is due.
 WallTime SkipDoneIterations(Job& job, WallTime due) {
@@ -71,13 +80,22 @@
 
 void FinishIteration(State& state, Iteration& iteration, TimePoint now) {
   Job& job = *iteration.job;
+  if (!IsCoordinator(job))
+    return;
   NoteDone(job, iteration.number);
-  if (job.iterations_done < IterationCount(job.spec) ||
-      job.state == JobState::kFailed || job.state == JobState::kCancelled)
+  if (job.state == JobState::kFailed || job.state == JobState::kCancelled)
+    return;
+  if (job.iterations_done < IterationCount(job.spec)) {
+    PlanEndOfIterationParts(state, iteration);
+    return;
+  }
+  // Ends of restored jobs are handled once all of their records are replayed.
+  if (!state.restored)
     return;
   job.state = JobState::kCompleted;
   job.ended_at = now;
   PlanEndMessage(state, job);
+  PlanEndOfParts(state, job);
 }
 
 }  // namespace
@@ -170,6 +188,8 @@
   }
   if (IsDone(job, number))
     SetDone(*slot);
+  else if (job.is_part)
+    SetElsewhere(*slot);
   state.needs_plan = true;
   return *slot;
 }
@@ -259,7 +279,7 @@
     StepState& step = iteration.steps[i];
     // A task that another cell moves here waits for no step any more.
     if (step.unblocked ||
-        (!iteration.job->is_part &&
+        (IsCoordinator(*iteration.job) &&
          !AreDependenciesDone(iteration, iteration.job->spec.steps[i])))
       continue;
     step.unblocked = true;
@@ -278,18 +298,26 @@
   if (task.phase == SchedulingPhase::kDone)
     return;
   Iteration& iteration = *ref.iteration;
-  StepState& step = StepOf(ref);
-  task.phase = SchedulingPhase::kDone;
   task.worker = kNoWorker;
+  task.other_cell = kThisCell;
   task.checkpoint.clear();
+  iteration.has_unreported_ends = true;
   MarkDirty(state, iteration);
-  if (--step.unfinished_tasks > 0)
+  SetTaskDone(ref);
+  if (StepOf(ref).unfinished_tasks > 0)
     return;
-  if (--iteration.unfinished_steps == 0) {
+  if (iteration.unfinished_steps == 0)
     FinishIteration(state, iteration, now);
+  else if (state.restored)
+    UnblockSteps(state, iteration, now);
+}
+
+void SetTaskDone(const TaskRef& ref) {
+  if (std::exchange(TaskOf(ref).phase, SchedulingPhase::kDone) ==
+      SchedulingPhase::kDone)
     return;
-  }
-  UnblockSteps(state, iteration, now);
+  if (--StepOf(ref).unfinished_tasks == 0)
+    --ref.iteration->unfinished_steps;
 }
 
 void NoteStart(Job& job) {
@@ -311,8 +339,7 @@
   job.state = end;
   job.ended_at = now;
   PlanEndMessage(state, job);
-  if (end == JobState::kFailed)
-    PlanCancellationOfParts(state, job);
+  PlanEndOfParts(state, job);
   // The stored record must show the end even if no task ever had a worker.
   GetOrCreateIteration(state, job, 0, now);
   for (auto& [number, iteration] : job.iterations) {
@@ -353,8 +380,7 @@
     if (found == state.jobs.end())
       continue;
     Job& job = *found->second;
-    if (job.placed_tasks > 0 ||
-        (job.received_from && !job.end_message_stored)) {
+    if (job.placed_tasks > 0 || AwaitsEndMessage(job)) {
       state.ended_jobs.emplace(now + state.options.ended_job_retention, id);
       continue;
     }
@@ -377,17 +403,21 @@
   }
 }
 
-void ForgetDeletedJobs(State& state,
-                       const std::vector<JobId>& ids,
-                       TimePoint now) {
+void ForgetOldDeletions(State& state, TimePoint now) {
   std::deque<std::pair<TimePoint, JobId>>& deleted = state.deleted_submissions;
   while (!deleted.empty() &&
          now - deleted.front().first > kDeletedJobRetention) {
     state.deleted_jobs.erase(deleted.front().second);
     deleted.pop_front();
   }
+}
+
+void ForgetDeletedJobs(State& state,
+                       const std::vector<JobId>& ids,
+                       TimePoint now) {
+  ForgetOldDeletions(state, now);
   for (const JobId& id : ids) {
-    deleted.emplace_back(now, id);
+    state.deleted_submissions.emplace_back(now, id);
     std::vector<std::string>& progress = state.deleted_jobs[id];
     std::move(progress.begin(), progress.end(),
               std::back_inserter(state.deleted_progress));
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -35,9 +35,13 @@
 /** Marks the iteration's stored record as out of date. */
 void MarkDirty(State& state, Iteration& iteration);
 
-/** Marks a task as done and queues the steps that depended on it. */
+/** Marks a task as done and queues the steps that depended on it, unless this
+ * is a replay. */
 void FinishTask(State& state, const TaskRef& ref, TimePoint now);
 
+/** Marks a task as done without further effects. */
+void SetTaskDone(const TaskRef& ref);
+
 /** A worker has confirmed a start of one of the job's tasks, or listed a run.
  */
 void NoteStart(Job& job);
@@ -73,6 +77,9 @@
 /** Deletes ended jobs and their records once callers no longer ask for them. */
 void DeleteEndedJobs(State& state, TimePoint now, Plan& plan);
 
+/** Forgets the ids of jobs that were deleted long ago. */
+void ForgetOldDeletions(State& state, TimePoint now);
+
 /** The store has deleted the submissions of these jobs. */
 void ForgetDeletedJobs(State& state,
                        const std::vector<JobId>& ids,
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -10,6 +10,7 @@
 #include "src/core/strings.h"
 #include "src/sched/assignment.h"
 #include "src/sched/crash_proof.h"
+#include "src/sched/job_parts.h"
 #include "src/sched/jobs.h"
 #include "src/sched/silent_ends.h"
 #include "src/sched/workers.h"
@@ -103,6 +104,9 @@
   if (code == kElsewhereCode) {
     task.phase = SchedulingPhase::kElsewhere;
     task.other_cell = stored.at(4).get<uint32_t>();
+    // Earlier versions store no list of them.
+    if (task.other_cell != kThisCell)
+      ref.iteration->job->part_cells.insert(CellId(task.other_cell));
   }
   if (code != kPlacedCode)
     return;
@@ -130,6 +134,13 @@
     return true;
   Iteration& iteration =
       GetOrCreateIteration(state, job, number, state.claimed_at);
+  if (const auto cells = stored.find("p"); cells != stored.end()) {
+    for (const json& cell : *cells)
+      iteration.part_cells.insert(CellId(cell.get<uint64_t>()));
+    job.part_cells.insert(iteration.part_cells.begin(),
+                          iteration.part_cells.end());
+  }
+  iteration.is_closed = stored.contains("z");
   const json& steps = stored.at("t");
   if (steps.size() != iteration.steps.size())
     return false;
@@ -146,7 +157,9 @@
   const auto silent_ends = stored.find("q");
   if (silent_ends != stored.end())
     ApplySilentEnds(state, iteration, *silent_ends);
-  if (iteration.unfinished_steps == 0)
+  // The coordinator alone knows when an iteration is done.
+  if (IsCoordinator(job) ? iteration.unfinished_steps == 0
+                         : iteration.is_closed)
     NoteDone(job, number);
   return true;
 }
@@ -190,6 +203,10 @@
   stored["b"] = job.has_started;
   if (job.moved_to)
     stored["m"] = {job.moved_to->value(), job.hop};
+  for (const CellId cell : iteration.part_cells)
+    stored["p"].push_back(cell.value());
+  if (iteration.is_closed)
+    stored["z"] = true;
   json silent_ends = EncodeSilentEnds(state, iteration);
   if (!silent_ends.empty())
     stored["q"] = std::move(silent_ends);
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -8,6 +8,7 @@
 #include "src/sched/crash_suspects.h"
 #include "src/sched/dump.h"
 #include "src/sched/interference_codec.h"
+#include "src/sched/job_parts.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
 #include "src/sched/lease_notes.h"
@@ -55,6 +56,8 @@
     iteration->dirty = false;
     plan.records.push_back(EncodeProgress(state, *iteration));
     Job& job = *iteration->job;
+    if (iteration->has_unreported_ends)
+      PlanPartReport(state, *iteration);
     state.jobs_to_publish.emplace_back(job.spec.id, job.state);
     ForgetDoneIteration(state, job, iteration->number);
   }
@@ -109,8 +112,7 @@
 }
 
 void RestoreJob(State& state, Job& job, TimePoint now) {
-  const JobDefinition& spec = job.spec;
-  if (job.iterations_done >= IterationCount(spec))
+  if (IsCoordinator(job) && job.iterations_done >= IterationCount(job.spec))
     job.state = JobState::kCompleted;
   if (job.moved_to && job.state != JobState::kFailed &&
       job.state != JobState::kCancelled && job.state != JobState::kCompleted) {
@@ -257,6 +259,18 @@
   ApplyRemoteEnd(m_impl->state, id, end, now);
 }
 
+void Scheduler::AddPartReport(const JobId& id,
+                              const PartReport& report,
+                              TimePoint now) {
+  ApplyPartReport(m_impl->state, id, report, now);
+}
+
+void Scheduler::EndPartOfJob(const JobId& id,
+                             std::optional<uint32_t> iteration,
+                             TimePoint now) {
+  EndPart(m_impl->state, id, iteration, now);
+}
+
 void Scheduler::OnEndMessageStored(const JobId& id) {
   const auto found = m_impl->state.jobs.find(id);
   if (found != m_impl->state.jobs.end())
@@ -495,6 +509,7 @@
   EncodeLearnedInterference(state, now, plan);
   EncodeLeaseNotes(state, now, plan);
   DeleteEndedJobs(state, now, plan);
+  ForgetOldDeletions(state, now);
   PlanProgressDeletions(state, plan);
   plan.messages = std::exchange(state.messages, {});
   for (WorkerState& worker : state.workers) {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -29,7 +29,7 @@
   kRunning,
   kStopping,  // must be stopped, or kept from starting
   kDone,
-  kElsewhere,  // a long-running task that another cell runs
+  kElsewhere,  // another cell holds the task
 };
 
 /** Worker index of a task that has no worker. */
@@ -155,6 +155,12 @@
   /** Goes before other work of its priority: it has waited for too long. */
   bool has_turn = false;
   bool dirty = false;  // changed since its record was encoded
+  /** Cells to which this one has handed tasks of it. */
+  std::set<CellId> part_cells;
+  /** A part: the coordinator has told that the iteration has ended. */
+  bool is_closed = false;
+  /** A part: tasks are done of which the coordinator is not told yet. */
+  bool has_unreported_ends = false;
 };
 
 struct Job {
@@ -181,6 +187,13 @@
   bool has_started = false;
   bool is_cancelled = false;
   bool is_part = false;  // another cell moved only some of its tasks here
+  /** Cells to which this one has handed tasks of any iteration. */
+  std::set<CellId> part_cells;
+  /** The cell that decides on the job's steps and ends, if tasks of it were
+   * moved here alone. */
+  std::optional<CellId> coordinator;
+  /** How the job ended was decided in another cell. */
+  bool ended_elsewhere = false;
   std::optional<CellId> received_from;  // the cell that moved it here
   std::optional<CellId> moved_to;       // the cell that runs all of it
   uint32_t hop = 0;                     // cells that it has moved through
@@ -335,6 +348,8 @@
   std::map<TaskName, TaskRef> stopping_tasks;
   /** Stops of runs that no task accounts for. */
   std::vector<StopRunCommand> pending_stops;
+  /** Short step with which the next search for steps to hand on begins. */
+  std::optional<ReadyKey> next_step_to_move;
   TimePoint next_waiting_log;
   TimePoint next_turn;                 // of late work under overload
   TimePoint next_opportunistic_start;  // under load
--- a/src/sched/transfers.h
+++ b/src/sched/transfers.h
@@ -6,18 +6,10 @@
 
 namespace cowslipmast::sched {
 
-/** Cancels the tasks of a failed job in other cells once the failure is stored.
- */
-void PlanCancellationOfParts(State& state, const Job& job);
-
 /** Moves waiting jobs, of which no task has started, to cells that suit them
  * better. Must be called before tasks are placed. */
 void PlanJobTransfers(State& state, TimePoint now);
 
-/** Moves long-running tasks that have waited too long to cells with capacity.
- * Must be called after tasks were placed. */
-void PlanTaskTransfers(State& state, TimePoint now);
-
 /** Takes over a job, or tasks of one, that another cell has moved here.
  * Repeated and late transfers have no effect. */
 void ApplyTransfer(State& state,
@@ -28,9 +20,13 @@
 /** A job that was moved away has ended in its cell. */
 void ApplyRemoteEnd(State& state, const JobId& id, JobState end, TimePoint now);
 
-/** Plans to tell the cell that moved the job here how it has ended. */
+/** Plans to tell the cell that moved the job here how it has ended. The failure
+ * of a part is told to the job's coordinator. */
 void PlanEndMessage(State& state, const Job& job);
 
+/** True if the job must be kept until such a message is stored. */
+bool AwaitsEndMessage(const Job& job);
+
 /** Plans to send the transfers, cancellations and ends of a restored job again,
  * as the previous owner may not have sent them. */
 void RepeatMessages(State& state, const Job& job);
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -93,6 +93,7 @@
   void StartFollowing();
   void ApplyJobRecord(const KeyedRecord& record);
   void ApplyTransferRecord(const JobId& id, const KeyedRecord& record);
+  void ApplyPartReportRecord(const JobId& id, const KeyedRecord& record);
   bool IsOwnWorker(const WorkerInfo& info) const;
   void ApplyWorkers(const TopicFollower::Records& newest,
                     const std::vector<KeyedRecord>& added);
@@ -115,8 +116,9 @@
   std::unique_ptr<TopicFollower> worker_follower;
   // Set from the restoration until `job_follower` continues from it.
   std::optional<FollowStart> restored_jobs;
-  // Keys of the transfers of each job, which are deleted along with it.
-  std::map<JobId, std::set<std::string>> transfer_keys;
+  // Keys of what other cells have sent of each job: transfers, reports and ends
+  // of parts. They are deleted along with it.
+  std::map<JobId, std::set<std::string>> part_keys;
   // Their submissions are still stored.
   std::vector<JobId> ended_jobs;
   bool deleting = false;
@@ -156,7 +158,7 @@
 
 void Cell::Impl::ApplyTransferRecord(const JobId& id,
                                      const KeyedRecord& record) {
-  transfer_keys[id].insert(record.key);
+  part_keys[id].insert(record.key);
   const auto transfer = DecodeTransfer(record.value);
   if (!transfer || transfer->job.id != id) {
     LogEvent("job_unreadable", {{"key", record.key}});
@@ -165,6 +167,17 @@
   scheduler->AddTransfer(*transfer, MonotonicNow(), WallNow());
 }
 
+void Cell::Impl::ApplyPartReportRecord(const JobId& id,
+                                       const KeyedRecord& record) {
+  part_keys[id].insert(record.key);
+  const auto report = DecodePartReport(record.value);
+  if (!report) {
+    LogEvent("job_unreadable", {{"key", record.key}});
+    return;
+  }
+  scheduler->AddPartReport(id, *report, MonotonicNow());
+}
+
 void Cell::Impl::ApplyJobRecord(const KeyedRecord& record) {
   const TimePoint now = MonotonicNow();
   if (record.value.empty())
@@ -185,6 +198,13 @@
       if (const auto end = DecodeEnd(record.value))
         scheduler->EndMovedJob(key->job, *end, now);
       return;
+    case JobRecordKind::kPartReport:
+      ApplyPartReportRecord(key->job, record);
+      return;
+    case JobRecordKind::kPartEnd:
+      part_keys[key->job].insert(record.key);
+      scheduler->EndPartOfJob(key->job, key->iteration, now);
+      return;
     case JobRecordKind::kSubmission:
       break;
   }
@@ -239,8 +259,8 @@
 }
 
 // Submissions and transfers must be known before the progress of their jobs.
-// Cancellations and ends are applied after it, since it may show that the job
-// had ended before.
+// Reports, cancellations and ends are applied after it, since it may show that
+// the job had ended before.
 void Cell::Impl::ReplayRecords(const TopicSnapshot& jobs,
                                const TopicSnapshot& progress) {
   const auto apply = [&](JobRecordKind kind) {
@@ -257,6 +277,8 @@
         !scheduler->RestoreProgress({record.key, record.value}))
       LogEvent("progress_unreadable", {{"key", record.key}});
   }
+  apply(JobRecordKind::kPartReport);
+  apply(JobRecordKind::kPartEnd);
   apply(JobRecordKind::kCancellation);
   apply(JobRecordKind::kEnd);
 }
@@ -352,10 +374,9 @@
   for (const JobId& id : ended) {
     std::set<std::string> keys = {SubmissionKey(id), CancellationKey(id),
                                   EndKey(id)};
-    if (const auto found = transfer_keys.find(id);
-        found != transfer_keys.end()) {
+    if (const auto found = part_keys.find(id); found != part_keys.end()) {
       keys.merge(found->second);
-      transfer_keys.erase(found);
+      part_keys.erase(found);
     }
     for (const std::string& key : keys)
       request.records.push_back({key, ""});
--- a/src/scheduler_process/cell_load_codec.cc
+++ b/src/scheduler_process/cell_load_codec.cc
@@ -1,6 +1,8 @@
 #include "src/scheduler_process/cell_load_codec.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
 namespace cowslipmast::sched {
@@ -18,10 +20,10 @@
 }
 
 // A process of an earlier version tells none.
-std::vector<Resources> DecodePieces(const json& service) {
+std::vector<Resources> DecodePieces(const json& j, const char* name) {
   std::vector<Resources> pieces;
-  const auto encoded = service.find("free_pieces");
-  if (encoded == service.end())
+  const auto encoded = j.find(name);
+  if (encoded == j.end())
     return pieces;
   for (const json& piece : *encoded)
     pieces.push_back({MilliCores(piece.at(0).get<int64_t>()),
@@ -30,6 +32,25 @@
   return pieces;
 }
 
+json EncodeLabels(const std::map<std::string, LabelLoad>& labels) {
+  json encoded = json::object();
+  for (const auto& [label, load] : labels)
+    encoded[label] = {{"free_pieces", EncodePieces(load.free_pieces)},
+                      {"worker_sizes", EncodePieces(load.worker_sizes)}};
+  return encoded;
+}
+
+std::map<std::string, LabelLoad> DecodeLabels(const json& service) {
+  std::map<std::string, LabelLoad> labels;
+  const auto encoded = service.find("by_label");
+  if (encoded == service.end())
+    return labels;
+  for (const auto& [label, load] : encoded->items())
+    labels[label] = {.free_pieces = DecodePieces(load, "free_pieces"),
+                     .worker_sizes = DecodePieces(load, "worker_sizes")};
+  return labels;
+}
+
 json EncodeService(const ServiceLoad& load) {
   return {{"service", load.service.value()},
           {"workers", load.workers},
@@ -41,7 +62,9 @@
           {"waiting_best_effort", load.waiting_best_effort.count()},
           {"idle", load.idle.count()},
           {"labels", load.labels},
-          {"free_pieces", EncodePieces(load.free_pieces)}};
+          {"free_pieces", EncodePieces(load.free_pieces)},
+          {"worker_sizes", EncodePieces(load.worker_sizes)},
+          {"by_label", EncodeLabels(load.by_label)}};
 }
 
 ServiceLoad DecodeService(const json& j) {
@@ -58,7 +81,9 @@
           .waiting_best_effort = cpu("waiting_best_effort"),
           .idle = cpu("idle"),
           .labels = j.at("labels").get<std::vector<std::string>>(),
-          .free_pieces = DecodePieces(j)};
+          .free_pieces = DecodePieces(j, "free_pieces"),
+          .worker_sizes = DecodePieces(j, "worker_sizes"),
+          .by_label = DecodeLabels(j)};
 }
 
 }  // namespace
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -90,6 +90,10 @@
     m_scheduler->CancelJob(parsed->job, m_now);
   } else if (parsed->kind == JobRecordKind::kEnd) {
     m_scheduler->EndMovedJob(parsed->job, *DecodeEnd(value), m_now);
+  } else if (parsed->kind == JobRecordKind::kPartReport) {
+    m_scheduler->AddPartReport(parsed->job, *DecodePartReport(value), m_now);
+  } else if (parsed->kind == JobRecordKind::kPartEnd) {
+    m_scheduler->EndPartOfJob(parsed->job, parsed->iteration, m_now);
   }
 }
 
@@ -256,6 +260,8 @@
     m_scheduler->RestoreProgress(
         {key, rewrite_stored_value ? rewrite_stored_value(value) : value});
   }
+  replay(JobRecordKind::kPartReport);
+  replay(JobRecordKind::kPartEnd);
   for (const JobId& id : m_cancelled)
     m_scheduler->CancelJob(id, m_now);
   replay(JobRecordKind::kEnd);
@@ -444,6 +450,14 @@
   return found->second;
 }
 
+size_t SimulatedCell::CountStoredRecords() const {
+  const auto progress = std::count_if(
+      m_stored_records.begin(), m_stored_records.end(), [](const auto& record) {
+        return record.first.find('.') != std::string::npos;
+      });
+  return static_cast<size_t>(progress) + m_received_records.size();
+}
+
 size_t SimulatedCell::CountRunning(const std::string& job) const {
   size_t count = 0;
   for (const SimulatedWorker& worker : m_workers) {
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -110,6 +110,8 @@
   std::function<double(const TaskName&, double)> own_utilisation_of;
 
   void Submit(JobDefinition spec);
+  /** True if another cell has done the task; not set for a single cell. */
+  std::function<bool(const TaskName&)> is_done_elsewhere;
   /** True if that run of the task fails, on a worker that is healthy. */
   std::function<bool(const TaskName&)> run_fails;
 
@@ -162,6 +164,8 @@
   /** Number of runs of the job on workers that are up. */
   size_t CountRunning(const std::string& job) const;
   std::optional<size_t> WorkerOf(const TaskName& task) const;
+  /** Progress of jobs, and what other cells have sent, that is stored. */
+  size_t CountStoredRecords() const;
 
  private:
   void MakeScheduler();
