sched: every cell that a job has passed through learns of its end

Cause: the cell that runs a job told its end only to the cell from which the job had come first. If the job came a second time, the cell in between was never told: it kept the job for good, and its next owner repeated the transfer to a cell that had deleted the job by then, where it started from the beginning.

Change: a job keeps all cells that have moved it here, also those whose transfers are late, and is deleted only when the message of its end is stored in the streams of all of them.

Found by the random tests of jobs that span cells; not reported by users.

--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -285,7 +285,6 @@
                    WallTime wall) {
   Job& job = AddJobWithoutIterations(state, transfer.job, now, wall);
   job.is_part = true;
-  job.received_from = transfer.from;
   job.may_have_started = true;
   NoteStart(job);
   return job;
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -94,7 +94,7 @@
     return;
   job.state = JobState::kCompleted;
   job.ended_at = now;
-  PlanEndMessage(state, job);
+  PlanEndMessages(state, job);
   PlanEndOfParts(state, job);
 }
 
@@ -338,7 +338,7 @@
     return;
   job.state = end;
   job.ended_at = now;
-  PlanEndMessage(state, job);
+  PlanEndMessages(state, job);
   PlanEndOfParts(state, job);
   // The stored record must show the end even if no task ever had a worker.
   GetOrCreateIteration(state, job, 0, now);
@@ -380,7 +380,8 @@
     if (found == state.jobs.end())
       continue;
     Job& job = *found->second;
-    if (job.placed_tasks > 0 || AwaitsEndMessage(job)) {
+    if (job.placed_tasks > 0 ||
+        job.end_messages_stored < job.end_messages_planned) {
       state.ended_jobs.emplace(now + state.options.ended_job_retention, id);
       continue;
     }
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -274,7 +274,7 @@
 void Scheduler::OnEndMessageStored(const JobId& id) {
   const auto found = m_impl->state.jobs.find(id);
   if (found != m_impl->state.jobs.end())
-    found->second->end_message_stored = true;
+    ++found->second->end_messages_stored;
 }
 
 void Scheduler::OnSubmissionsDeleted(const std::vector<JobId>& ids,
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -194,11 +194,15 @@
   std::optional<CellId> coordinator;
   /** How the job ended was decided in another cell. */
   bool ended_elsewhere = false;
-  std::optional<CellId> received_from;  // the cell that moved it here
-  std::optional<CellId> moved_to;       // the cell that runs all of it
-  uint32_t hop = 0;                     // cells that it has moved through
+  /** The cells that moved all of it here; each must learn how it ends. */
+  std::set<CellId> received_from;
+  std::optional<CellId> moved_to;  // the cell that runs all of it
+  uint32_t hop = 0;                // cells that it has moved through
   RunNumber base_run;  // runs of other cells have this number at most
-  bool end_message_stored = false;  // at the cell that moved it here
+  /** Messages of its end, and those that the streams of the other cells have;
+   * the job is kept until all are stored. */
+  uint32_t end_messages_planned = 0;
+  uint32_t end_messages_stored = 0;
   std::optional<TimePoint> ended_at;
   bool end_stored = false;
 };
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -197,6 +197,28 @@
   }
 }
 
+// The whole job has come to a cell that knows it.
+void ApplyReturn(State& state,
+                 Job& job,
+                 const JobTransfer& transfer,
+                 TimePoint now) {
+  // Also if the job has moved on since: that cell keeps it until it is told.
+  job.received_from.insert(transfer.from);
+  if (job.hop >= transfer.hop)
+    return;
+  // The job has come back, unless this is a replay: what is replayed next tells
+  // whether it has left again.
+  job.hop = transfer.hop;
+  job.base_run = RunNumber(transfer.hop);
+  if (job.ended_at || (!job.moved_to && state.restored))
+    return;
+  job.moved_to.reset();
+  ReturnTasks(job);
+  ApplyTaskStates(state, job, transfer);
+  StartFirstIteration(state, job, now);
+  AddEarlierWait(job, transfer.waited);
+}
+
 }  // namespace
 
 void PlanJobTransfers(State& state, TimePoint now) {
@@ -246,27 +268,14 @@
     ApplyTaskTransfer(state, transfer, now, wall);
   } else if (found == state.jobs.end()) {
     Job& job = AddJobWithoutIterations(state, transfer.job, now, wall);
-    job.received_from = transfer.from;
+    job.received_from.insert(transfer.from);
     job.hop = transfer.hop;
     job.base_run = RunNumber(transfer.hop);
     ApplyTaskStates(state, job, transfer);
     StartFirstIteration(state, job, now);
     AddEarlierWait(job, transfer.waited);
-  } else if (found->second->hop < transfer.hop) {
-    Job& job = *found->second;
-    // The job has come back, unless this is a replay: what is replayed next
-    // tells whether it has left again.
-    if (!job.received_from)
-      job.received_from = transfer.from;
-    job.hop = transfer.hop;
-    job.base_run = RunNumber(transfer.hop);
-    if (!job.ended_at && (job.moved_to || !state.restored)) {
-      job.moved_to.reset();
-      ReturnTasks(job);
-      ApplyTaskStates(state, job, transfer);
-      StartFirstIteration(state, job, now);
-      AddEarlierWait(job, transfer.waited);
-    }
+  } else {
+    ApplyReturn(state, *found->second, transfer, now);
   }
   state.needs_plan = true;
   if (state.early_cancellations.erase(transfer.job.id) > 0)
@@ -289,22 +298,16 @@
   EndJob(state, job, end, now);
 }
 
-bool AwaitsEndMessage(const Job& job) {
-  const bool tells = job.is_part ? job.state == JobState::kFailed
-                                 : job.received_from.has_value();
-  return tells && !job.end_message_stored;
-}
-
-void PlanEndMessage(State& state, const Job& job) {
-  const auto tell = [&](CellId cell) {
-    state.messages.push_back(
-        {cell, EndKey(job.spec.id), EncodeEnd(job.state), job.spec.id});
-  };
+void PlanEndMessages(State& state, Job& job) {
+  // Cells through which the job came here.
+  std::set<CellId> cells = job.received_from;
   if (!IsCoordinator(job) && job.coordinator && !job.ended_elsewhere &&
       job.state == JobState::kFailed)
-    tell(*job.coordinator);
-  if (!job.is_part && job.received_from)
-    tell(*job.received_from);
+    cells.insert(*job.coordinator);
+  for (const CellId cell : cells)
+    state.messages.push_back(
+        {cell, EndKey(job.spec.id), EncodeEnd(job.state), job.spec.id});
+  job.end_messages_planned = static_cast<uint32_t>(cells.size());
 }
 
 void RepeatMessages(State& state, const Job& job) {
--- a/src/sched/transfers.h
+++ b/src/sched/transfers.h
@@ -20,12 +20,10 @@
 /** A job that was moved away has ended in its cell. */
 void ApplyRemoteEnd(State& state, const JobId& id, JobState end, TimePoint now);
 
-/** Plans to tell the cell that moved the job here how it has ended. The failure
- * of a part is told to the job's coordinator. */
-void PlanEndMessage(State& state, const Job& job);
-
-/** True if the job must be kept until such a message is stored. */
-bool AwaitsEndMessage(const Job& job);
+/** Plans to tell the cells that moved the job here how it has ended; it is kept
+ * until the messages are stored. The failure of a part is told to the job's
+ * coordinator. */
+void PlanEndMessages(State& state, Job& job);
 
 /** Plans to send the transfers, cancellations and ends of a restored job again,
  * as the previous owner may not have sent them. */
