sched: a replay takes a job that came back whole for no part of one

Cause: a new owner reads transfers in the order of their keys. It read that tasks of a job came back alone before it read that the whole job had come here, took the job for a part, and waited for another cell to decide on it: done tasks were reported to nobody, and the job never ended.

Change: the transfer of the whole job makes it one.

--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -206,11 +206,12 @@
   job.received_from.insert(transfer.from);
   if (job.hop >= transfer.hop)
     return;
-  // The job has come back, unless this is a replay: what is replayed next tells
-  // whether it has left again.
+  // A replay may have read first that tasks of the job came back alone. What it
+  // reads next tells whether the job has left again.
+  const bool was_part = std::exchange(job.is_part, false);
   job.hop = transfer.hop;
   job.base_run = RunNumber(transfer.hop);
-  if (job.ended_at || (!job.moved_to && state.restored))
+  if (job.ended_at || (!job.moved_to && !was_part && state.restored))
     return;
   job.moved_to.reset();
   ReturnTasks(job);
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -64,6 +64,7 @@
   void Advance();
   void ExchangeLoads();
   void CheckRuns();
+  void CheckDoneTasks(const CellMessage& message);
 
   CellLayout m_layout;
   std::vector<std::unique_ptr<SimulatedCell>> m_cells;
--- a/tests/sched/waiting_work_checker.cc
+++ b/tests/sched/waiting_work_checker.cc
@@ -338,6 +338,19 @@
   return used * 2 < capacity;
 }
 
+std::string WaitingWorkChecker::DescribeJob(const std::string& job) const {
+  std::string text;
+  for (const auto& [task, lines] : m_decisions) {
+    if (task.job != JobId(job))
+      continue;
+    text +=
+        Format(task) + " iteration " + std::to_string(task.iteration) + "\n";
+    for (const std::string& line : lines)
+      text += "    " + line + "\n";
+  }
+  return text;
+}
+
 std::string WaitingWorkChecker::Describe() const {
   std::string text;
   for (const WaitingWork& work : m_found) {
--- a/tests/sched/waiting_work_checker.h
+++ b/tests/sched/waiting_work_checker.h
@@ -39,6 +39,8 @@
   const std::vector<WaitingWork>& found() const { return m_found; }
   /** What was found, with the decisions on these tasks. */
   std::string Describe() const;
+  /** All decisions on the job's tasks. */
+  std::string DescribeJob(const std::string& job) const;
 
  private:
   void Observe();
