sched: a task that never starts takes some bytes instead of 310

Cause: an owner kept everything that a run needs for each task of each accepted job, from its acceptance until 150 s after its end: 1.25 MB for a submission of 150 bytes.

Change: the tasks of a step share their values until something happens to one of them alone (TaskList), and a task that is done keeps only that. A later owner passes over what a record says of waiting tasks as it would be without it.

--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -372,7 +372,7 @@
   for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
     for (uint32_t k = 0; k < iteration.steps[i].tasks.size(); ++k) {
       const TaskRef ref{own, i, k};
-      const Task& task = TaskOf(ref);
+      const Task& task = ReadTask(ref);
       if (task.phase == SchedulingPhase::kElsewhere &&
           task.other_cell != kThisCell)
         moved[CellId(task.other_cell)].push_back(
@@ -442,8 +442,9 @@
                     .iteration = iteration.number,
                     .done_tasks = {}};
   for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
-    for (uint32_t k = 0; k < iteration.steps[i].tasks.size(); ++k) {
-      if (iteration.steps[i].tasks[k].phase == SchedulingPhase::kDone)
+    const TaskList& tasks = iteration.steps[i].tasks;
+    for (uint32_t k = 0; k < tasks.size(); ++k) {
+      if (tasks[k].phase == SchedulingPhase::kDone)
         report.done_tasks.push_back({i, k});
     }
   }
@@ -468,7 +469,7 @@
   for (const TaskPosition& done : report.done_tasks) {
     const TaskRef ref{iteration->second.get(), done.step, done.index};
     if (!HasTask(*ref.iteration, done.step, done.index) ||
-        TaskOf(ref).phase != SchedulingPhase::kElsewhere)
+        ReadTask(ref).phase != SchedulingPhase::kElsewhere)
       continue;
     LogDecision(state, "run_done_elsewhere", ref,
                 "in_cell=" + std::to_string(report.from.value()));
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -44,17 +44,16 @@
   iteration.unfinished_steps = 0;
   for (StepState& step : iteration.steps) {
     step.unfinished_tasks = 0;
-    for (Task& task : step.tasks)
-      task.phase = SchedulingPhase::kDone;
+    for (size_t i = 0; i < step.tasks.size(); ++i)
+      step.tasks.SetDone(i);
   }
 }
 
 // Of a part, only the tasks that are moved here are in this cell.
 void SetElsewhere(Iteration& iteration) {
-  for (StepState& step : iteration.steps) {
-    for (Task& task : step.tasks)
-      task.phase = SchedulingPhase::kElsewhere;
-  }
+  for (StepState& step : iteration.steps)
+    step.tasks.ChangeAll(
+        [](Task& task) { task.phase = SchedulingPhase::kElsewhere; });
 }
 
 // Passes over iterations that an earlier owner has seen done, and returns when
@@ -117,10 +116,9 @@
 void StartFirstIteration(State& state, Job& job, TimePoint now) {
   Iteration& iteration = GetOrCreateIteration(state, job, 0, job.arrived);
   job.next_iteration = 1;
-  for (StepState& step : iteration.steps) {
-    for (Task& task : step.tasks)
-      task.run = std::max(task.run, job.base_run);
-  }
+  for (StepState& step : iteration.steps)
+    step.tasks.ChangeAll(
+        [&](Task& task) { task.run = std::max(task.run, job.base_run); });
   if (state.restored)
     UnblockSteps(state, iteration, now);
 }
@@ -176,7 +174,7 @@
   slot->due = due;
   slot->steps.resize(job.spec.steps.size());
   for (size_t i = 0; i < slot->steps.size(); ++i) {
-    slot->steps[i].tasks.resize(job.spec.steps[i].count);
+    slot->steps[i].tasks.Create(job.spec.steps[i].count);
     slot->steps[i].unfinished_tasks = job.spec.steps[i].count;
     if (slot->steps[i].unfinished_tasks > 0)
       ++slot->unfinished_steps;
@@ -251,6 +249,47 @@
   state.needs_plan = true;
 }
 
+namespace {
+
+// Where tasks that have waited since then belong among the ready ones.
+std::vector<uint32_t>::const_iterator PlaceOf(const StepState& step,
+                                              TimePoint ready_since) {
+  return std::upper_bound(step.ready_tasks.begin(), step.ready_tasks.end(),
+                          ready_since,
+                          [&step](TimePoint since, uint32_t other) {
+                            return step.tasks[other].ready_since < since;
+                          });
+}
+
+// Queues all blocked tasks of the step.
+void MakeStepReady(State& state,
+                   Iteration& iteration,
+                   uint32_t index,
+                   TimePoint now) {
+  StepState& step = iteration.steps[index];
+  std::vector<uint32_t> ready;
+  // In reverse, so that the last element of `ready_tasks`, which is placed
+  // first, is the first task.
+  for (auto i = static_cast<uint32_t>(step.tasks.size()); i-- > 0;) {
+    if (std::as_const(step.tasks)[i].phase == SchedulingPhase::kBlocked)
+      ready.push_back(i);
+  }
+  if (ready.empty())
+    return;
+  step.tasks.ChangeAll([now](Task& task) {
+    if (task.phase != SchedulingPhase::kBlocked)
+      return;
+    task.phase = SchedulingPhase::kReady;
+    task.ready_since = now;
+    task.ready_here_since = now;
+  });
+  step.ready_tasks.insert(PlaceOf(step, now), ready.begin(), ready.end());
+  state.ready_steps.insert(MakeReadyKey(state, iteration, index, now));
+  state.needs_plan = true;
+}
+
+}  // namespace
+
 void MakeReady(State& state,
                const TaskRef& ref,
                TimePoint now,
@@ -262,12 +301,7 @@
   task.phase = SchedulingPhase::kReady;
   task.ready_since = now - waited;
   task.ready_here_since = now;
-  const auto place = std::upper_bound(
-      step.ready_tasks.begin(), step.ready_tasks.end(), task.ready_since,
-      [&step](TimePoint since, uint32_t other) {
-        return step.tasks[other].ready_since < since;
-      });
-  step.ready_tasks.insert(place, ref.index);
+  step.ready_tasks.insert(PlaceOf(step, task.ready_since), ref.index);
   state.ready_steps.insert(MakeReadyKey(state, *ref.iteration, ref.step, now));
   state.needs_plan = true;
 }
@@ -283,24 +317,14 @@
          !AreDependenciesDone(iteration, iteration.job->spec.steps[i])))
       continue;
     step.unblocked = true;
-    // In reverse, so that the last element of `ready_tasks`, which is placed
-    // first, is the first task.
-    for (uint32_t index = static_cast<uint32_t>(step.tasks.size());
-         index-- > 0;) {
-      if (step.tasks[index].phase == SchedulingPhase::kBlocked)
-        MakeReady(state, TaskRef{&iteration, i, index}, now);
-    }
+    MakeStepReady(state, iteration, i, now);
   }
 }
 
 void FinishTask(State& state, const TaskRef& ref, TimePoint now) {
-  Task& task = TaskOf(ref);
-  if (task.phase == SchedulingPhase::kDone)
+  if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
   Iteration& iteration = *ref.iteration;
-  task.worker = kNoWorker;
-  task.other_cell = kThisCell;
-  task.checkpoint.clear();
   iteration.has_unreported_ends = true;
   MarkDirty(state, iteration);
   SetTaskDone(ref);
@@ -313,9 +337,9 @@
 }
 
 void SetTaskDone(const TaskRef& ref) {
-  if (std::exchange(TaskOf(ref).phase, SchedulingPhase::kDone) ==
-      SchedulingPhase::kDone)
+  if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
+  StepOf(ref).tasks.SetDone(ref.index);
   if (--StepOf(ref).unfinished_tasks == 0)
     --ref.iteration->unfinished_steps;
 }
@@ -346,14 +370,15 @@
     for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
       StepState& step = iteration->steps[i];
       step.ready_tasks.clear();
-      for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+      step.tasks.ChangeAll([](Task& task) {
+        if (task.phase == SchedulingPhase::kReady)
+          task.phase = SchedulingPhase::kBlocked;
+      });
+      step.tasks.VisitOwn([&](uint32_t index) {
         const TaskRef ref{iteration.get(), i, index};
-        Task& task = step.tasks[index];
-        if (task.worker != kNoWorker)
+        if (ReadTask(ref).worker != kNoWorker)
           StopTask(state, ref);
-        else if (task.phase == SchedulingPhase::kReady)
-          task.phase = SchedulingPhase::kBlocked;
-      }
+      });
     }
     MarkDirty(state, *iteration);
   }
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -71,18 +71,28 @@
   return fields;
 }
 
+// True if the record says no more of a waiting task than is known without it.
+bool IsAsStored(const Task& task, const json& stored) {
+  return stored.is_array() && stored.size() == 4 &&
+         task.phase == SchedulingPhase::kBlocked &&
+         stored.at(0).get<int>() == kWaitingCode &&
+         stored.at(1).get<uint64_t>() == task.run.value() &&
+         stored.at(2).get<uint32_t>() == task.failures &&
+         stored.at(3).get_ref<const std::string&>() == task.checkpoint;
+}
+
 void ApplyTaskProgress(State& state, const TaskRef& ref, const json& stored) {
-  Task& task = TaskOf(ref);
   // The transfer that brought the job here says so.
-  if (task.phase == SchedulingPhase::kDone)
+  if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
   if (stored.is_number()) {
-    task.phase = SchedulingPhase::kDone;
+    StepOf(ref).tasks.SetDone(ref.index);
     --StepOf(ref).unfinished_tasks;
     ref.iteration->job->may_have_started = true;
     NoteStart(*ref.iteration->job);
     return;
   }
+  Task& task = TaskOf(ref);
   const RunNumber run(stored.at(1).get<uint64_t>());
   // A later transfer has brought the task back here.
   if (run < task.run)
@@ -149,8 +159,11 @@
     if (steps[i].size() != step.tasks.size())
       return false;
     const bool was_open = step.unfinished_tasks > 0;
-    for (uint32_t index = 0; index < step.tasks.size(); ++index)
-      ApplyTaskProgress(state, TaskRef{&iteration, i, index}, steps[i][index]);
+    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+      const TaskRef ref{&iteration, i, index};
+      if (!IsAsStored(ReadTask(ref), steps[i][index]))
+        ApplyTaskProgress(state, ref, steps[i][index]);
+    }
     if (was_open && step.unfinished_tasks == 0)
       --iteration.unfinished_steps;
   }
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -52,7 +52,7 @@
 // True if the run of the gang has failed already: it counts once, although
 // several of its members may fail.
 bool HasGangFailed(const TaskRef& ref, RunNumber run) {
-  const std::vector<Task>& members = StepOf(ref).tasks;
+  const TaskList& members = StepOf(ref).tasks;
   return SpecOf(ref).gang &&
          std::any_of(members.begin(), members.end(), [run](const Task& member) {
            return member.last_failed_run == run;
--- a/src/sched/silent_ends.cc
+++ b/src/sched/silent_ends.cc
@@ -108,7 +108,7 @@
 
 // The run that a silent worker has, while its lease lasts.
 void EncodePlacedRun(const State& state, const TaskRef& ref, json& ends) {
-  const Task& task = TaskOf(ref);
+  const Task& task = ReadTask(ref);
   if (task.worker == kNoWorker || !task.is_silent_since_start)
     return;
   const WorkerState& worker = state.workers[static_cast<size_t>(task.worker)];
@@ -250,16 +250,14 @@
   json ends = json::array();
   Iteration* own = iteration.job->iterations.at(iteration.number).get();
   for (uint32_t step = 0; step < iteration.steps.size(); ++step) {
-    for (uint32_t index = 0; index < iteration.steps[step].tasks.size();
-         ++index) {
+    iteration.steps[step].tasks.VisitOwn([&](uint32_t index) {
       const TaskRef ref{own, step, index};
-      if (ends.size() >= kMaxStoredSilentEnds)
-        return ends;
-      if (TaskOf(ref).phase == SchedulingPhase::kDone)
-        continue;
+      if (ends.size() >= kMaxStoredSilentEnds ||
+          ReadTask(ref).phase == SchedulingPhase::kDone)
+        return;
       EncodePlacedRun(state, ref, ends);
       EncodeLapsedRuns(state, ref, ends);
-    }
+    });
   }
   return ends;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -18,6 +18,7 @@
 #include "cowslipmast/sched/scheduler.h"
 #include "src/sched/interference_model.h"
 #include "src/sched/look_ahead.h"
+#include "src/sched/task_list.h"
 
 namespace cowslipmast::sched {
 
@@ -131,7 +132,7 @@
 };
 
 struct StepState {
-  std::vector<Task> tasks;
+  TaskList tasks;
   /** Indices; the last one has waited longest and is the next to be placed. */
   std::vector<uint32_t> ready_tasks;
   uint32_t unfinished_tasks = 0;
@@ -388,9 +389,13 @@
 inline const StepSpec& SpecOf(const TaskRef& ref) {
   return ref.iteration->job->spec.steps[ref.step];
 }
+/** For a change; see `TaskList`. */
 inline Task& TaskOf(const TaskRef& ref) {
   return StepOf(ref).tasks[ref.index];
 }
+inline const Task& ReadTask(const TaskRef& ref) {
+  return std::as_const(StepOf(ref).tasks)[ref.index];
+}
 inline TaskName NameOf(const TaskRef& ref) {
   return TaskName{ref.iteration->job->spec.id, ref.iteration->number, ref.step,
                   ref.index};
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -82,7 +82,7 @@
     for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
       for (uint32_t k = 0; k < iteration->steps[i].tasks.size(); ++k) {
         const TaskRef ref{iteration.get(), i, k};
-        if (TaskOf(ref).phase == SchedulingPhase::kDone)
+        if (ReadTask(ref).phase == SchedulingPhase::kDone)
           transfer.done_tasks->push_back({i, k});
         else
           transfer.tasks.push_back(DescribeTask(ref, Duration(0)));
@@ -125,8 +125,8 @@
     for (size_t i = 0; i < iteration->steps.size(); ++i) {
       if (!job.spec.steps[i].best_effort)
         continue;
-      for (Task& task : iteration->steps[i].tasks)
-        task.ready_since -= waited;
+      iteration->steps[i].tasks.ChangeAll(
+          [waited](Task& task) { task.ready_since -= waited; });
     }
   }
 }
@@ -141,14 +141,14 @@
             waited, now - step.tasks[step.ready_tasks.back()].ready_since);
       step.ready_tasks.clear();
       step.unblocked = false;
-      for (Task& task : step.tasks) {
+      step.tasks.ChangeAll([&job](Task& task) {
         if (task.phase == SchedulingPhase::kDone)
-          continue;
+          return;
         task.phase = SchedulingPhase::kElsewhere;
         // A higher number than any that this cell has used.
         if (job.may_have_started)
           task.run = task.run.Next();
-      }
+      });
     }
     MarkDirty(state, *iteration);
   }
@@ -165,11 +165,11 @@
     for (StepState& step : iteration->steps) {
       // A replay has unblocked it for tasks that come back alone.
       step.unblocked = false;
-      for (Task& task : step.tasks) {
+      step.tasks.ChangeAll([](Task& task) {
         if (task.phase == SchedulingPhase::kElsewhere &&
             task.other_cell == kThisCell)
           task.phase = SchedulingPhase::kBlocked;
-      }
+      });
     }
   }
 }
--- a/src/sched/work_to_move.cc
+++ b/src/sched/work_to_move.cc
@@ -68,7 +68,7 @@
 }
 
 MovedTask DescribeTask(const TaskRef& ref, Duration waited) {
-  const Task& task = TaskOf(ref);
+  const Task& task = ReadTask(ref);
   return {.step = ref.step,
           .index = ref.index,
           .run = task.run,
