sched: policies of removed queues are kept while jobs need them

Change: it keeps those that its jobs name. A job that arrives later has the policy of its acceptance.

Test: "queues that the operators remove are kept for ever": 99 changes of 500 queues added 8.4 MB on, where 1 is allowed; it passes now. sched_test passes.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -211,12 +211,15 @@
 void Scheduler::SetPolicy(const Policy& policy, TimePoint) {
   State& state = m_impl->state;
   Policy next = policy;
-  // Accepted jobs of a removed queue run under its last policy.
-  for (const auto& [queue, old] : state.policy.queues)
-    next.queues.emplace(queue, old);
-  // So does what a removed workspace still has.
-  for (const auto& [workspace, old] : state.policy.workspaces)
-    next.workspaces.emplace(workspace, old);
+  // Accepted jobs of a removed queue or workspace run under its last policy.
+  for (const auto& [id, job] : state.jobs) {
+    const auto queue = state.policy.queues.find(job->spec.queue);
+    if (queue != state.policy.queues.end())
+      next.queues.insert(*queue);
+    const auto workspace = state.policy.workspaces.find(job->spec.workspace);
+    if (workspace != state.policy.workspaces.end())
+      next.workspaces.insert(*workspace);
+  }
   state.policy = std::move(next);
   state.needs_plan = true;
 }
--- a/tests/sched/removed_queue_test.cc
+++ b/tests/sched/removed_queue_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <malloc.h>
+
 #include "cowslipmast/sched/job_codec.h"
 #include "tests/sched/simulated_cell.h"
 
@@ -53,6 +55,25 @@
   CHECK(cell.StateOf("a") == JobState::kCompleted);
 }
 
+TEST_CASE("queues that the operators remove are kept for ever", "[sched]") {
+  // Each change of the configuration may name other queues.
+  SimulatedCell cell;
+  Policy policy;
+  const auto change = [&](int version) {
+    policy.queues.clear();
+    for (int i = 0; i < 500; ++i)
+      policy.queues[QueueId("queue-of-a-tenant-" + std::to_string(version) +
+                            "-" + std::to_string(i))] = MakePolicy(0, 4);
+    cell.scheduler().SetPolicy(policy, cell.now());
+  };
+  change(0);
+  const size_t before = mallinfo2().uordblks;
+  for (int version = 1; version < 100; ++version)
+    change(version);
+  // Twice what the newest configuration takes.
+  CHECK(mallinfo2().uordblks < before + size_t{1} * 1024 * 1024);
+}
+
 TEST_CASE("the policy of a job's queue is lost in its record", "[sched]") {
   JobDefinition job = MakeJob("a", "q", {MakeStep(2, 2, 1000, 1)});
   job.accepted_policy = MakePolicy(3, 4);
