scheduler: records in a job stream are deleted once nobody needs them

Cause: a job stream keeps the newest record of each key for good. A cancellation of a job that nobody has submitted stayed there, and in the memory of each owner that read it; so did what cells send each other of a recurring job, for each iteration until the job ends, and records that came late for a deleted job.

Change: JobStreamKeys notes these records. Those of an iteration go once its end is stored; of a part one transfer stays, from which a later owner knows the job.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cowslipmast/sched/cell.h"
@@ -234,6 +235,12 @@
   /** The submissions of a plan's `deleted_jobs` have been deleted from the
    * store. */
   void OnSubmissionsDeleted(const std::vector<JobId>& ids, TimePoint now);
+  /** No record of the job will come any more but its cancellation. */
+  void ForgetUnknownJob(const JobId& id);
+  /** Iterations that had tasks in several cells, whose end is stored since the
+   * last call, of jobs that go on: what other cells have sent of them here can
+   * be deleted. */
+  std::vector<std::pair<JobId, uint32_t>> TakeEndedIterations();
   /** True if something has changed since the last plan was made. */
   bool NeedsPlan() const;
   /** Time at which a plan must be made even if nothing changes until then. */
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -59,6 +59,11 @@
     if (iteration->has_unreported_ends)
       PlanPartReport(state, *iteration);
     state.jobs_to_publish.emplace_back(job.spec.id, job.state);
+    const bool had_parts =
+        !iteration->part_cells.empty() || iteration->is_closed;
+    if (had_parts && !job.ended_at && IsDone(job, iteration->number))
+      state.ended_iterations_planned.emplace_back(job.spec.id,
+                                                  iteration->number);
     ForgetDoneIteration(state, job, iteration->number);
   }
   state.dirty_iterations.clear();
@@ -529,9 +534,21 @@
     if (worker.instance)
       worker.instance->outcomes_stored = worker.instance->outcomes_planned;
   }
+  state.ended_iterations_stored.insert(state.ended_iterations_stored.end(),
+                                       state.ended_iterations_planned.begin(),
+                                       state.ended_iterations_planned.end());
+  state.ended_iterations_planned.clear();
   PublishStates(state, now);
 }
 
+void Scheduler::ForgetUnknownJob(const JobId& id) {
+  m_impl->state.early_cancellations.erase(id);
+}
+
+std::vector<std::pair<JobId, uint32_t>> Scheduler::TakeEndedIterations() {
+  return std::exchange(m_impl->state.ended_iterations_stored, {});
+}
+
 bool Scheduler::NeedsPlan() const {
   return m_impl->state.needs_plan;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -362,6 +362,10 @@
   size_t pause_check_position = 0;  // the worker that was considered last
   /** States in the plan's records, which are published once it is stored. */
   std::vector<std::pair<JobId, JobState>> jobs_to_publish;
+  /** Iterations that had tasks in several cells, whose end is part of the last
+   * plan's records, and those whose end is stored. */
+  std::vector<std::pair<JobId, uint32_t>> ended_iterations_planned;
+  std::vector<std::pair<JobId, uint32_t>> ended_iterations_stored;
   /** Ended jobs by the time at which they are deleted. */
   std::multimap<TimePoint, JobId> ended_jobs;
   /** Jobs that were deleted: their records may be read again. With the keys of
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 #include "cowslipmast/sched/cell_message.h"
@@ -10,6 +9,7 @@
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/decision_log.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/job_stream_keys.h"
 #include "src/scheduler_process/message_sender.h"
 #include "src/scheduler_process/progress_writer.h"
 #include "src/scheduler_process/spawn.h"
@@ -92,8 +92,12 @@
   AppendRequest MakeDeletion(const std::vector<JobId>& ended);
   void StartFollowing();
   void ApplyJobRecord(const KeyedRecord& record);
-  void ApplyTransferRecord(const JobId& id, const KeyedRecord& record);
-  void ApplyPartReportRecord(const JobId& id, const KeyedRecord& record);
+  void ApplyTransferRecord(const JobRecordKey& key, const KeyedRecord& record);
+  void ApplyPartReportRecord(const JobRecordKey& key,
+                             const KeyedRecord& record);
+  void ApplyRecordOfOtherCell(const JobRecordKey& key,
+                              const KeyedRecord& record);
+  void DeleteNeedlessRecords(TimePoint now);
   bool IsOwnWorker(const WorkerInfo& info) const;
   void ApplyWorkers(const TopicFollower::Records& newest,
                     const std::vector<KeyedRecord>& added);
@@ -116,11 +120,11 @@
   std::unique_ptr<TopicFollower> worker_follower;
   // Set from the restoration until `job_follower` continues from it.
   std::optional<FollowStart> restored_jobs;
-  // Keys of what other cells have sent of each job: transfers, reports and ends
-  // of parts. They are deleted along with it.
-  std::map<JobId, std::set<std::string>> part_keys;
+  JobStreamKeys keys;
   // Their submissions are still stored.
   std::vector<JobId> ended_jobs;
+  // Of ended iterations of jobs that go on.
+  std::vector<std::string> needless_keys;
   bool deleting = false;
   std::optional<CellLoad> load;
   TimePoint load_measured_at;
@@ -156,58 +160,71 @@
   hooks.on_lost();
 }
 
-void Cell::Impl::ApplyTransferRecord(const JobId& id,
+void Cell::Impl::ApplyTransferRecord(const JobRecordKey& key,
                                      const KeyedRecord& record) {
-  part_keys[id].insert(record.key);
   const auto transfer = DecodeTransfer(record.value);
-  if (!transfer || transfer->job.id != id) {
+  keys.Add(key, record.key,
+           transfer && !transfer->tasks.empty() && !transfer->done_tasks
+               ? std::optional(transfer->iteration)
+               : std::nullopt);
+  if (!transfer || transfer->job.id != key.job) {
     LogEvent("job_unreadable", {{"key", record.key}});
     return;
   }
   scheduler->AddTransfer(*transfer, MonotonicNow(), WallNow());
 }
 
-void Cell::Impl::ApplyPartReportRecord(const JobId& id,
+void Cell::Impl::ApplyPartReportRecord(const JobRecordKey& key,
                                        const KeyedRecord& record) {
-  part_keys[id].insert(record.key);
+  keys.Add(key, record.key, key.iteration);
   const auto report = DecodePartReport(record.value);
   if (!report) {
     LogEvent("job_unreadable", {{"key", record.key}});
     return;
   }
-  scheduler->AddPartReport(id, *report, MonotonicNow());
+  scheduler->AddPartReport(key.job, *report, MonotonicNow());
 }
 
-void Cell::Impl::ApplyJobRecord(const KeyedRecord& record) {
+void Cell::Impl::ApplyRecordOfOtherCell(const JobRecordKey& key,
+                                        const KeyedRecord& record) {
   const TimePoint now = MonotonicNow();
-  if (record.value.empty())
-    return;
-  const auto key = ParseJobRecordKey(record.key);
-  if (!key) {
-    LogEvent("job_unreadable", {{"key", record.key}});
-    return;
-  }
-  switch (key->kind) {
+  switch (key.kind) {
     case JobRecordKind::kCancellation:
-      scheduler->CancelJob(key->job, now);
-      return;
+      scheduler->CancelJob(key.job, now);
+      break;
     case JobRecordKind::kTransfer:
-      ApplyTransferRecord(key->job, record);
-      return;
+      ApplyTransferRecord(key, record);
+      break;
     case JobRecordKind::kEnd:
       if (const auto end = DecodeEnd(record.value))
-        scheduler->EndMovedJob(key->job, *end, now);
-      return;
+        scheduler->EndMovedJob(key.job, *end, now);
+      break;
     case JobRecordKind::kPartReport:
-      ApplyPartReportRecord(key->job, record);
-      return;
+      ApplyPartReportRecord(key, record);
+      break;
     case JobRecordKind::kPartEnd:
-      part_keys[key->job].insert(record.key);
-      scheduler->EndPartOfJob(key->job, key->iteration, now);
-      return;
+      keys.Add(key, record.key, key.iteration);
+      scheduler->EndPartOfJob(key.job, key.iteration, now);
+      break;
     case JobRecordKind::kSubmission:
       break;
   }
+  if (!scheduler->StatusOf(key.job))
+    keys.NoteUnknownJob(key.job, now);
+}
+
+void Cell::Impl::ApplyJobRecord(const KeyedRecord& record) {
+  if (record.value.empty())
+    return;
+  const auto key = ParseJobRecordKey(record.key);
+  if (!key) {
+    LogEvent("job_unreadable", {{"key", record.key}});
+    return;
+  }
+  if (key->kind != JobRecordKind::kSubmission) {
+    ApplyRecordOfOtherCell(*key, record);
+    return;
+  }
   const auto spec = DecodeJob(record.value);
   // A job that belongs to another cell would be accepted twice.
   if (!spec || spec->id != key->job ||
@@ -215,7 +232,7 @@
     LogEvent("job_unreadable", {{"key", record.key}});
     return;
   }
-  scheduler->AddJob(*spec, now, WallNow());
+  scheduler->AddJob(*spec, MonotonicNow(), WallNow());
 }
 
 bool Cell::Impl::IsOwnWorker(const WorkerInfo& info) const {
@@ -363,7 +380,8 @@
 
 void Cell::Impl::DeleteLater(const std::vector<JobId>& ended) {
   ended_jobs.insert(ended_jobs.end(), ended.begin(), ended.end());
-  if (!ended_jobs.empty() && !std::exchange(deleting, true))
+  if ((!ended_jobs.empty() || !needless_keys.empty()) &&
+      !std::exchange(deleting, true))
     Spawn(io, "deletions", DeleteEndedJobs());
 }
 
@@ -371,24 +389,44 @@
   AppendRequest request;
   request.stream = StoreStream(StoreTopic::kJobs, options.cell);
   request.timeout = kDeleteTimeout;
+  for (const std::string& key : std::exchange(needless_keys, {}))
+    request.records.push_back({key, ""});
   for (const JobId& id : ended) {
-    std::set<std::string> keys = {SubmissionKey(id), CancellationKey(id),
-                                  EndKey(id)};
-    if (const auto found = part_keys.find(id); found != part_keys.end()) {
-      keys.merge(found->second);
-      part_keys.erase(found);
-    }
-    for (const std::string& key : keys)
+    std::vector<std::string> of_job = keys.TakeJob(id);
+    of_job.insert(of_job.end(),
+                  {SubmissionKey(id), CancellationKey(id), EndKey(id)});
+    for (const std::string& key : of_job)
       request.records.push_back({key, ""});
   }
   return request;
 }
 
+// Finds records that no owner needs any more, though their jobs go on or never
+// were known.
+void Cell::Impl::DeleteNeedlessRecords(TimePoint now) {
+  for (const auto& [id, iteration] : scheduler->TakeEndedIterations()) {
+    const bool is_home = CellOfJob(options.layout, id) == options.cell;
+    for (std::string& key : keys.TakeIteration(id, iteration, is_home))
+      needless_keys.push_back(std::move(key));
+  }
+  const auto is_known = [this](const JobId& id) {
+    return scheduler->StatusOf(id).has_value();
+  };
+  for (const JobId& id : keys.TakeUnknownJobs(now, is_known)) {
+    scheduler->ForgetUnknownJob(id);
+    needless_keys.push_back(CancellationKey(id));
+    needless_keys.push_back(EndKey(id));
+    for (std::string& key : keys.TakeJob(id))
+      needless_keys.push_back(std::move(key));
+  }
+  DeleteLater({});
+}
+
 // Deletes the submissions of ended jobs while plans go on: the stream of jobs
 // takes appends of all processes and may be late when that of progress is not.
 asio::awaitable<void> Cell::Impl::DeleteEndedJobs() {
   const auto self = shared_from_this();
-  while (!stopped && !ended_jobs.empty()) {
+  while (!stopped && (!ended_jobs.empty() || !needless_keys.empty())) {
     const std::vector<JobId> ended = std::exchange(ended_jobs, {});
     const AppendRequest request = MakeDeletion(ended);
     bool stored = false;
@@ -449,6 +487,7 @@
     }
   }
   scheduler->OnStored(MonotonicNow());
+  DeleteNeedlessRecords(MonotonicNow());
   messages->Send(std::move(plan.messages));
   for (const StartRunCommand& start : plan.starts)
     driver->Send(start);
