scheduler: a cell keeps no second copy of its job stream; whole processes tested

Cause: the follower of a job stream kept every record beside the scheduler's own form of it, for a callback that does not use it.

Change: a follower keeps the newest records only for a callback that needs them. A step of one task keeps one set of values instead of two.

--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -366,7 +366,8 @@
   PlanEndOfParts(state, job);
   // The stored record must show the end even if no task ever had a worker.
   GetOrCreateIteration(state, job, 0, now);
-  for (auto& [number, iteration] : job.iterations) {
+  for (const auto& entry : job.iterations) {
+    Iteration* iteration = entry.second.get();
     for (uint32_t i = 0; i < iteration->steps.size(); ++i) {
       StepState& step = iteration->steps[i];
       step.ready_tasks.clear();
@@ -375,7 +376,7 @@
           task.phase = SchedulingPhase::kBlocked;
       });
       step.tasks.VisitOwn([&](uint32_t index) {
-        const TaskRef ref{iteration.get(), i, index};
+        const TaskRef ref{iteration, i, index};
         if (ReadTask(ref).worker != kNoWorker)
           StopTask(state, ref);
       });
--- a/src/sched/task_list.cc
+++ b/src/sched/task_list.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-TaskList::TaskList() : m_common(std::make_unique<Task>()) {}
+TaskList::TaskList() = default;
 TaskList::~TaskList() = default;
 TaskList::TaskList(TaskList&&) noexcept = default;
 TaskList& TaskList::operator=(TaskList&&) noexcept = default;
@@ -25,6 +25,11 @@
 void TaskList::Create(size_t count) {
   m_own.resize(count);
   m_is_done.resize(count);
+  // A single task shares its values with no other one.
+  if (count == 1)
+    m_own[0] = std::make_unique<Task>();
+  else
+    m_common = std::make_unique<Task>();
 }
 
 const Task& TaskList::operator[](size_t index) const {
--- a/src/sched/task_list.h
+++ b/src/sched/task_list.h
@@ -69,7 +69,8 @@
    * others that are not done. */
   template <typename Change>
   void ChangeAll(Change change) {
-    change(*m_common);
+    if (m_common)
+      change(*m_common);
     for (const std::unique_ptr<Task>& task : m_own) {
       if (task)
         change(*task);
@@ -86,7 +87,7 @@
   }
 
  private:
-  std::unique_ptr<Task> m_common;
+  std::unique_ptr<Task> m_common;            // null if all have their own
   std::vector<std::unique_ptr<Task>> m_own;  // null for the common values
   std::vector<bool> m_is_done;               // of those without own values
 };
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -48,7 +48,9 @@
 constexpr Duration kMaxJobsAge = milliseconds(2000);
 constexpr FollowTiming kJobFollowTiming = {
     .max_wait = milliseconds(1000),
-    .pause_after_records = milliseconds(10)};
+    .pause_after_records = milliseconds(10),
+    // The scheduler has them in its own form.
+    .keeps_newest = false};
 // Workers announce themselves about every second; a draining worker accepts
 // starts for 2.5 s.
 constexpr FollowTiming kWorkerFollowTiming = {
--- a/src/scheduler_process/topic_follower.cc
+++ b/src/scheduler_process/topic_follower.cc
@@ -46,6 +46,7 @@
   asio::awaitable<bool> ReadNewest();
   asio::awaitable<bool> ReadAdded();
   void StartFrom(const TopicSnapshot& snapshot, TimePoint requested_at);
+  void KeepNewest(const std::vector<KeyedRecord>& records);
   void HandleError(const StoreError& error);
   void HandleResponse(TimePoint requested_at);
 
@@ -79,12 +80,22 @@
   last_request_at = requested_at;
 }
 
+void TopicFollower::Impl::KeepNewest(const std::vector<KeyedRecord>& records) {
+  if (!timing.keeps_newest)
+    return;
+  for (const KeyedRecord& record : records) {
+    if (record.value.empty())
+      newest.erase(record.key);
+    else
+      newest[record.key] = record.value;
+  }
+}
+
 void TopicFollower::Impl::StartFrom(const TopicSnapshot& snapshot,
                                     TimePoint requested_at) {
   HandleResponse(requested_at);
   newest.clear();
-  for (const KeyedRecord& record : snapshot.records)
-    newest[record.key] = record.value;
+  KeepNewest(snapshot.records);
   next_offset = snapshot.end;
   has_snapshot = true;
 }
@@ -130,12 +141,7 @@
   next_offset = added->end;
   if (added->records.empty())
     co_return true;
-  for (const KeyedRecord& record : added->records) {
-    if (record.value.empty())
-      newest.erase(record.key);
-    else
-      newest[record.key] = record.value;
-  }
+  KeepNewest(added->records);
   on_records(newest, added->records);
   co_await Sleep(timing.pause_after_records);
   co_return true;
--- a/src/scheduler_process/topic_follower.h
+++ b/src/scheduler_process/topic_follower.h
@@ -18,6 +18,9 @@
   Duration max_wait{0};
   // Pause between a response with records and the next call.
   Duration pause_after_records{0};
+  // Whether the callback gets the newest records, which stay in memory for
+  // that.
+  bool keeps_newest = true;
 };
 
 /** Snapshot that was read before, and when it was requested, since boot. */
@@ -33,8 +36,8 @@
  public:
   using Records = std::map<std::string, std::string>;
   /** Called after each response that changed something, with the newest value
-   * of each key and the added records; for the first snapshot, and one after
-   * deleted history, all records count as added. */
+   * of each key, unless they are not kept, and the added records; for the first
+   * snapshot, and one after deleted history, all records count as added. */
   using OnRecords =
       std::function<void(const Records&, const std::vector<KeyedRecord>&)>;
 
--- a/tests/platform/cells_test.cc
+++ b/tests/platform/cells_test.cc
@@ -88,6 +88,42 @@
     CHECK(system.Observations().violations.empty());
     CHECK(WaitForCells(system, 3, 3));
   }
+  SECTION("hand on the next steps of jobs whose workers are drained") {
+    // Recurring jobs of two steps; the workers of one rack stay, so that two
+    // cells have none.
+    const auto now_ms = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    json step = {{"count", 2}, {"cpu", 2000}, {"mem-mb", 500}, {"est-ms", 300}};
+    json second = step;
+    second["depends-on"] = {0};
+    const json body = {{"spec", "work"},
+                       {"steps", {step, second}},
+                       {"iterations", 2},
+                       {"interval-ms", 1000},
+                       {"first-ms", now_ms.count()}};
+    system.SetTaskDuration(milliseconds(500));
+    for (int i = 0; i < 9; ++i) {
+      const auto response = system.Call(system.process(i % 3), "POST",
+                                        "/q/" + JobName(i), body.dump());
+      REQUIRE(response);
+      REQUIRE(response->status == 200);
+    }
+    for (int i = 4; i < 20; ++i) {
+      std::string id;
+      std::string entry;
+      system.WithWorker(i, [&](WorkerStandIn& w) {
+        id = w.id();
+        entry = w.DrainingStoreEntry();
+      });
+      system.PutRecord("keyed.servers", id, entry);
+    }
+    for (int i = 0; i < 9; ++i)
+      CHECK(system.WaitForState(system.process(i % 3), JobName(i), "completed",
+                                seconds(20)));
+    const RunObservations observations = system.Observations();
+    CHECK(observations.done.size() == size_t{9} * 2 * 4);
+    CHECK(observations.violations.empty());
+  }
   SECTION("pass a cancellation on, wherever the job runs") {
     for (int i = 0; i < 20; ++i)
       system.WithWorker(
