scheduler: messages to other cells wait for a fresh proof of ownership

Cause: an owner that had been suspended went on sending what it had planned before: its appends to the streams of other cells are not fenced. A transfer that comes after the other cell has forgotten the job would run it again.

Change: MessageSender asks before each append whether the proof of ownership is fresh, as commands to workers do, and waits if not. An append that is under way when the machine stops is not covered; the receivers' minute of memory is.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -365,11 +365,16 @@
   job_follower = TopicFollower::Make(
       io, store, StoreStream(StoreTopic::kJobs, options.cell), kJobFollowTiming,
       on_jobs, std::exchange(restored_jobs, std::nullopt));
-  messages = MessageSender::Make(io, store, [weak](const CellMessage& sent) {
+  const auto may_send = [weak] {
     const auto self = weak.lock();
-    if (self && !self->stopped && sent.ended_job)
-      self->scheduler->OnEndMessageStored(*sent.ended_job);
-  });
+    return self && self->HasAuthority();
+  };
+  messages =
+      MessageSender::Make(io, store, may_send, [weak](const CellMessage& sent) {
+        const auto self = weak.lock();
+        if (self && !self->stopped && sent.ended_job)
+          self->scheduler->OnEndMessageStored(*sent.ended_job);
+      });
   worker_follower =
       TopicFollower::Make(io, store, StoreTopic::kWorkers, kWorkerFollowTiming,
                           [weak](const TopicFollower::Records& newest,
--- a/src/scheduler_process/message_sender.cc
+++ b/src/scheduler_process/message_sender.cc
@@ -28,13 +28,18 @@
 
   Impl(asio::io_context& context,
        const StorePort& store_port,
+       std::function<bool()> permission,
        std::function<void(const CellMessage&)> callback)
-      : io(context), store(store_port), on_stored(std::move(callback)) {}
+      : io(context),
+        store(store_port),
+        may_send(std::move(permission)),
+        on_stored(std::move(callback)) {}
 
   asio::awaitable<void> SendAll(CellId cell);
 
   asio::io_context& io;
   StorePort store;
+  std::function<bool()> may_send;
   std::function<void(const CellMessage&)> on_stored;
   std::map<CellId, Queue> queues;
   bool stopped = false;
@@ -67,6 +72,10 @@
       request.records.push_back({message.key, message.value});
     bool stored = false;
     while (!stopped && !stored) {
+      if (!may_send()) {
+        co_await Sleep(kRetryDelay);
+        continue;
+      }
       StoreError error;
       stored = co_await store.append(request, error);
       if (stored)
@@ -95,9 +104,11 @@
 std::shared_ptr<MessageSender> MessageSender::Make(
     asio::io_context& io,
     const StorePort& store,
+    std::function<bool()> may_send,
     std::function<void(const CellMessage&)> on_stored) {
-  return std::shared_ptr<MessageSender>(new MessageSender(
-      std::make_shared<Impl>(io, store, std::move(on_stored))));
+  return std::shared_ptr<MessageSender>(
+      new MessageSender(std::make_shared<Impl>(io, store, std::move(may_send),
+                                               std::move(on_stored))));
 }
 
 void MessageSender::Send(std::vector<CellMessage> messages) {
--- a/src/scheduler_process/message_sender.h
+++ b/src/scheduler_process/message_sender.h
@@ -13,13 +13,16 @@
 
 /** Appends messages to the job streams of other cells, in order for each cell,
  * until the store has taken them. A message that is stored twice has the same
- * effect as once. */
+ * effect as once, unless it comes so late that the other cell has forgotten the
+ * job: an owner that was suspended must not go on sending. */
 class MessageSender {
  public:
-  /** `on_stored` is called for each message that is stored. */
+  /** Messages wait while `may_send` is false: the proof of ownership is too
+   * old. `on_stored` is called for each message that is stored. */
   static std::shared_ptr<MessageSender> Make(
       asio::io_context& io,
       const StorePort& store,
+      std::function<bool()> may_send,
       std::function<void(const CellMessage&)> on_stored);
   ~MessageSender();
 
