scheduler: a process that stops answers all its callers before it ends

Change: 0.8 s before the end of the grace time a stopping process gives up what still waits, and refuses at once what comes later; nothing of it is stored.

--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -127,6 +127,10 @@
         cell(std::move(own_cell)),
         features(enabled) {}
 
+  /** The deadline, or an earlier end of this process. */
+  TimePoint Limit(TimePoint deadline) const {
+    return last_answer ? std::min(deadline, *last_answer) : deadline;
+  }
   std::optional<Endpoint> OtherOwner(CellId id) const;
   asio::awaitable<IntakeResult> Store(CellId id,
                                       KeyedRecord record,
@@ -161,6 +165,8 @@
   /** When a submission last ended without a known result, by job; the job may
    * be stored. */
   std::map<JobId, TimePoint> unknown_outcomes;
+  /** When this process stops: it answers all requests before. */
+  std::optional<TimePoint> last_answer;
   /** Number of attempts to submit a job that have no result yet. */
   std::map<JobId, size_t> open_attempts;
 };
@@ -224,7 +230,12 @@
                                                       KeyedRecord record,
                                                       Duration timeout) {
   const TimePoint deadline = MonotonicNow() + timeout;
-  const auto remaining = [deadline] { return deadline - MonotonicNow(); };
+  const auto remaining = [this, deadline] {
+    return Limit(deadline) - MonotonicNow();
+  };
+  // Nothing has been sent anywhere yet.
+  if (remaining() <= Duration(0))
+    co_return IntakeResult::kRefused;
   const auto owner = OtherOwner(id);
   std::shared_ptr<PendingRecord> pending;
   if (intake->IsStoreResponding() && (!owner || intake->IsStoreFast())) {
@@ -262,7 +273,7 @@
     CellId id,
     std::string path,
     TimePoint deadline) {
-  while (MonotonicNow() < deadline) {
+  while (MonotonicNow() < Limit(deadline)) {
     const auto owner = election->owner(id);
     std::optional<HttpResponse> response;
     if (election->IsOwner(id)) {
@@ -272,7 +283,7 @@
       request.path = path;
       NetError error;
       const Endpoint endpoint = owner->control;
-      const Duration remaining = deadline - MonotonicNow();
+      const Duration remaining = Limit(deadline) - MonotonicNow();
       response = co_await client.Call(endpoint, std::move(request),
                                       std::min(remaining, kOwnerRequestTimeout),
                                       error);
@@ -444,7 +455,7 @@
       now - cached->second.at < kMaxWaitingCountAge)
     co_return cached->second.count;
   const TimePoint deadline = now + timeout;
-  while (MonotonicNow() < deadline) {
+  while (MonotonicNow() < impl->Limit(deadline)) {
     const auto layout = impl->election->layout();
     if (!layout)
       co_return std::nullopt;
@@ -485,4 +496,8 @@
   co_return impl->AnswerFromOwnCell(path);
 }
 
+void JobService::AnswerAllBefore(TimePoint last) {
+  m_impl->last_answer = last;
+}
+
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/job_service.h
+++ b/src/scheduler_process/job_service.h
@@ -51,6 +51,10 @@
   asio::awaitable<std::optional<size_t>> CountWaiting(QueueId queue,
                                                       Duration timeout);
 
+  /** This process stops: it has answered all callers by then, and refuses at
+   * once what comes later. */
+  void AnswerAllBefore(TimePoint last);
+
   /** Handles a request of another process to the control address; nothing if
    * the path is not one of its own. */
   asio::awaitable<std::optional<HttpResponse>> HandlePeerRequest(
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -28,6 +28,8 @@
 constexpr Duration kBalancerNoticeTime = milliseconds(2300);
 // Grace time that is left when the remaining requests are abandoned.
 constexpr Duration kStopMargin = milliseconds(500);
+// Left for the last answers to reach their callers.
+constexpr Duration kAnswerMargin = milliseconds(300);
 constexpr Duration kStopPollInterval = milliseconds(50);
 // A process that reaches neither the store nor the owner within these times
 // reports that it is not ready.
@@ -535,6 +537,8 @@
   const auto self = shared_from_this();
   const TimePoint begin = MonotonicNow();
   const TimePoint last = begin + settings.stop_grace - kStopMargin;
+  // Later ones are answered at once: no other process has them.
+  service->AnswerAllBefore(last - kAnswerMargin);
   co_await GiveUpCells();
   caller_server->CloseAfterResponse();
   while (MonotonicNow() < last) {
--- a/tests/platform/scheduler_process_test.cc
+++ b/tests/platform/scheduler_process_test.cc
@@ -205,6 +205,28 @@
   }
 }
 
+TEST_CASE("a process that stops while no other one owns the cell",
+          "[platform]") {
+  // Guards against requests that wait for an owner until after the process has
+  // ended: their connections close without an answer.
+  TestSystem system(3);
+  TestProcess& process = system.AddProcess();
+  REQUIRE(system.WaitForOwner(seconds(10)));
+  REQUIRE(system.Submit(process, kFirstJobId, 1) == 200);
+  process.Terminate();
+  // Of 6 s until it is killed, the last half is left for leaving.
+  std::this_thread::sleep_for(milliseconds(4500));
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(system.Call(process, "GET", "/q/" + std::string(kFirstJobId)));
+  CHECK(std::chrono::steady_clock::now() - begin < milliseconds(1000));
+  // What it refuses now it does not store.
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(system.Submit(process, kSecondJobId, 1) == 503);
+  TestProcess& next = system.AddProcess();
+  REQUIRE(system.WaitForState(next, kFirstJobId, "completed", seconds(20)));
+  CHECK(system.StateOf(next, kSecondJobId).empty());
+}
+
 TEST_CASE("a new owner that is busy", "[platform]") {
   TestSystem system(3, 3);
   const auto owner = system.WaitForOwner(seconds(10));
