--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -93,8 +93,8 @@
          moved->second >= size_t{load.workers} * work.max_per_worker;
 }
 
-// True if more waits in the cell than it has room for, unless that work alone
-// does not fit: full cells must not exchange their queues.
+// True if the cell is well used, and more waits there than it has room for:
+// full cells must not exchange their queues.
 bool IsBusy(const ServiceLoad& load, const WaitingWork& work) {
   const double capacity = Cores(load.capacity);
   const double free = capacity - Cores(load.reserved) - Cores(load.waiting);
--- a/src/sched/job_parts.h
+++ b/src/sched/job_parts.h
@@ -1,6 +1,9 @@
 #ifndef COWSLIPMAST_SRC_SCHED_JOB_PARTS_H_
 #define COWSLIPMAST_SRC_SCHED_JOB_PARTS_H_
 
+#include <optional>
+#include <vector>
+
 #include "cowslipmast/sched/cell_message.h"
 #include "src/sched/state.h"
 
@@ -12,9 +15,13 @@
  * where the job has moved on, or only tasks of it were moved. */
 bool IsCoordinator(const Job& job);
 
-/** Hands tasks that have waited too long to cells that can start them. Must be
- * called after tasks were placed. */
-void PlanTaskTransfers(State& state, TimePoint now);
+/** Plans to send tasks of an iteration, which was due `age` ago, to the cell
+ * that is to hold them. */
+void SendTasks(State& state,
+               const Iteration& iteration,
+               CellId target,
+               std::vector<MovedTask> tasks,
+               Duration age);
 
 /** Takes over tasks that another cell has handed on. Repeated and late
  * transfers have no effect. */
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -18,6 +18,7 @@
 #include "src/sched/shared_interference.h"
 #include "src/sched/silent_ends.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/task_transfers.h"
 #include "src/sched/transfers.h"
 #include "src/sched/waiting_tasks.h"
 #include "src/sched/workers.h"
--- /dev/null
+++ b/src/sched/task_transfers.cc
@@ -0,0 +1,266 @@
+#include "src/sched/task_transfers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/sched/cell_load.h"
+#include "src/sched/crash_suspects.h"
+#include "src/sched/job_parts.h"
+#include "src/sched/jobs.h"
+#include "src/sched/work_to_move.h"
+#include "src/sched/workspace_caps.h"
+
+namespace cowslipmast::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A task must have a worker after 3 s. A long-running one is overdue in its
+// cell after 1.5 s, and may then use the capacity that is kept for short work;
+// a move takes 0.1 s.
+constexpr Duration kMinWaitToMoveTask = milliseconds(1700);
+// Where no worker could ever run it. A new owner has heard of its workers by
+// then.
+constexpr Duration kMinWaitWithoutWorker = milliseconds(500);
+// A task that has come from another cell waits here until the loads of the
+// other cells have been read again. The longer it has waited in all, the less
+// another move helps; still it must not miss capacity for 3 s.
+constexpr Duration kMinStayOfMovedTask = milliseconds(500);
+constexpr Duration kMaxStayOfMovedTask = milliseconds(2000);
+constexpr int kStayShareOfWait = 4;
+// Short and best-effort steps considered in one plan; bounds its duration while
+// many wait. The next plan goes on with the others.
+constexpr size_t kMaxShortStepsConsidered = 64;
+
+// Tasks of a step that go to another cell.
+struct TaskMove {
+  ReadyKey key;
+  CellId target;
+  size_t tasks = 0;
+};
+
+const StepSpec& SpecOf(const ReadyKey& key) {
+  return key.iteration->job->spec.steps[key.step];
+}
+
+const Task& OldestTask(const ReadyKey& key) {
+  const StepState& step = key.iteration->steps[key.step];
+  return step.tasks[step.ready_tasks.back()];
+}
+
+bool IsWholeStepReady(const StepState& step) {
+  return std::all_of(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& task) { return task.phase == SchedulingPhase::kReady; });
+}
+
+WorkKind OverdueKindOf(const StepSpec& spec) {
+  if (spec.long_running)
+    return WorkKind::kOverdueLongRunning;
+  return spec.best_effort ? WorkKind::kOverdueBestEffort
+                          : WorkKind::kOverdueShort;
+}
+
+// True if tasks of the step may leave once they have waited for long enough.
+bool MayMoveTasks(const ReadyKey& key) {
+  const Job& job = *key.iteration->job;
+  const StepState& step = key.iteration->steps[key.step];
+  return !step.ready_tasks.empty() && !job.ended_at &&
+         IsSmallEnoughToMove(job) &&
+         (!SpecOf(key).gang || IsWholeStepReady(step));
+}
+
+bool HasWaitedFor(const ReadyKey& key, Duration wait, TimePoint now) {
+  const Task& oldest = OldestTask(key);
+  const Duration waited = now - oldest.ready_since;
+  const Duration stay = std::clamp(waited / kStayShareOfWait,
+                                   kMinStayOfMovedTask, kMaxStayOfMovedTask);
+  return waited >= wait && now - oldest.ready_here_since >= stay;
+}
+
+// A long-running task soon gets capacity that is kept for short work.
+Duration MinWait(const ReadyKey& key,
+                 const CellLoad& own,
+                 const WaitingWork& work) {
+  const ServiceLoad* load = FindServiceLoad(own, work.service);
+  const bool could_run = load != nullptr && CouldRun(*load, work);
+  return could_run || SpecOf(key).long_running ? kMinWaitToMoveTask
+                                               : kMinWaitWithoutWorker;
+}
+
+// Number of the step's tasks for which the cell has capacity; nothing if it is
+// not known to have any, and all of them go there.
+size_t CountTasksToMove(const ServiceLoad& load,
+                        const WaitingWork& work,
+                        size_t ready) {
+  if (work.min_tasks > 1)
+    return ready;
+  const size_t fitting =
+      work.kind == WorkKind::kOverdueBestEffort
+          ? static_cast<size_t>(std::max<int64_t>(
+                0, load.idle.count() /
+                       std::max<int64_t>(1, work.task_need.cpu.count())))
+          : CountFittingTasks(load, work);
+  return fitting > 0 ? std::min(ready, fitting) : ready;
+}
+
+// Takes the capacity for tasks that move out of the loads, so that the next
+// decision does not count on it.
+void TakeCapacity(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
+  const MilliCores need(work.task_need.cpu.count() *
+                        static_cast<int64_t>(tasks));
+  if (work.kind == WorkKind::kOverdueBestEffort) {
+    load.idle -= need;
+    load.waiting_best_effort += need;
+    return;
+  }
+  TakePieces(load, work, tasks);
+  if (work.kind == WorkKind::kOverdueShort)
+    load.waiting += need;
+}
+
+WaitingWork DescribeOverdueWork(const State& state,
+                                const ReadyKey& key,
+                                TimePoint now) {
+  WaitingWork work = DescribeWork(state, key, now);
+  work.kind = OverdueKindOf(SpecOf(key));
+  const uint32_t came_from = OldestTask(key).came_from;
+  if (came_from != kThisCell)
+    work.came_from = CellId(came_from);
+  for (const Task& task : key.iteration->steps[key.step].tasks) {
+    if (work.max_per_worker > 0 && task.phase == SchedulingPhase::kElsewhere &&
+        task.other_cell != kThisCell)
+      ++work.moved_tasks[CellId(task.other_cell)];
+  }
+  return work;
+}
+
+// Moves no more tasks than the other cell has capacity for, unless no worker of
+// this cell could ever run them.
+std::optional<TaskMove> ChooseTaskMove(State& state,
+                                       const ReadyKey& key,
+                                       const CellLoad& own,
+                                       TimePoint now) {
+  const WaitingWork work = DescribeOverdueWork(state, key, now);
+  if (!HasWaitedFor(key, MinWait(key, own, work), now))
+    return std::nullopt;
+  auto target = CellOfOversizedStep(state, key);
+  if (!target && IsHeldBackByCap(state, key))
+    return std::nullopt;
+  if (!target)
+    target = ChooseCell(work, own, state.cell_loads);
+  if (!target)
+    return std::nullopt;
+  size_t tasks = key.iteration->steps[key.step].ready_tasks.size();
+  for (CellLoad& other : state.cell_loads) {
+    ServiceLoad* load =
+        other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
+    if (load == nullptr)
+      continue;
+    tasks = CountTasksToMove(*load, work, tasks);
+    TakeCapacity(*load, work, tasks);
+  }
+  return TaskMove{key, *target, tasks};
+}
+
+// Steps that may have to leave: all long-running ones, and some of the others.
+std::vector<ReadyKey> StepsToConsider(State& state, TimePoint now) {
+  std::vector<ReadyKey> steps;
+  std::vector<ReadyKey> others;
+  const auto next =
+      state.next_step_to_move
+          ? state.ready_steps.lower_bound(*state.next_step_to_move)
+          : state.ready_steps.begin();
+  const auto add = [&](const ReadyKey& key) {
+    if (!MayMoveTasks(key) || !HasWaitedFor(key, kMinWaitWithoutWorker, now))
+      return;
+    (SpecOf(key).long_running ? steps : others).push_back(key);
+  };
+  std::for_each(next, state.ready_steps.end(), add);
+  std::for_each(state.ready_steps.begin(), next, add);
+  state.next_step_to_move.reset();
+  if (others.size() > kMaxShortStepsConsidered) {
+    state.next_step_to_move = others[kMaxShortStepsConsidered];
+    others.resize(kMaxShortStepsConsidered);
+  }
+  steps.insert(steps.end(), others.begin(), others.end());
+  return steps;
+}
+
+void AddPartCell(Iteration& iteration, CellId cell) {
+  iteration.part_cells.insert(cell);
+  iteration.job->part_cells.insert(cell);
+}
+
+MovedTask MoveTask(State& state,
+                   const TaskRef& ref,
+                   CellId target,
+                   TimePoint now) {
+  LogDecision(state, "run_moved", ref,
+              "to_cell=" + std::to_string(target.value()));
+  Task& task = TaskOf(ref);
+  // A higher number than any that this cell has used: a transfer that arrives
+  // late is told from a newer one.
+  task.run = task.run.Next();
+  task.phase = SchedulingPhase::kElsewhere;
+  task.other_cell = static_cast<uint32_t>(target.value());
+  return DescribeTask(ref, now - task.ready_since);
+}
+
+// Moves the tasks of the step that have waited longest, `count` at most.
+void MoveTasks(State& state,
+               const ReadyKey& key,
+               CellId target,
+               size_t count,
+               TimePoint now) {
+  Iteration& iteration = *key.iteration;
+  StepState& step = iteration.steps[key.step];
+  std::vector<MovedTask> moved;
+  std::vector<uint32_t> kept;
+  for (; !step.ready_tasks.empty() && moved.size() < count;
+       step.ready_tasks.pop_back()) {
+    const TaskRef ref{&iteration, key.step, step.ready_tasks.back()};
+    // The other cell would start it at once.
+    if (IsHeldBack(state, ref))
+      kept.push_back(ref.index);
+    else if (TaskOf(ref).phase == SchedulingPhase::kReady)
+      moved.push_back(MoveTask(state, ref, target, now));
+  }
+  step.ready_tasks.insert(step.ready_tasks.end(), kept.rbegin(), kept.rend());
+  // A transfer without tasks would be one of the whole job.
+  if (moved.empty())
+    return;
+  // The rest of the job must not move as a whole any more.
+  iteration.job->may_have_started = true;
+  // The other cell does not report starts.
+  NoteStart(*iteration.job);
+  AddPartCell(iteration, target);
+  MarkDirty(state, iteration);
+  state.counters.moved_tasks += moved.size();
+  SendTasks(state, iteration, target, std::move(moved), now - iteration.due);
+}
+
+}  // namespace
+
+void PlanTaskTransfers(State& state, TimePoint now) {
+  if (!HasFreshLoads(state, now))
+    return;
+  std::vector<TaskMove> moves;
+  std::optional<CellLoad> own;
+  for (const ReadyKey& key : StepsToConsider(state, now)) {
+    if (!own)
+      own = MeasureLoad(state, now);
+    if (const auto move = ChooseTaskMove(state, key, *own, now))
+      moves.push_back(*move);
+  }
+  for (const TaskMove& move : moves) {
+    MoveTasks(state, move.key, move.target, move.tasks, now);
+    if (move.key.iteration->steps[move.key.step].ready_tasks.empty())
+      state.ready_steps.erase(move.key);
+  }
+}
+
+}  // namespace cowslipmast::sched
--- a/tests/sched/job_parts_hunt_test.cc
+++ b/tests/sched/job_parts_hunt_test.cc
@@ -6,8 +6,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -240,14 +238,10 @@
 
 TEST_CASE("jobs span cells under random faults, with other seeds",
           "[.parts-hunt]") {
-  const char* text = std::getenv("COWSLIPMAST_HUNT_SEEDS");
-  unsigned long long first = 1;
-  unsigned long long count = 100;
-  unsigned long long step = 1;
-  if (text != nullptr)
-    REQUIRE(std::sscanf(text, "%llu:%llu:%llu", &first, &count, &step) >= 2);
-  for (uint64_t i = 0; i < count; ++i)
-    CheckSeed(first + i * step);
+  const std::vector<uint64_t> seeds = HuntSeeds();
+  REQUIRE_FALSE(seeds.empty());
+  for (const uint64_t seed : seeds)
+    CheckSeed(seed);
 }
 
 }  // namespace
--- a/tests/sched/random_faults.cc
+++ b/tests/sched/random_faults.cc
@@ -1,11 +1,26 @@
 #include "tests/sched/random_faults.h"
 
 #include <cstdio>
+#include <cstdlib>
 
 namespace cowslipmast::sched {
 
 using std::chrono::milliseconds;
 
+std::vector<uint64_t> HuntSeeds() {
+  unsigned long long first = 1;
+  unsigned long long count = 100;
+  unsigned long long step = 1;
+  const char* text = std::getenv("COWSLIPMAST_HUNT_SEEDS");
+  if (text != nullptr &&
+      std::sscanf(text, "%llu:%llu:%llu", &first, &count, &step) < 2)
+    return {};
+  std::vector<uint64_t> seeds;
+  for (uint64_t i = 0; i < count; ++i)
+    seeds.push_back(first + i * step);
+  return seeds;
+}
+
 size_t RandomFaults::PickCell() {
   return static_cast<size_t>(
       m_random.Pick(0, static_cast<int64_t>(m_system.size()) - 1));
--- a/tests/sched/random_faults.h
+++ b/tests/sched/random_faults.h
@@ -50,6 +50,10 @@
   std::mt19937_64 m_run_random;
 };
 
+/** Seeds to try by hand: COWSLIPMAST_HUNT_SEEDS=FIRST:COUNT[:STEP], or 1 to
+ * 100. Nothing if the variable cannot be read. */
+std::vector<uint64_t> HuntSeeds();
+
 /** Begins and ends random faults of a simulated system. */
 class RandomFaults {
  public:
--- a/tests/sched/waiting_work_hunt_test.cc
+++ b/tests/sched/waiting_work_hunt_test.cc
@@ -6,8 +6,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -270,14 +268,10 @@
 
 TEST_CASE("work waits under random loads and faults, with other seeds",
           "[.hunt]") {
-  const char* text = std::getenv("COWSLIPMAST_HUNT_SEEDS");
-  unsigned long long first = 1;
-  unsigned long long count = 100;
-  unsigned long long step = 1;
-  if (text != nullptr)
-    REQUIRE(std::sscanf(text, "%llu:%llu:%llu", &first, &count, &step) >= 2);
-  for (uint64_t i = 0; i < count; ++i)
-    CheckSeed(first + i * step);
+  const std::vector<uint64_t> seeds = HuntSeeds();
+  REQUIRE_FALSE(seeds.empty());
+  for (const uint64_t seed : seeds)
+    CheckSeed(seed);
 }
 
 }  // namespace
