scheduler: an owner that stops works on until another process takes its cells

Cause: an owner that was stopped while no other process could claim gave up its cells at once, with 5 s left to work.

Change: it goes on owning them for 3 s, and offers them every 0.2 s to whoever asks for the owner; then it gives its claim up, as before.

Test: "a process that stops before another one can take its cell" fails on (no state within 0.5 s while the process still runs), and passes.

--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -28,6 +28,11 @@
 constexpr Duration kBalancerNoticeTime = milliseconds(2300);
 // Grace time that is left when the remaining requests are abandoned.
 constexpr Duration kStopMargin = milliseconds(500);
+// A process that stops goes on owning a cell for this long if no other one can
+// take it: several may stop at once, and one that has just started asks for the
+// owner within 0.3 s.
+constexpr Duration kMaxWaitForTaker = milliseconds(3000);
+constexpr Duration kOfferInterval = milliseconds(200);
 // Left for the last answers to reach their callers.
 constexpr Duration kAnswerMargin = milliseconds(300);
 constexpr Duration kStopPollInterval = milliseconds(50);
@@ -98,7 +103,7 @@
   void RegisterGauges();
   void RegisterConnectionGauges();
   asio::awaitable<void> FlushLog();
-  asio::awaitable<void> GiveUpCells();
+  asio::awaitable<void> GiveUpCells(TimePoint latest);
   asio::awaitable<void> Drain(std::function<void()> on_stopped);
 
   asio::io_context& io;
@@ -516,13 +521,18 @@
                                  std::move(hooks));
 }
 
-// Hands each owned cell over, or gives its claim up.
-asio::awaitable<void> SchedulerProcess::Impl::GiveUpCells() {
+// Hands each owned cell over, or gives its claim up if no process has taken it
+// by then.
+asio::awaitable<void> SchedulerProcess::Impl::GiveUpCells(TimePoint latest) {
   std::vector<CellId> owned;
   for (const auto& [id, entry] : cells)
     owned.push_back(id);
   for (const CellId id : owned) {
-    const bool handed_over = co_await election->HandOver(id);
+    bool handed_over = co_await election->HandOver(id);
+    while (!handed_over && election->IsOwner(id) && MonotonicNow() < latest) {
+      co_await Sleep(kOfferInterval);
+      handed_over = co_await election->HandOver(id);
+    }
     const auto cell = FindCell(id);
     if (cell)
       cell->Stop();
@@ -539,8 +549,8 @@
   const TimePoint last = begin + settings.stop_grace - kStopMargin;
   // Later ones are answered at once: no other process has them.
   service->AnswerAllBefore(last - kAnswerMargin);
-  co_await GiveUpCells();
   caller_server->CloseAfterResponse();
+  co_await GiveUpCells(begin + kMaxWaitForTaker);
   while (MonotonicNow() < last) {
     const bool balancer_noticed = MonotonicNow() - begin >= kBalancerNoticeTime;
     if (balancer_noticed && caller_server->in_progress() == 0)
--- a/tests/platform/scheduler_process_test.cc
+++ b/tests/platform/scheduler_process_test.cc
@@ -227,6 +227,29 @@
   CHECK(system.StateOf(next, kSecondJobId).empty());
 }
 
+TEST_CASE("a process that stops before another one can take its cell",
+          "[platform]") {
+  // Guards against a cell without an owner while several processes are stopped
+  // and started in turn: each had given it up before the next one had started.
+  TestSystem system(3);
+  TestProcess& process = system.AddProcess();
+  REQUIRE(system.WaitForOwner(seconds(10)));
+  system.SetTaskDuration(seconds(4));
+  REQUIRE(system.Submit(process, kFirstJobId, 4) == 200);
+  REQUIRE(system.WaitForState(process, kFirstJobId, "active", seconds(5)));
+  process.Terminate();
+  std::this_thread::sleep_for(milliseconds(1000));
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(system.StateOf(process, kFirstJobId) == "active");
+  CHECK(std::chrono::steady_clock::now() - begin < milliseconds(500));
+  TestProcess& next = system.AddProcess();
+  std::this_thread::sleep_for(milliseconds(1500));
+  CHECK(system.KnownEpoch(next) == 2);
+  CHECK(system.WaitForState(next, kFirstJobId, "completed", seconds(10)));
+  CHECK(system.Observations().done.size() == 4);
+  CHECK(system.Observations().violations.empty());
+}
+
 TEST_CASE("a new owner that is busy", "[platform]") {
   TestSystem system(3, 3);
   const auto owner = system.WaitForOwner(seconds(10));
