sched: an iteration of a part is closed only without tasks on workers

No run shows it: the coordinator closes an iteration only after the part has stored that the tasks are done.

--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -159,8 +159,8 @@
   void AddTransfer(const JobTransfer& transfer, TimePoint now, WallTime wall);
   /** The cell that runs a moved job reports its end. */
   void EndMovedJob(const JobId& id, JobState end, TimePoint now);
-  /** Another cell reports which moved tasks of the job it has done. Must be
-   * called after the progress of the job is replayed, as the next call. */
+  /** Another cell reports which moved tasks of the job it has done. A replay
+   * calls this and `EndPartOfJob` after it has restored the job's progress. */
   void AddPartReport(const JobId& id, const PartReport& report, TimePoint now);
   /** The job, or one iteration of it, has ended, of which this cell runs moved
    * tasks. */
--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -73,41 +73,45 @@
   }
 }
 
-// True if a task of the iteration may still be started, or run, in this cell.
-bool HasOpenTasks(const Iteration& iteration) {
-  const auto is_open = [](const Task& task) {
-    return task.phase != SchedulingPhase::kDone &&
-           task.phase != SchedulingPhase::kElsewhere;
-  };
+bool AnyTask(const Iteration& iteration, bool (*is_searched)(const Task&)) {
   return std::any_of(iteration.steps.begin(), iteration.steps.end(),
-                     [&is_open](const StepState& step) {
+                     [is_searched](const StepState& step) {
                        return std::any_of(step.tasks.begin(), step.tasks.end(),
-                                          is_open);
+                                          is_searched);
                      });
 }
 
+bool HasWorker(const Task& task) {
+  return task.worker != kNoWorker;
+}
+
+bool IsDoneHere(const Task& task) {
+  return task.phase == SchedulingPhase::kDone;
+}
+
+bool IsHeldHere(const Task& task) {
+  return !IsDoneHere(task) && task.phase != SchedulingPhase::kElsewhere;
+}
+
+// The coordinator has seen all tasks of the iteration done.
 void CloseIteration(State& state, Job& job, uint32_t number, TimePoint now) {
   if (number >= IterationCount(job.spec) || IsDone(job, number))
     return;
   Iteration& iteration = GetOrCreateIteration(state, job, number, now);
-  // Nothing may point at the tasks once they are freed.
-  if (state.restored && HasOpenTasks(iteration))
+  // Workers must not keep references to tasks that are freed. In a replay a
+  // task that came here may not be known yet to be done.
+  if (AnyTask(iteration, state.restored ? IsHeldHere : HasWorker))
     return;
+  for (StepState& step : iteration.steps) {
+    for (size_t i = 0; i < step.tasks.size(); ++i)
+      step.tasks.SetDone(i);
+  }
   iteration.is_closed = true;
   NoteDone(job, number);
   PlanEndOfIterationParts(state, iteration);
   MarkDirty(state, iteration);
 }
 
-bool HasDoneTasks(const Iteration& iteration) {
-  return std::any_of(
-      iteration.steps.begin(), iteration.steps.end(), [](const StepState& s) {
-        return std::any_of(s.tasks.begin(), s.tasks.end(), [](const Task& t) {
-          return t.phase == SchedulingPhase::kDone;
-        });
-      });
-}
-
 void RepeatTaskTransfers(State& state, const Iteration& iteration) {
   std::map<CellId, std::vector<MovedTask>> moved;
   Iteration* own = iteration.job->iterations.at(iteration.number).get();
@@ -262,7 +266,7 @@
     if (IsDone(job, number))
       continue;
     RepeatTaskTransfers(state, *iteration);
-    if (!IsCoordinator(job) && HasDoneTasks(*iteration))
+    if (!IsCoordinator(job) && AnyTask(*iteration, IsDoneHere))
       PlanPartReport(state, *iteration);
   }
 }
