tests: the cells test waits until each process knows the layout

Its log shows why: the stand-in store answered late, the owners of all cells had read the layout, and the process that was asked had not, so that it refused, truly. WaitForCells asked for the owners alone.

Change: it also asks each process for its cells; nothing is relaxed.

--- a/tests/platform/cells_test.cc
+++ b/tests/platform/cells_test.cc
@@ -42,9 +42,20 @@
   return owned.size();
 }
 
+// A process that has not read the layout yet refuses submissions, truly.
+bool KnowCells(TestSystem& system, size_t processes, size_t cells) {
+  for (size_t i = 0; i < processes; ++i) {
+    const json dump = DumpOf(system, system.process(i));
+    if (dump.value("cells", json::object()).size() != cells)
+      return false;
+  }
+  return true;
+}
+
 bool WaitForCells(TestSystem& system, size_t processes, size_t cells) {
   for (int i = 0; i < 100; ++i) {
-    if (CountOwnedCells(system, processes) == cells)
+    if (CountOwnedCells(system, processes) == cells &&
+        KnowCells(system, processes, cells))
       return true;
     std::this_thread::sleep_for(milliseconds(100));
   }
