sched: a job whose short tasks moved counts as waiting until one is done

A cell that hands tasks on took their job for started, as cells do not report starts. That was meant for long-running tasks; short ones of jobs that have not started move now, too, and may wait in the other cell.

Change: only long-running tasks make their job a started one when they move; for others the first report of a done task does.

Test: "a job whose tasks moved before its first start counts as waiting".

--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -220,6 +220,7 @@
     if (!HasTask(*ref.iteration, done.step, done.index) ||
         ReadTask(ref).phase != SchedulingPhase::kElsewhere)
       continue;
+    NoteStart(*found->second);
     LogDecision(state, "run_done_elsewhere", ref,
                 "in_cell=" + std::to_string(report.from.value()));
     FinishTask(state, ref, now);
--- a/src/sched/task_transfers.cc
+++ b/src/sched/task_transfers.cc
@@ -235,8 +235,10 @@
     return;
   // The rest of the job must not move as a whole any more.
   iteration.job->may_have_started = true;
-  // The other cell does not report starts.
-  NoteStart(*iteration.job);
+  // The other cell does not report starts, and never the end of a long-running
+  // task. A job with short ones counts as waiting until the first is done.
+  if (SpecOf(key).long_running)
+    NoteStart(*iteration.job);
   AddPartCell(iteration, target);
   MarkDirty(state, iteration);
   state.counters.moved_tasks += moved.size();
--- a/tests/sched/job_parts_test.cc
+++ b/tests/sched/job_parts_test.cc
@@ -287,6 +287,38 @@
   CHECK(system->Violations().empty());
 }
 
+TEST_CASE("a job whose tasks moved before its first start counts as waiting",
+          "[sched][parts]") {
+  // Guards against a count of waiting jobs that leaves out those whose tasks
+  // wait in another cell (MIXED). A recurring job does not move as a whole.
+  const auto system = MakeLabelledCells();
+  Drain(*system, 0, 0);
+  const std::string full = system->MakeIdFor(1, "l");
+  system->Submit(
+      MakeJob(full, "urgent", {WithLabel(MakeStep(1, 16, 1000, 5))}));
+  system->Run(milliseconds(500));
+  const std::string job = system->MakeIdFor(0, "j");
+  system->Submit(
+      MakeRecurring(*system, job, 1, {WithLabel(MakeStep(1, 2, 1000, 0.5))}));
+  const auto count_waiting = [&] {
+    size_t count = 0;
+    for (size_t cell = 0; cell < 2; ++cell)
+      count += system->cell(cell).scheduler().CountWaiting(QueueId("batch"));
+    return count;
+  };
+  system->Run(seconds(3));
+  REQUIRE(system->cell(0).scheduler().counters().moved_tasks == 1);
+  CHECK(count_waiting() == 1);
+  CHECK(system->StateOf(job) == JobState::kQueued);
+  system->cell(0).ReplaceOwner();
+  system->cell(1).ReplaceOwner();
+  system->Run(milliseconds(500));
+  CHECK(count_waiting() == 1);
+  system->Run(seconds(8));
+  CHECK(count_waiting() == 0);
+  ExpectCompleted(*system, job);
+}
+
 TEST_CASE("a part of a job ends along with it", "[sched][parts]") {
   const auto system = MakeLabelledCells();
   const std::string job = system->MakeIdFor(0, "j");
