scheduler: deletions in appends of limited size; a short stop still releases

Cause, found in a second read of this change: - All records that nobody needs went into one append. A new owner finds them at the same time; beyond 2 MB the store refuses the append for good, and it was repeated for ever, with the deletions of ended jobs behind it (these had no limit before, either). An owner that had been suspended sent deletions without a fresh proof. - An owner that waits for a process to take its cell waited for 3 s of any grace time. With the least one that is allowed, 3 s, it was killed before it released.

The wait ends 2.3 s before the last answer, and repeated offers go to one process.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -9,6 +9,7 @@
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/decision_log.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/job_record_deleter.h"
 #include "src/scheduler_process/job_stream_keys.h"
 #include "src/scheduler_process/message_sender.h"
 #include "src/scheduler_process/progress_writer.h"
@@ -56,10 +57,6 @@
 constexpr FollowTiming kWorkerFollowTiming = {
     .max_wait = milliseconds(1000),
     .pause_after_records = milliseconds(250)};
-// The store refuses an append when earlier ones take 2 s.
-constexpr Duration kDeleteTimeout = milliseconds(2200);
-// Between two deletions, so that several jobs share an append.
-constexpr Duration kDeleteInterval = milliseconds(1000);
 // The load is asked for by each other owner twice a second.
 constexpr Duration kMaxMeasuredLoadAge = milliseconds(200);
 
@@ -89,9 +86,7 @@
   asio::awaitable<bool> PlanOnce();
   asio::awaitable<void> SendStopsRepeatedly();
   void SendStops();
-  void DeleteLater(const std::vector<JobId>& ended);
-  asio::awaitable<void> DeleteEndedJobs();
-  AppendRequest MakeDeletion(const std::vector<JobId>& ended);
+  std::vector<std::string> TakeKeys(const JobId& id);
   void StartFollowing();
   void ApplyJobRecord(const KeyedRecord& record);
   void ApplyTransferRecord(const JobRecordKey& key, const KeyedRecord& record);
@@ -123,11 +118,7 @@
   // Set from the restoration until `job_follower` continues from it.
   std::optional<FollowStart> restored_jobs;
   JobStreamKeys keys;
-  // Their submissions are still stored.
-  std::vector<JobId> ended_jobs;
-  // Of ended iterations of jobs that go on.
-  std::vector<std::string> needless_keys;
-  bool deleting = false;
+  std::shared_ptr<JobRecordDeleter> deleter;
   std::optional<CellLoad> load;
   TimePoint load_measured_at;
   DecisionLog decisions;
@@ -147,6 +138,8 @@
   writer.StopRetrying();
   if (messages)
     messages->Stop();
+  if (deleter)
+    deleter->Stop();
   if (driver)
     driver->Stop();
   wake.Notify();
@@ -365,16 +358,25 @@
   job_follower = TopicFollower::Make(
       io, store, StoreStream(StoreTopic::kJobs, options.cell), kJobFollowTiming,
       on_jobs, std::exchange(restored_jobs, std::nullopt));
-  const auto may_send = [weak] {
+  const auto has_authority = [weak] {
     const auto self = weak.lock();
     return self && self->HasAuthority();
   };
-  messages =
-      MessageSender::Make(io, store, may_send, [weak](const CellMessage& sent) {
+  messages = MessageSender::Make(
+      io, store, has_authority, [weak](const CellMessage& sent) {
         const auto self = weak.lock();
         if (self && !self->stopped && sent.ended_job)
           self->scheduler->OnEndMessageStored(*sent.ended_job);
       });
+  JobRecordDeleter::Hooks deleter_hooks;
+  deleter_hooks.may_delete = has_authority;
+  deleter_hooks.take_keys = [this](const JobId& id) { return TakeKeys(id); };
+  deleter_hooks.on_deleted = [this](const std::vector<JobId>& ids) {
+    scheduler->OnSubmissionsDeleted(ids, MonotonicNow());
+    wake.Notify();
+  };
+  deleter =
+      JobRecordDeleter::Make(io, store, options.cell, std::move(deleter_hooks));
   worker_follower =
       TopicFollower::Make(io, store, StoreTopic::kWorkers, kWorkerFollowTiming,
                           [weak](const TopicFollower::Records& newest,
@@ -385,27 +387,12 @@
                           });
 }
 
-void Cell::Impl::DeleteLater(const std::vector<JobId>& ended) {
-  ended_jobs.insert(ended_jobs.end(), ended.begin(), ended.end());
-  if ((!ended_jobs.empty() || !needless_keys.empty()) &&
-      !std::exchange(deleting, true))
-    Spawn(io, "deletions", DeleteEndedJobs());
-}
-
-AppendRequest Cell::Impl::MakeDeletion(const std::vector<JobId>& ended) {
-  AppendRequest request;
-  request.stream = StoreStream(StoreTopic::kJobs, options.cell);
-  request.timeout = kDeleteTimeout;
-  for (const std::string& key : std::exchange(needless_keys, {}))
-    request.records.push_back({key, ""});
-  for (const JobId& id : ended) {
-    std::vector<std::string> of_job = keys.TakeJob(id);
-    of_job.insert(of_job.end(),
-                  {SubmissionKey(id), CancellationKey(id), EndKey(id)});
-    for (const std::string& key : of_job)
-      request.records.push_back({key, ""});
-  }
-  return request;
+// All keys that the stream of jobs may have of the job.
+std::vector<std::string> Cell::Impl::TakeKeys(const JobId& id) {
+  std::vector<std::string> of_job = keys.TakeJob(id);
+  of_job.insert(of_job.end(),
+                {SubmissionKey(id), CancellationKey(id), EndKey(id)});
+  return of_job;
 }
 
 // Finds records that no owner needs any more, though their jobs go on or never
@@ -413,43 +400,17 @@
 void Cell::Impl::DeleteNeedlessRecords(TimePoint now) {
   for (const auto& [id, iteration] : scheduler->TakeEndedIterations()) {
     const bool is_home = CellOfJob(options.layout, id) == options.cell;
-    for (std::string& key : keys.TakeIteration(id, iteration, is_home))
-      needless_keys.push_back(std::move(key));
+    deleter->DeleteKeys(keys.TakeIteration(id, iteration, is_home));
   }
   const auto is_known = [this](const JobId& id) {
     return scheduler->StatusOf(id).has_value();
   };
   for (const JobId& id : keys.TakeUnknownJobs(now, is_known)) {
     scheduler->ForgetUnknownJob(id);
-    needless_keys.push_back(CancellationKey(id));
-    needless_keys.push_back(EndKey(id));
-    for (std::string& key : keys.TakeJob(id))
-      needless_keys.push_back(std::move(key));
-  }
-  DeleteLater({});
-}
-
-// Deletes the submissions of ended jobs while plans go on: the stream of jobs
-// takes appends of all processes and may be late when that of progress is not.
-asio::awaitable<void> Cell::Impl::DeleteEndedJobs() {
-  const auto self = shared_from_this();
-  while (!stopped && (!ended_jobs.empty() || !needless_keys.empty())) {
-    const std::vector<JobId> ended = std::exchange(ended_jobs, {});
-    const AppendRequest request = MakeDeletion(ended);
-    bool stored = false;
-    while (!stopped && !stored) {
-      StoreError error;
-      stored = co_await store.append(request, error);
-      if (!stored)
-        co_await Sleep(kRetryDelay);
-    }
-    if (stopped)
-      break;
-    scheduler->OnSubmissionsDeleted(ended, MonotonicNow());
-    wake.Notify();
-    co_await Sleep(kDeleteInterval);
+    // Its submission may be on its way.
+    deleter->DeleteKeys(keys.TakeJob(id));
+    deleter->DeleteKeys({CancellationKey(id), EndKey(id)});
   }
-  deleting = false;
 }
 
 void Cell::Impl::SendStops() {
@@ -483,7 +444,7 @@
     driver->Send(pace);
   LogDecisions(decisions, scheduler->TakeDecisions(),
                {options.cell, options.epoch}, MonotonicNow());
-  DeleteLater(plan.deleted_jobs);
+  deleter->DeleteJobs(plan.deleted_jobs);
   if (!plan.records.empty()) {
     const bool stored = co_await writer.Store(std::move(plan.records));
     if (stopped)
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -35,9 +35,6 @@
 // During a planned stop, whose grace time is 6 s.
 constexpr int kMaxReleaseAttempts = 3;
 constexpr Duration kReleaseRetryDelay = milliseconds(150);
-// Number of processes that a cell is offered to before a planned stop: an offer
-// without a response takes 1.8 s of the grace time.
-constexpr size_t kMaxOffers = 2;
 // A handover pauses a cell for some tenths of a second.
 constexpr Duration kMoveCheckInterval = milliseconds(5000);
 constexpr Duration kMinOwnershipBeforeMove = milliseconds(8000);
@@ -307,7 +304,7 @@
   co_return found->claim;
 }
 
-asio::awaitable<bool> OwnerElection::HandOver(CellId cell) {
+asio::awaitable<bool> OwnerElection::HandOver(CellId cell, size_t offers) {
   const auto impl = m_impl;
   ElectedCell* found = impl->Find(cell);
   if (!IsOwner(cell) || !found->claim)
@@ -315,7 +312,7 @@
   const TimePoint now = MonotonicNow();
   const std::vector<Endpoint> ranked =
       RankCandidates(found->candidates, now - impl->started, now);
-  for (size_t i = 0; i < std::min(ranked.size(), kMaxOffers); ++i) {
+  for (size_t i = 0; i < std::min(ranked.size(), offers); ++i) {
     const Endpoint& endpoint = ranked[i];
     const bool taken = co_await impl->OfferTo(*found, endpoint);
     if (taken)
--- a/src/scheduler_process/owner_election.h
+++ b/src/scheduler_process/owner_election.h
@@ -57,9 +57,9 @@
   void Start();
   /** To be called when a later owner has taken the cell. */
   void OnFenced(CellId cell);
-  /** Before a planned stop: offers the cell to other processes while this one
-   * still works. False if none claimed it. */
-  asio::awaitable<bool> HandOver(CellId cell);
+  /** Before a planned stop: offers the cell to that many other processes at
+   * most while this one still works. False if none claimed it. */
+  asio::awaitable<bool> HandOver(CellId cell, size_t offers);
   /** Marks the claim as released for a planned stop; returns when that is
    * stored or has failed. */
   asio::awaitable<void> Release(CellId cell);
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -32,7 +32,12 @@
 // take it: several may stop at once, and one that has just started asks for the
 // owner within 0.3 s.
 constexpr Duration kMaxWaitForTaker = milliseconds(3000);
+// Number of processes that a cell is offered to at first: an offer without a
+// response takes 1.8 s of the grace time.
+constexpr size_t kFirstOffers = 2;
 constexpr Duration kOfferInterval = milliseconds(200);
+// Left for one offer without a response, and for the release after it.
+constexpr Duration kTimeToRelease = milliseconds(2300);
 // Left for the last answers to reach their callers.
 constexpr Duration kAnswerMargin = milliseconds(300);
 constexpr Duration kStopPollInterval = milliseconds(50);
@@ -528,10 +533,10 @@
   for (const auto& [id, entry] : cells)
     owned.push_back(id);
   for (const CellId id : owned) {
-    bool handed_over = co_await election->HandOver(id);
+    bool handed_over = co_await election->HandOver(id, kFirstOffers);
     while (!handed_over && election->IsOwner(id) && MonotonicNow() < latest) {
       co_await Sleep(kOfferInterval);
-      handed_over = co_await election->HandOver(id);
+      handed_over = co_await election->HandOver(id, 1);
     }
     const auto cell = FindCell(id);
     if (cell)
@@ -550,7 +555,8 @@
   // Later ones are answered at once: no other process has them.
   service->AnswerAllBefore(last - kAnswerMargin);
   caller_server->CloseAfterResponse();
-  co_await GiveUpCells(begin + kMaxWaitForTaker);
+  co_await GiveUpCells(
+      std::min(begin + kMaxWaitForTaker, last - kTimeToRelease));
   while (MonotonicNow() < last) {
     const bool balancer_noticed = MonotonicNow() - begin >= kBalancerNoticeTime;
     if (balancer_noticed && caller_server->in_progress() == 0)
--- a/tests/platform/scheduler_process_test.cc
+++ b/tests/platform/scheduler_process_test.cc
@@ -250,6 +250,21 @@
   CHECK(system.Observations().violations.empty());
 }
 
+TEST_CASE("a process with little time to stop keeps its claim", "[platform]") {
+  // Guards against an owner that waits for another process until it is killed:
+  // the next one then waits for it, as if it had failed.
+  TestOptions options;
+  options.stop_grace = milliseconds(3000);
+  TestSystem system(3, 0, options);
+  TestProcess& process = system.AddProcess();
+  REQUIRE(system.WaitForOwner(seconds(10)));
+  process.Terminate();
+  std::this_thread::sleep_for(milliseconds(2300));
+  const auto claims = system.Call(process, "GET", "/v1/claims");
+  REQUIRE(claims);
+  CHECK(claims->body.find(R"("released":true)") != std::string::npos);
+}
+
 TEST_CASE("a new owner that is busy", "[platform]") {
   TestSystem system(3, 3);
   const auto owner = system.WaitForOwner(seconds(10));
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -159,7 +159,7 @@
   m_settings.seed_endpoints = seeds;
   m_settings.lease = options.lease;
   m_settings.workers_per_cell = options.workers_per_cell;
-  m_settings.stop_grace = std::chrono::seconds(6);
+  m_settings.stop_grace = options.stop_grace;
   m_settings.max_body_bytes = 262144;
   m_settings.seed = std::hash<std::string>{}(name);
   m_client = HttpClient::Make(io, HttpClientLimits{});
--- a/tests/platform/test_system.h
+++ b/tests/platform/test_system.h
@@ -45,6 +45,7 @@
 struct TestOptions {
   std::chrono::milliseconds lease{2000};
   size_t workers_per_cell = 100;
+  std::chrono::milliseconds stop_grace{6000};
 };
 
 enum class TaskKind { kShort, kLongRunning };
