--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -23,51 +23,48 @@
     sizes.push_back(size);
 }
 
-// Null for a label beyond the number that is told.
-LabelLoad* AddLabel(ServiceLoad& load,
-                    const std::string& label,
-                    const WorkerState& worker) {
+void AddLabel(ServiceLoad& load,
+              const std::string& label,
+              const WorkerState& worker) {
   if (std::find(load.labels.begin(), load.labels.end(), label) ==
       load.labels.end())
     load.labels.push_back(label);
-  if (load.by_label.size() >= kMaxLabels && !load.by_label.contains(label))
-    return nullptr;
-  LabelLoad& entry = load.by_label[label];
-  AddWorkerSize(entry.worker_sizes, worker.info.capacity);
-  return &entry;
+  if (load.by_label.size() < kMaxLabels || load.by_label.contains(label))
+    AddWorkerSize(load.by_label[label].worker_sizes, worker.info.capacity);
 }
 
-void AddWorker(ServiceLoad& load, const WorkerState& worker) {
+// What the worker can run at all. One that has refused a start just now has no
+// capacity that is known to be free, but its work need not go elsewhere.
+void AddUsableWorker(ServiceLoad& load, const WorkerState& worker) {
   ++load.workers;
-  load.capacity += worker.info.capacity.cpu;
-  load.reserved += worker.reserved.cpu;
-  load.long_running += worker.long_running_cpu;
-  load.idle += MilliCores(
-      std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
-  const Resources free = FreeCapacity(worker);
-  if (free.cpu.count() > 0)
-    load.free_pieces.push_back(free);
   AddWorkerSize(load.worker_sizes, worker.info.capacity);
   for (const std::string& label : worker.info.labels) {
-    LabelLoad* entry = label != worker.info.rack.value()
-                           ? AddLabel(load, label, worker)
-                           : nullptr;
-    if (entry != nullptr && free.cpu.count() > 0)
-      entry->free_pieces.push_back(free);
+    if (label != worker.info.rack.value())
+      AddLabel(load, label, worker);
   }
 }
 
-// It has refused a start just now: no capacity is known to be free there, but
-// the work need not go elsewhere for good.
-void AddFullWorker(ServiceLoad& load, const WorkerState& worker) {
-  ++load.workers;
-  AddWorkerSize(load.worker_sizes, worker.info.capacity);
+void AddFreePiece(ServiceLoad& load, const WorkerState& worker) {
+  const Resources free = FreeCapacity(worker);
+  if (free.cpu.count() <= 0)
+    return;
+  load.free_pieces.push_back(free);
   for (const std::string& label : worker.info.labels) {
-    if (label != worker.info.rack.value())
-      AddLabel(load, label, worker);
+    const auto labelled = load.by_label.find(label);
+    if (label != worker.info.rack.value() && labelled != load.by_label.end())
+      labelled->second.free_pieces.push_back(free);
   }
 }
 
+void AddCapacity(ServiceLoad& load, const WorkerState& worker) {
+  load.capacity += worker.info.capacity.cpu;
+  load.reserved += worker.reserved.cpu;
+  load.long_running += worker.long_running_cpu;
+  load.idle += MilliCores(
+      std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
+  AddFreePiece(load, worker);
+}
+
 void KeepLargest(std::vector<Resources>& pieces, size_t count) {
   std::sort(
       pieces.begin(), pieces.end(),
@@ -114,10 +111,13 @@
   std::map<ServiceId, ServiceLoad> loads;
   for (const WorkerState& worker : state.workers) {
     const WorkerEligibility eligibility = EligibilityOf(state, worker, now);
-    if (eligibility == WorkerEligibility::kEligible)
-      AddWorker(loads[worker.info.service], worker);
-    else if (eligibility == WorkerEligibility::kFull)
-      AddFullWorker(loads[worker.info.service], worker);
+    const bool is_eligible = eligibility == WorkerEligibility::kEligible;
+    if (!is_eligible && eligibility != WorkerEligibility::kFull)
+      continue;
+    ServiceLoad& load = loads[worker.info.service];
+    AddUsableWorker(load, worker);
+    if (is_eligible)
+      AddCapacity(load, worker);
   }
   for (const ReadyKey& key : state.ready_steps)
     AddWaitingStep(loads[PolicyOf(state, *key.iteration->job).service], key);
--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -102,10 +102,7 @@
   // task that came here may not be known yet to be done.
   if (AnyTask(iteration, state.restored ? IsHeldHere : HasWorker))
     return;
-  for (StepState& step : iteration.steps) {
-    for (size_t i = 0; i < step.tasks.size(); ++i)
-      step.tasks.SetDone(i);
-  }
+  SetAllDone(iteration);
   iteration.is_closed = true;
   NoteDone(job, number);
   PlanEndOfIterationParts(state, iteration);
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -40,15 +40,6 @@
                        (open + 1) * CountTasks(job.spec) <= kMaxOpenTasks);
 }
 
-void SetDone(Iteration& iteration) {
-  iteration.unfinished_steps = 0;
-  for (StepState& step : iteration.steps) {
-    step.unfinished_tasks = 0;
-    for (size_t i = 0; i < step.tasks.size(); ++i)
-      step.tasks.SetDone(i);
-  }
-}
-
 // Of a part, only the tasks that are moved here are in this cell.
 void SetElsewhere(Iteration& iteration) {
   for (StepState& step : iteration.steps)
@@ -185,7 +176,7 @@
             : LatencyCriticalImageIndex(state.interference, spec.image);
   }
   if (IsDone(job, number))
-    SetDone(*slot);
+    SetAllDone(*slot);
   else if (job.is_part)
     SetElsewhere(*slot);
   state.needs_plan = true;
@@ -336,6 +327,15 @@
     UnblockSteps(state, iteration, now);
 }
 
+void SetAllDone(Iteration& iteration) {
+  iteration.unfinished_steps = 0;
+  for (StepState& step : iteration.steps) {
+    step.unfinished_tasks = 0;
+    for (size_t i = 0; i < step.tasks.size(); ++i)
+      step.tasks.SetDone(i);
+  }
+}
+
 void SetTaskDone(const TaskRef& ref) {
   if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -39,6 +39,9 @@
  * is a replay. */
 void FinishTask(State& state, const TaskRef& ref, TimePoint now);
 
+/** Marks all tasks as done without further effects; none may have a worker. */
+void SetAllDone(Iteration& iteration);
+
 /** Marks a task as done without further effects. */
 void SetTaskDone(const TaskRef& ref);
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -86,8 +86,7 @@
   if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
   if (stored.is_number()) {
-    StepOf(ref).tasks.SetDone(ref.index);
-    --StepOf(ref).unfinished_tasks;
+    SetTaskDone(ref);
     ref.iteration->job->may_have_started = true;
     NoteStart(*ref.iteration->job);
     return;
@@ -158,14 +157,11 @@
     StepState& step = iteration.steps[i];
     if (steps[i].size() != step.tasks.size())
       return false;
-    const bool was_open = step.unfinished_tasks > 0;
     for (uint32_t index = 0; index < step.tasks.size(); ++index) {
       const TaskRef ref{&iteration, i, index};
       if (!IsAsStored(ReadTask(ref), steps[i][index]))
         ApplyTaskProgress(state, ref, steps[i][index]);
     }
-    if (was_open && step.unfinished_tasks == 0)
-      --iteration.unfinished_steps;
   }
   const auto silent_ends = stored.find("q");
   if (silent_ends != stored.end())
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -157,8 +157,7 @@
     return std::nullopt;
   const auto iteration = job->second->iterations.find(name.iteration);
   if (iteration == job->second->iterations.end() ||
-      name.step >= iteration->second->steps.size() ||
-      name.index >= iteration->second->steps[name.step].tasks.size())
+      !HasTask(*iteration->second, name.step, name.index))
     return std::nullopt;
   return TaskRef{iteration->second.get(), name.step, name.index};
 }
--- a/src/sched/silent_ends.cc
+++ b/src/sched/silent_ends.cc
@@ -265,8 +265,7 @@
 void ApplySilentEnds(State& state, Iteration& iteration, const json& stored) {
   for (const json& entry : stored) {
     const StoredEnd end = Decode(entry);
-    if (end.step >= iteration.steps.size() ||
-        end.index >= iteration.steps[end.step].tasks.size())
+    if (!HasTask(iteration, end.step, end.index))
       continue;
     const TaskRef ref{&iteration, end.step, end.index};
     if (TaskOf(ref).phase != SchedulingPhase::kDone)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -405,6 +405,12 @@
                   ref.index};
 }
 
+/** False for positions in records and messages that do not fit the job. */
+inline bool HasTask(const Iteration& iteration, uint32_t step, uint32_t index) {
+  return step < iteration.steps.size() &&
+         index < iteration.steps[step].tasks.size();
+}
+
 /** Returns nothing if the job or the task does not exist. */
 std::optional<TaskRef> FindTask(const State& state, const TaskName& name);
 
--- a/src/sched/work_to_move.cc
+++ b/src/sched/work_to_move.cc
@@ -78,9 +78,4 @@
           .crashes = task.crashes};
 }
 
-bool HasTask(const Iteration& iteration, uint32_t step, uint32_t index) {
-  return step < iteration.steps.size() &&
-         index < iteration.steps[step].tasks.size();
-}
-
 }  // namespace cowslipmast::sched
--- a/src/sched/work_to_move.h
+++ b/src/sched/work_to_move.h
@@ -20,9 +20,6 @@
 /** A task as it is told to the cell that it moves to. */
 MovedTask DescribeTask(const TaskRef& ref, Duration waited);
 
-/** False for positions in records that do not fit the job. */
-bool HasTask(const Iteration& iteration, uint32_t step, uint32_t index);
-
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_WORK_TO_MOVE_H_
--- a/tests/processes/small_inputs.py
+++ b/tests/processes/small_inputs.py
@@ -108,4 +108,4 @@
         world.breaks_rule("Fault: over the memory limit", killed, "times")
 
 
-run_case(lambda record: World(record, processes=3, minions=8), play)
+run_case(lambda record: World(record, 3, 8), play)
--- a/tests/processes/stranded_work.py
+++ b/tests/processes/stranded_work.py
@@ -42,7 +42,7 @@
 
 
 def make(record):
-    world = World(record, processes=3, minions=WORKERS)
+    world = World(record, 3, WORKERS)
     for number in SPECIAL:
         world.minions[number].kind = "g"
     return world
