sched: run_waits tells why no opportunistic start takes place

Of a best-effort task that waits, the log named the workers with idle time and headroom, none of which an opportunistic start needs. Three hypotheses on waiting jobs (its order, the memory that must stay free, a count of the job's tasks that is wrong) had the same line.

The line now has the job's tasks with a worker, the rank of its step, the reserved share of the processors, and the workers on which an opportunistic start would have processor time and would leave memory. Jobs without a run are named before others.

--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -462,6 +462,12 @@
                                const WorkerState& worker,
                                const TaskRef& ref,
                                PlacementConditions& passed) {
+  const OpportunisticConditions opportunistic =
+      CheckOpportunistic(worker, SpecOf(ref));
+  if (opportunistic.has_unused_time) {
+    ++passed.with_unused_time;
+    passed.leaving_memory += opportunistic.leaves_memory ? 1 : 0;
+  }
   const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
   if (!conditions.has_idle_time)
     return;
@@ -507,6 +513,7 @@
   const PlacementQuery query = MakeQuery(state, ref, now);
   PlacementConditions passed;
   passed.waits_for_reserve = query.must_wait;
+  passed.max_opportunistic = query.max_opportunistic;
   for (const WorkerState& worker : state.workers) {
     if (!worker.listed || worker.info.service != query.policy.service)
       continue;
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -30,6 +30,10 @@
   uint32_t with_headroom = 0;   // of best-effort tasks only
   /** Of a best-effort task, on the workers with idle time. */
   std::optional<double> best_headroom;
+  uint32_t with_unused_time = 0;  // for an opportunistic start
+  uint32_t leaving_memory = 0;    // after an opportunistic start
+  /** As `MaxOpportunisticTasks`. */
+  uint32_t max_opportunistic = 0;
   /** A step for which a worker is reserved that passes all conditions. */
   std::optional<StepName> held_back_by;
   /** The task leaves the remaining capacity to short work. */
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -4,11 +4,14 @@
 #include <cmath>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
+#include "src/sched/jobs.h"
 #include "src/sched/order.h"
 #include "src/sched/reservations.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/worker_score.h"
 #include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
@@ -41,9 +44,14 @@
       .count();
 }
 
+uint32_t RankOf(const State& state, const TaskRef& ref, TimePoint now) {
+  return MakeReadyKey(state, *ref.iteration, ref.step, now).rank;
+}
+
 // What the last plan did with the task's step, and what a best-effort task
 // finds on the trusted workers.
-std::string DescribeExamination(const WaitingTask& waiting,
+std::string DescribeExamination(const State& state,
+                                const WaitingTask& waiting,
                                 const PlacementConditions& passed,
                                 TimePoint now) {
   const StepState& step = StepOf(waiting.ref);
@@ -51,10 +59,19 @@
   if (step.examined_at)
     text += " examined_ms_ago=" +
             std::to_string(ToMilliseconds(now - *step.examined_at));
+  const Job& job = *waiting.ref.iteration->job;
+  text += " job_has=" + std::to_string(job.placed_tasks) +
+          " rank=" + std::to_string(RankOf(state, waiting.ref, now));
   if (!SpecOf(waiting.ref).best_effort)
     return text;
   text += " with_idle_time=" + std::to_string(passed.with_idle_time) +
-          " with_headroom=" + std::to_string(passed.with_headroom);
+          " with_headroom=" + std::to_string(passed.with_headroom) +
+          " reserved_percent=" +
+          std::to_string(std::lround(
+              ReservedShare(state, PolicyOf(state, job).service) * 100)) +
+          " max_opportunistic=" + std::to_string(passed.max_opportunistic) +
+          " with_unused_time=" + std::to_string(passed.with_unused_time) +
+          " leaving_memory=" + std::to_string(passed.leaving_memory);
   if (passed.best_headroom)
     text += " best_headroom_percent=" +
             std::to_string(std::lround(*passed.best_headroom * 100));
@@ -76,7 +93,7 @@
          (passed.held_back_by
               ? " reserved_for=" + ToString(*passed.held_back_by)
               : "") +
-         DescribeExamination(waiting, passed, now) +
+         DescribeExamination(state, waiting, passed, now) +
          DescribeCap(state, waiting.ref);
 }
 
@@ -130,11 +147,14 @@
     if (oldest && now - oldest->since >= kMinLoggedWait)
       waiting.push_back(*oldest);
   }
-  // Short work waits in each queue; a long-running task must not.
-  const auto is_before = [](const WaitingTask& a, const WaitingTask& b) {
-    const bool a_first = SpecOf(a.ref).long_running;
-    const bool b_first = SpecOf(b.ref).long_running;
-    return a_first != b_first ? a_first : a.since < b.since;
+  // Short work waits in each queue; a long-running task must not, nor a job of
+  // which nothing runs.
+  const auto order_of = [](const WaitingTask& task) {
+    return std::tuple(!SpecOf(task.ref).long_running,
+                      task.ref.iteration->job->placed_tasks > 0, task.since);
+  };
+  const auto is_before = [&](const WaitingTask& a, const WaitingTask& b) {
+    return order_of(a) < order_of(b);
   };
   const size_t count = std::min(waiting.size(), kMaxLoggedTasks);
   std::partial_sort(waiting.begin(),
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -72,9 +72,8 @@
   const StepSpec& spec = SpecOf(ref);
   if (CountOpportunisticTasks(worker) >= max_opportunistic)
     return std::nullopt;
-  if (UnusedMillicores(worker) <
-          Millicores(spec.need.cpu) * kMinIdleShareOfNeed ||
-      !LeavesMemory(worker, spec))
+  const OpportunisticConditions conditions = CheckOpportunistic(worker, spec);
+  if (!conditions.has_unused_time || !conditions.leaves_memory)
     return std::nullopt;
   return HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu,
                         PacePriority::kOpportunistic) -
@@ -102,20 +101,6 @@
   return colocation + CpuShare(worker, Millicores(worker.long_running_cpu));
 }
 
-// True if short and long-running tasks reserve about half of the service's
-// processors at most.
-bool IsMostlyFree(const State& state, const ServiceId& service) {
-  double capacity = 0;
-  double reserved = 0;
-  for (const WorkerState& worker : state.workers) {
-    if (worker.info.service != service || !worker.listed)
-      continue;
-    capacity += Millicores(worker.info.capacity.cpu);
-    reserved += Millicores(worker.reserved.cpu);
-  }
-  return reserved < capacity * kMaxUseOfMostlyFree;
-}
-
 }  // namespace
 
 uint32_t MaxOpportunisticTasks(const State& state,
@@ -128,7 +113,9 @@
       (job.placed_tasks > 0 && !spec.long_running) ||
       now - task.ready_since < kMaxWaitWithoutRun)
     return 0;
-  if (spec.long_running || IsMostlyFree(state, PolicyOf(state, job).service))
+  const bool is_mostly_free =
+      ReservedShare(state, PolicyOf(state, job).service) < kMaxUseOfMostlyFree;
+  if (spec.long_running || is_mostly_free)
     return kUnlimited;
   return now < state.next_opportunistic_start ? 0
                                               : kMaxOpportunisticTasksUnderLoad;
@@ -153,6 +140,25 @@
   return conditions;
 }
 
+OpportunisticConditions CheckOpportunistic(const WorkerState& worker,
+                                           const StepSpec& spec) {
+  return {.has_unused_time = UnusedMillicores(worker) >=
+                             Millicores(spec.need.cpu) * kMinIdleShareOfNeed,
+          .leaves_memory = LeavesMemory(worker, spec)};
+}
+
+double ReservedShare(const State& state, const ServiceId& service) {
+  double capacity = 0;
+  double reserved = 0;
+  for (const WorkerState& worker : state.workers) {
+    if (worker.info.service != service || !worker.listed)
+      continue;
+    capacity += Millicores(worker.info.capacity.cpu);
+    reserved += Millicores(worker.reserved.cpu);
+  }
+  return reserved / std::max(1.0, capacity);
+}
+
 std::optional<double> ScoreOf(const State& state,
                               const WorkerState& worker,
                               const TaskRef& ref,
--- a/src/sched/worker_score.h
+++ b/src/sched/worker_score.h
@@ -39,6 +39,20 @@
                                      const WorkerState& worker,
                                      const TaskRef& ref);
 
+/** What keeps a best-effort task from an opportunistic start on a worker that
+ * has capacity for it. */
+struct OpportunisticConditions {
+  bool has_unused_time = false;
+  bool leaves_memory = false;
+};
+
+OpportunisticConditions CheckOpportunistic(const WorkerState& worker,
+                                           const StepSpec& spec);
+
+/** Share of the service's processors that short and long-running tasks reserve,
+ * from 0 to 1. */
+double ReservedShare(const State& state, const ServiceId& service);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_WORKER_SCORE_H_
