tests: best-effort jobs without a run, listed as known red

late best-effort work waits for as long as new work comes: jobs that are still on time get the starts that are rationed under load, so later jobs start before one that has waited for 60 s.

--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,11 @@
 }
 
 // Twelve workers of 16 cores. Latency-critical tasks reserve 45% of the
-// processors, use less than half of that, and leave no worker free.
+// processors, or 19% more for each further job of twelve, use less than half of
+// that, and leave no worker free.
 class LoadedCell {
  public:
-  LoadedCell() {
+  explicit LoadedCell(int further_jobs = 0) {
     m_cell.AddWorkers(12, 16, 64000);
     m_cell.SetQueue("critical", MakePolicy(0, 2));
     m_cell.SetQueue("batch", MakePolicy(2, 3));
@@ -59,6 +61,9 @@
     m_cell.Submit(MakeJob("quotes", "critical", {spread}));
     m_cell.Submit(
         MakeJob("more", "critical", {MakeLatencyCriticalStep(4, "seats")}));
+    for (int i = 0; i < further_jobs; ++i)
+      m_cell.Submit(MakeJob("further" + std::to_string(i), "critical",
+                            {MakeLatencyCriticalStep(12, "quotes")}));
     m_cell.Run(seconds(2));
   }
 
@@ -67,6 +72,7 @@
   void Submit(const char* image, uint32_t tasks) {
     const std::string id = image + std::to_string(m_submitted.size());
     m_submitted.push_back(id);
+    m_submitted_at.emplace(id, m_cell.now());
     m_cell.Submit(MakeJob(id, "batch", {MakeBestEffortStep(tasks, image)}));
   }
 
@@ -88,10 +94,19 @@
     }
   }
 
+  /** Jobs that had no run from the submission of another job of their kind
+   * until the first run of that one. */
+  const std::set<std::string>& overtaken() const { return m_overtaken; }
+
   // Forgets what was observed before.
-  void StartObservation() { m_longest_without_run = Duration(0); }
+  void StartObservation() {
+    m_longest_without_run = Duration(0);
+    m_overtaken.clear();
+  }
   Duration longest_without_run() const { return m_longest_without_run; }
 
+  size_t submitted() const { return m_submitted.size(); }
+
   size_t CountUnfinished() const {
     return static_cast<size_t>(std::count_if(
         m_submitted.begin(), m_submitted.end(), [this](const std::string& id) {
@@ -102,6 +117,8 @@
  private:
   void Observe(const std::string& id) {
     TimePoint& since = m_last_run.try_emplace(id, m_cell.now()).first->second;
+    if (m_cell.CountRunning(id) > 0 && m_has_run.insert(id).second)
+      NoteFirstRun(id);
     if (m_cell.CountRunning(id) > 0 ||
         m_cell.StateOf(id) == JobState::kCompleted)
       since = m_cell.now();
@@ -109,9 +126,24 @@
         std::max(m_longest_without_run, m_cell.now() - since);
   }
 
+  // Of the jobs that were submitted before.
+  void NoteFirstRun(const std::string& id) {
+    for (const std::string& other : m_submitted) {
+      if (other == id)
+        return;
+      if (other.front() == id.front() &&
+          m_cell.StateOf(other) != JobState::kCompleted &&
+          m_last_run.at(other) < m_submitted_at.at(id))
+        m_overtaken.insert(other);
+    }
+  }
+
   SimulatedCell m_cell;
   std::vector<std::string> m_submitted;
+  std::map<std::string, TimePoint> m_submitted_at;
+  std::set<std::string> m_overtaken;
   std::map<std::string, TimePoint> m_last_run;
+  std::set<std::string> m_has_run;
   Duration m_longest_without_run{0};
 };
 
@@ -157,6 +189,42 @@
   CHECK(loaded.cell().observations().violations.empty());
 }
 
+TEST_CASE("late best-effort work waits for as long as new work comes",
+          "[.known-red]") {
+  // Heavy tasks find headroom nowhere, and one is started in 2 s.
+  LoadedCell loaded(1);
+  loaded.RunLoad(seconds(40));
+  loaded.StartObservation();
+  loaded.RunLoad(seconds(60));
+  CHECK(loaded.overtaken().empty());
+  CHECK(loaded.cell().observations().violations.empty());
+}
+
+TEST_CASE("a job has no run while others use all idle processors",
+          "[.known-red]") {
+  LoadedCell loaded;
+  // Each has work for all workers for a minute.
+  for (int i = 0; i < 4; ++i)
+    loaded.Submit("light", 900);
+  loaded.Run(seconds(10));
+  for (int i = 0; i < 12; ++i)
+    loaded.Submit(i % 2 == 0 ? "light" : "heavy", 2);
+
+  SECTION("of the same owner") {
+    loaded.Run(seconds(5));
+  }
+  SECTION("of the owner before") {
+    loaded.cell().ReplaceOwner();
+    loaded.Run(seconds(14));
+  }
+  loaded.StartObservation();
+  loaded.Run(seconds(10));
+  CHECK(loaded.longest_without_run() < kMaxTimeWithoutRun);
+  CHECK(loaded.cell().observations().longest_over_target_s <
+        kMaxTimeOverTargetS);
+  CHECK(loaded.cell().observations().violations.empty());
+}
+
 // One worker, whose latency-critical tasks slow a best-effort one down.
 SimulatedCell MakeCellWithSlowedRun() {
   SimulatedCell cell;
