sched: a task that is held back says nothing of other work

Callers saw work wait for up to 20 s with room on the workers, while another job's task waited for the proof of a crash.

Cause: a plan rules out steps that need at least as much as one that found no worker. A step whose only waiting tasks are held back, because workers may have crashed under them, counted as such a step although no worker had been looked at. So did a gang of which some members still run. A step with tasks of both kinds was noted with what its first task asks, not the one that found no worker: with a held-back task beside one on its last attempt, work was ruled out that may go to a worker with a recent failure. Of jobs without a run only the first task of a step was considered. Class of fault: work that was not tried says something of other work.

Change: placing a step tells for which task workers were looked at in vain, and what is kept is what that task asks. Without one, the step is not kept, reserves nothing and does not count against the number of unplaced steps, which bounds the looks at workers. Jobs without a run start a task that is not held back.

--- a/src/sched/jobs_without_run.cc
+++ b/src/sched/jobs_without_run.cc
@@ -1,12 +1,12 @@
 #include "src/sched/jobs_without_run.h"
 
 #include <algorithm>
-#include <iterator>
 #include <optional>
 #include <set>
-#include <tuple>
+#include <utility>
 #include <vector>
 
+#include "src/sched/crash_suspects.h"
 #include "src/sched/jobs.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/unplaced_steps.h"
@@ -21,9 +21,19 @@
 // workers. The order of all waiting work comes to the others.
 constexpr size_t kMaxUnplaced = 24;
 
-TaskRef NextTask(const ReadyKey& key) {
-  return {key.iteration, key.step,
-          key.iteration->steps[key.step].ready_tasks.back()};
+// The task of the step that has waited longest, of those that may start.
+std::optional<TaskRef> FindNextTask(const State& state, const ReadyKey& key) {
+  const std::vector<uint32_t>& ready =
+      key.iteration->steps[key.step].ready_tasks;
+  const auto found =
+      std::find_if(ready.rbegin(), ready.rend(), [&](uint32_t index) {
+        const TaskRef ref{key.iteration, key.step, index};
+        return ReadTask(ref).phase == SchedulingPhase::kReady &&
+               !IsHeldBack(state, ref);
+      });
+  if (found == ready.rend())
+    return std::nullopt;
+  return TaskRef{key.iteration, key.step, *found};
 }
 
 // The next task of the step, if its job has waited for too long.
@@ -32,34 +42,34 @@
                                        TimePoint now) {
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
   if (!spec.best_effort || spec.long_running || spec.gang ||
-      key.iteration->job->ended_at ||
-      key.iteration->steps[key.step].ready_tasks.empty())
+      key.iteration->job->ended_at)
     return std::nullopt;
-  const TaskRef ref = NextTask(key);
-  if (!HasWaitedWithoutRun(ref, now) ||
-      CheckCap(state, ref) != CapVerdict::kAllowed)
+  const auto ref = FindNextTask(state, key);
+  if (!ref || !HasWaitedWithoutRun(*ref, now) ||
+      CheckCap(state, *ref) != CapVerdict::kAllowed)
     return std::nullopt;
   return ref;
 }
 
-// Since when the job has had no run, as far as this owner knows; of jobs that
-// it has found waiting, the one that arrived first goes first.
-auto WaitOf(const ReadyKey& key) {
-  const Job& job = *key.iteration->job;
-  return std::tuple(
-      std::max(ReadTask(NextTask(key)).ready_since, job.last_start),
-      job.arrived);
-}
+struct WaitingStep {
+  ReadyKey key;
+  // Since when the job has had no run, as far as this owner knows; of jobs that
+  // it has found waiting, the one that arrived first goes first.
+  std::pair<TimePoint, TimePoint> wait;
+};
 
-std::vector<ReadyKey> FindJobsWithoutRun(const State& state, TimePoint now) {
-  std::vector<ReadyKey> waiting;
-  std::copy_if(state.ready_steps.begin(), state.ready_steps.end(),
-               std::back_inserter(waiting), [&](const ReadyKey& key) {
-                 return FindTaskToStart(state, key, now).has_value();
-               });
+std::vector<WaitingStep> FindJobsWithoutRun(const State& state, TimePoint now) {
+  std::vector<WaitingStep> waiting;
+  for (const ReadyKey& key : state.ready_steps) {
+    const Job& job = *key.iteration->job;
+    if (const auto ref = FindTaskToStart(state, key, now))
+      waiting.push_back({key,
+                         {std::max(ReadTask(*ref).ready_since, job.last_start),
+                          job.arrived}});
+  }
   std::stable_sort(waiting.begin(), waiting.end(),
-                   [](const ReadyKey& a, const ReadyKey& b) {
-                     return WaitOf(a) < WaitOf(b);
+                   [](const WaitingStep& a, const WaitingStep& b) {
+                     return a.wait < b.wait;
                    });
   return waiting;
 }
@@ -70,7 +80,7 @@
   UnplacedSteps unplaced;
   size_t unplaced_count = 0;
   std::set<ServiceId> under_load;  // that have had their start
-  for (const ReadyKey& key : FindJobsWithoutRun(state, now)) {
+  for (const auto& [key, wait] : FindJobsWithoutRun(state, now)) {
     const ServiceId& service = PolicyOf(state, *key.iteration->job).service;
     // Another step of the job may have been started.
     const auto ref = FindTaskToStart(state, key, now);
@@ -84,13 +94,13 @@
       continue;
     const int32_t worker = FindWorkerOrOpportunity(state, *ref, now);
     if (worker != kNoWorker) {
-      StepOf(*ref).ready_tasks.pop_back();
+      std::erase(StepOf(*ref).ready_tasks, ref->index);
       PlanStart(state, *ref, worker, now, plan);
       if (StepOf(*ref).ready_tasks.empty())
         state.ready_steps.erase(key);
       continue;
     }
-    unplaced.Add(state, key, now);
+    unplaced.Add(state, *ref, now);
     if (++unplaced_count >= kMaxUnplaced)
       return;
   }
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -203,9 +203,20 @@
   return heap;
 }
 
-// Places the step's waiting tasks one by one. False if one found no worker.
-bool PlaceTasks(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+struct StepPlacement {
+  bool is_complete = false;  // nothing of the step waits any more
+  /** The task that asks least of a worker of those that found none; nothing if
+   * workers were looked at for none of the tasks that wait on. */
+  std::optional<TaskRef> without_worker;
+};
+
+// Places the step's waiting tasks one by one.
+StepPlacement PlaceTasks(State& state,
+                         const ReadyKey& key,
+                         TimePoint now,
+                         Plan& plan) {
   StepState& step = key.iteration->steps[key.step];
+  StepPlacement result;
   std::optional<WorkerHeap> heap;
   std::vector<uint32_t> unplaced;
   while (!step.ready_tasks.empty()) {
@@ -231,6 +242,7 @@
       heap = MakeWorkerHeap(state, query, now);
     if (query.must_wait || heap->workers.empty()) {
       unplaced.push_back(index);
+      result.without_worker = ref;
       // Only tasks on their last attempt ask more of a worker than the others.
       if (!query.last_attempt)
         break;
@@ -244,7 +256,8 @@
   }
   step.ready_tasks.insert(step.ready_tasks.end(), unplaced.rbegin(),
                           unplaced.rend());
-  return step.ready_tasks.empty();
+  result.is_complete = step.ready_tasks.empty();
+  return result;
 }
 
 // Chooses workers for all members on one rack, or on any if `rack` is null.
@@ -292,10 +305,6 @@
                      const ReadyKey& key,
                      TimePoint now,
                      std::vector<int32_t>& chosen_workers) {
-  if (IsHeldBack(state, TaskRef{key.iteration, key.step, 0}))
-    return false;
-  if (IsHeldBackByCap(state, key))
-    return false;
   const StepSpec& spec = key.iteration->job->spec.steps[key.step];
   if (spec.same_rack) {
     for (const RackId& rack : RacksOf(state, spec.data_rack)) {
@@ -306,14 +315,20 @@
   return TryPlaceGang(state, key, nullptr, now, chosen_workers);
 }
 
-bool PlaceGang(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+StepPlacement PlaceGang(State& state,
+                        const ReadyKey& key,
+                        TimePoint now,
+                        Plan& plan) {
   StepState& step = key.iteration->steps[key.step];
+  const TaskRef first{key.iteration, key.step, 0};
   const bool all_wait = std::all_of(
       step.tasks.begin(), step.tasks.end(),
       [](const Task& task) { return task.phase == SchedulingPhase::kReady; });
+  if (!all_wait || IsHeldBack(state, first) || IsHeldBackByCap(state, key))
+    return {.is_complete = false, .without_worker = std::nullopt};
   std::vector<int32_t> chosen_workers;
-  if (!all_wait || !FindGangWorkers(state, key, now, chosen_workers))
-    return false;
+  if (!FindGangWorkers(state, key, now, chosen_workers))
+    return {.is_complete = false, .without_worker = first};
   step.ready_tasks.clear();
   // Members share the run number and the checkpoint of one of them.
   RunNumber run;
@@ -328,27 +343,25 @@
     PlanStart(state, TaskRef{key.iteration, key.step, index},
               chosen_workers[index], now, plan);
   }
-  return true;
+  return {.is_complete = true, .without_worker = std::nullopt};
 }
 
-// True if nothing of the step waits any more.
-bool PlaceStep(State& state, const ReadyKey& key, TimePoint now, Plan& plan) {
+StepPlacement PlaceStep(State& state,
+                        const ReadyKey& key,
+                        TimePoint now,
+                        Plan& plan) {
   if (key.iteration->job->ended_at)
-    return true;
+    return {.is_complete = true, .without_worker = std::nullopt};
   if (key.iteration->job->spec.steps[key.step].gang)
     return PlaceGang(state, key, now, plan);
   return PlaceTasks(state, key, now, plan);
 }
 
-// True if a reservation alone keeps the step's next task off some worker. Such
-// a step says nothing of others: they may end in time, or hold the reservation.
+// True if a reservation alone keeps the task off some worker. Such a task says
+// nothing of others: they may end in time, or hold the reservation.
 bool IsHeldBackByReservation(const State& state,
-                             const ReadyKey& key,
+                             const TaskRef& ref,
                              TimePoint now) {
-  const StepState& step = key.iteration->steps[key.step];
-  if (step.ready_tasks.empty())
-    return false;
-  const TaskRef ref{key.iteration, key.step, step.ready_tasks.back()};
   const auto& reservations = state.look_ahead.reservations;
   return std::any_of(
       reservations.begin(), reservations.end(), [&](const Reservation& r) {
@@ -588,13 +601,14 @@
       ++next;
       continue;
     }
-    if (PlaceStep(state, key, now, plan)) {
+    const StepPlacement placement = PlaceStep(state, key, now, plan);
+    if (placement.is_complete) {
       next = state.ready_steps.erase(next);
       continue;
     }
-    if (!IsHeldBackByCap(state, key)) {
-      if (!IsHeldBackByReservation(state, key, now))
-        unplaced_steps.Add(state, key, now);
+    if (placement.without_worker && !IsHeldBackByCap(state, key)) {
+      if (!IsHeldBackByReservation(state, *placement.without_worker, now))
+        unplaced_steps.Add(state, *placement.without_worker, now);
       if (looks_ahead)
         to_reserve.push_back(key);
       ++unplaced.count;
--- a/src/sched/unplaced_steps.cc
+++ b/src/sched/unplaced_steps.cc
@@ -24,42 +24,39 @@
 }  // namespace
 
 UnplacedSteps::Requirements UnplacedSteps::RequirementsOf(const State& state,
-                                                          const ReadyKey& key,
+                                                          const TaskRef& ref,
+                                                          bool last_attempt,
                                                           TimePoint now) {
-  const StepState& step = key.iteration->steps[key.step];
-  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
-  const bool overdue =
-      !step.ready_tasks.empty() &&
-      IsOverdue(spec, step.tasks[step.ready_tasks.back()], now);
+  const StepSpec& spec = SpecOf(ref);
+  const bool overdue = IsOverdue(spec, ReadTask(ref), now);
   return Requirements{
-      .service = PolicyOf(state, *key.iteration->job).service,
+      .service = PolicyOf(state, *ref.iteration->job).service,
       .need = spec.need,
-      .image = spec.best_effort ? step.image : 0,
+      .image = spec.best_effort ? StepOf(ref).image : 0,
       .best_effort = spec.best_effort,
       .restricted =
           spec.gang || spec.max_per_worker != 0 || !spec.label.empty(),
       .overdue = overdue,
-      .last_attempt = AreAllOnLastAttempt(state, key),
+      .last_attempt = last_attempt,
       .leaves_reserve = spec.long_running && !spec.best_effort && !overdue,
-      .opportunistic =
-          step.ready_tasks.empty()
-              ? OpportunisticLimits{}
-              : OpportunisticLimitsInOrder(
-                    state,
-                    TaskRef{key.iteration, key.step, step.ready_tasks.back()},
-                    now)};
+      .opportunistic = OpportunisticLimitsInOrder(state, ref, now)};
 }
 
-void UnplacedSteps::Add(const State& state,
-                        const ReadyKey& key,
-                        TimePoint now) {
-  m_requirements.push_back(RequirementsOf(state, key, now));
+void UnplacedSteps::Add(const State& state, const TaskRef& ref, TimePoint now) {
+  const bool last_attempt = IsLastAttempt(PolicyOf(state, *ref.iteration->job),
+                                          SpecOf(ref), ReadTask(ref));
+  m_requirements.push_back(RequirementsOf(state, ref, last_attempt, now));
 }
 
 bool UnplacedSteps::RulesOut(const State& state,
                              const ReadyKey& key,
                              TimePoint now) const {
-  const Requirements required = RequirementsOf(state, key, now);
+  const StepState& step = key.iteration->steps[key.step];
+  if (step.ready_tasks.empty())
+    return false;
+  const TaskRef next{key.iteration, key.step, step.ready_tasks.back()};
+  const Requirements required =
+      RequirementsOf(state, next, AreAllOnLastAttempt(state, key), now);
   return std::any_of(
       m_requirements.begin(), m_requirements.end(),
       [&required](const Requirements& unplaced) {
--- a/src/sched/unplaced_steps.h
+++ b/src/sched/unplaced_steps.h
@@ -11,9 +11,12 @@
 /** Steps that could not be placed in the current plan. */
 class UnplacedSteps {
  public:
-  void Add(const State& state, const ReadyKey& key, TimePoint now);
-  /** True if the step cannot be placed either: an unplaced step of the same
-   * service and class needs no more, and may go wherever this one may. */
+  /** For the task, workers were looked at, and none found. A step for which
+   * none were looked at says nothing of others. */
+  void Add(const State& state, const TaskRef& ref, TimePoint now);
+  /** True if the step cannot be placed either: a task without a worker, of the
+   * same service and class, needs no more, and may go wherever this step may.
+   */
   bool RulesOut(const State& state, const ReadyKey& key, TimePoint now) const;
 
  private:
@@ -29,7 +32,8 @@
     OpportunisticLimits opportunistic;
   };
   static Requirements RequirementsOf(const State& state,
-                                     const ReadyKey& key,
+                                     const TaskRef& ref,
+                                     bool last_attempt,
                                      TimePoint now);
 
   std::vector<Requirements> m_requirements;
