sched: a job without a run is not ruled out by a less urgent one

Callers saw a best-effort job without a run wait as long as a less urgent one of the same image did, though a worker may run the more urgent one.

Cause: a worker that failed runs gets one probe for each priority, so that a task may go there if it is more urgent than the probe. What a plan rules out did not tell priorities apart. Class of fault: work that was tried says something of work that may go elsewhere.

Change: a step is ruled out only by one that is as urgent or more.

Test, in virtual time: 'a job without a run waits with a less urgent one' had no run after 3 s before. sched_test passes.

--- a/src/sched/unplaced_steps.cc
+++ b/src/sched/unplaced_steps.cc
@@ -28,9 +28,11 @@
                                                           bool last_attempt,
                                                           TimePoint now) {
   const StepSpec& spec = SpecOf(ref);
+  const QueuePolicy& policy = PolicyOf(state, *ref.iteration->job);
   const bool overdue = IsOverdue(spec, ReadTask(ref), now);
   return Requirements{
-      .service = PolicyOf(state, *ref.iteration->job).service,
+      .service = policy.service,
+      .priority = policy.priority,
       .need = spec.need,
       .image = spec.best_effort ? StepOf(ref).image : 0,
       .best_effort = spec.best_effort,
@@ -65,6 +67,7 @@
                (!unplaced.last_attempt || required.last_attempt) &&
                (!unplaced.leaves_reserve || required.leaves_reserve) &&
                unplaced.service == required.service &&
+               unplaced.priority <= required.priority &&
                unplaced.best_effort == required.best_effort &&
                unplaced.image == required.image &&
                unplaced.opportunistic == required.opportunistic &&
--- a/src/sched/unplaced_steps.h
+++ b/src/sched/unplaced_steps.h
@@ -22,6 +22,7 @@
  private:
   struct Requirements {
     ServiceId service;
+    uint32_t priority = 0;  // a more urgent task may go where a probe runs
     Resources need;
     ImageIndex image = 0;  // of best-effort steps
     bool best_effort = false;
