sched: jobs keep their order of arrival under the next owner

Callers saw work that was accepted first wait longest after a change of owner, if its id came late among the ids of the waiting jobs, and each further job with an early id that the next owner had read went before it.

Cause: the order of arrival was the order in which an owner had read the jobs. The next owner reads stored jobs by key, thus in the order of their ids, which are random. Class of fault: state that only the owner before had is taken from an order that means nothing.

Change: once all stored jobs are read, they are numbered by the time at which they were accepted, equal ones by id. Jobs that are read later follow.

Test, in virtual time: 'jobs wait in the order of their ids after a change of owner', three sections, ended in the order a c m q x z instead of q z c x a m before. sched_test passes: 132 cases.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -1,7 +1,9 @@
 #include "cowslipmast/sched/scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "src/sched/assignment.h"
 #include "src/sched/cell_load.h"
@@ -117,6 +119,21 @@
   worker.lease_expiry = now;
 }
 
+// Stored jobs are read in no particular order. Those that are read later, as
+// they are accepted, follow.
+void RestoreOrderOfArrival(State& state) {
+  std::vector<Job*> jobs;
+  jobs.reserve(state.jobs.size());
+  for (const auto& [id, job] : state.jobs)
+    jobs.push_back(job.get());
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    return std::tie(a->spec.accepted, a->spec.id) <
+           std::tie(b->spec.accepted, b->spec.id);
+  });
+  for (Job* job : jobs)
+    job->sequence = state.next_sequence++;
+}
+
 void RestoreJob(State& state, Job& job, TimePoint now) {
   if (IsCoordinator(job) && job.iterations_done >= IterationCount(job.spec))
     job.state = JobState::kCompleted;
@@ -206,6 +223,7 @@
   State& state = m_impl->state;
   state.restored = true;
   RestoreLeaseNotes(state, now);
+  RestoreOrderOfArrival(state);
   for (auto& [id, job] : state.jobs) {
     if (!job->ended_at)
       RestoreJob(state, *job, now);
