scheduler process: records that wait for the store take bounded memory

Cause: a submission that has timed out leaves its record in the queue of appends, as it may be stored later. Callers that leave at once and send again filled memory while the store did not answer.

Records are moved to their append, not copied. The crowd and the bounds of the test were fixed on the unchanged code.

--- a/src/scheduler_process/job_intake.cc
+++ b/src/scheduler_process/job_intake.cc
@@ -36,7 +36,7 @@
   size_t bytes = 0;
   auto end = waiting.begin();
   for (; end != waiting.end() && bytes < kMaxAppendBytes; ++end)
-    bytes += (*end)->record.key.size() + (*end)->record.value.size();
+    bytes += (*end)->bytes;
   std::vector<PendingRecordPtr> batch(waiting.begin(), end);
   waiting.erase(waiting.begin(), end);
   return batch;
@@ -61,11 +61,13 @@
                                        std::vector<KeyedRecord> records);
   StoreCondition Condition() const;
   void RefuseWaiting(Queue& queue);
+  void Settle(PendingRecord& pending, IntakeResult result);
 
   asio::io_context& io;
   StorePort store;
   SchedulerFeatures features;
   std::map<CellId, Queue> queues;
+  size_t unstored_bytes = 0;  // of records without a result
   std::optional<TimePoint> failed_at;
   std::optional<TimePoint> slow_at;
 };
@@ -116,10 +118,14 @@
   if (!queue.waiting.empty())
     LogEvent("intake_withdrawn",
              {{"records", static_cast<int64_t>(queue.waiting.size())}});
-  for (const PendingRecordPtr& pending : std::exchange(queue.waiting, {})) {
-    pending->result = IntakeResult::kRefused;
-    pending->done.Notify();
-  }
+  for (const PendingRecordPtr& pending : std::exchange(queue.waiting, {}))
+    Settle(*pending, IntakeResult::kRefused);
+}
+
+void JobIntake::Impl::Settle(PendingRecord& pending, IntakeResult result) {
+  unstored_bytes -= pending.bytes;
+  pending.result = result;
+  pending.done.Notify();
 }
 
 asio::awaitable<void> JobIntake::Impl::Flush(CellId cell) {
@@ -131,13 +137,11 @@
     records.reserve(batch.size());
     for (const PendingRecordPtr& pending : batch) {
       pending->is_sent = true;
-      records.push_back(pending->record);
+      records.push_back(std::move(pending->record));
     }
     const IntakeResult result = co_await Append(cell, std::move(records));
-    for (const PendingRecordPtr& pending : batch) {
-      pending->result = result;
-      pending->done.Notify();
-    }
+    for (const PendingRecordPtr& pending : batch)
+      Settle(*pending, result);
     if (features.admission && result != IntakeResult::kStored)
       RefuseWaiting(queue);
   }
@@ -157,6 +161,11 @@
 std::shared_ptr<PendingRecord> JobIntake::Append(CellId cell,
                                                  KeyedRecord record) {
   auto pending = std::make_shared<PendingRecord>(m_impl->io, std::move(record));
+  if (pending->bytes > kMaxUnstoredBytes - m_impl->unstored_bytes) {
+    pending->result = IntakeResult::kRefused;
+    return pending;
+  }
+  m_impl->unstored_bytes += pending->bytes;
   Impl::Queue& queue = m_impl->queues[cell];
   queue.waiting.push_back(pending);
   if (!std::exchange(queue.flushing, true))
@@ -171,7 +180,7 @@
                 [&pending](const PendingRecordPtr& waiting) {
                   return waiting.get() == &pending;
                 });
-  pending.result = IntakeResult::kRefused;
+  m_impl->Settle(pending, IntakeResult::kRefused);
   LogEvent("intake_withdrawn", {{"records", int64_t{1}}});
   return true;
 }
--- a/src/scheduler_process/job_intake.h
+++ b/src/scheduler_process/job_intake.h
@@ -23,9 +23,12 @@
 /** A record that waits for its append to the store. */
 struct PendingRecord {
   PendingRecord(asio::io_context& io, KeyedRecord stored)
-      : record(std::move(stored)), done(io) {}
+      : record(std::move(stored)),
+        bytes(record.key.size() + record.value.size()),
+        done(io) {}
 
-  KeyedRecord record;
+  KeyedRecord record;  // empty once it has been sent
+  size_t bytes;
   WakeSignal done;
   std::optional<IntakeResult> result;  // set when the append has ended
   bool is_sent = false;                // to the store, as part of an append
@@ -36,6 +39,10 @@
     std::shared_ptr<PendingRecord> pending,
     Duration limit);
 
+/** Of records that wait for an append or its result, for all cells. A caller
+ * may leave long before its record has been stored. */
+inline constexpr size_t kMaxUnstoredBytes = 16 * 1024 * 1024;
+
 /** Appends accepted jobs and cancellations to the store, batching those that
  * arrive during an append. */
 class JobIntake {
@@ -45,7 +52,9 @@
                                          const SchedulerFeatures& features);
   ~JobIntake();
 
-  /** Adds a record to the next append to the cell's job stream. */
+  /** Adds a record to the next append to the cell's job stream. Refuses it at
+   * once if the records without a result would take more than
+   * `kMaxUnstoredBytes`. */
   std::shared_ptr<PendingRecord> Append(CellId cell, KeyedRecord record);
 
   /** Takes a record back that no append has contained yet, and sets its result
--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -9,6 +9,7 @@
   idle        connections over which nothing is sent
   answers     workers whose response has trailer fields without end
   methods     requests that each have another long method
+  submissions large jobs whose callers leave at once, while the store stalls
 A crowd does this to one process, which runs under lowered limits. It has to go
 on, stay under the bounds below, and accept an ordinary job afterwards.
 
@@ -16,6 +17,7 @@
 """
 
 import asyncio
+import json
 import os
 import resource
 import sys
@@ -36,9 +38,13 @@
 MAX_BODY = 262144
 METHOD_BYTES = 12000
 METHODS_OF_SENDER = 500
+SUBMISSIONS_OF_SENDER = 60
+LABEL_BYTES = 200000
 ORDINARY_TRIES = 40
 JOB = "00000000000000aa"
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "est-ms": 100}
+STEP_WITHOUT_WORKER = {"count": 1, "cpu": 1000, "mem-mb": 1000,
+                       "required-label": "none"}
 HEAD = ("POST /quote/%016x HTTP/1.1\r\nHost: " + world2.HOST +
         "\r\nContent-Type: application/json\r\n")
 
@@ -187,6 +193,37 @@
                "\r\n\r\n").encode()
 
 
+def submissions(sender):
+    body = json.dumps({"steps": [dict(
+        STEP_WITHOUT_WORKER, **{"required-label": "n" * LABEL_BYTES})]})
+    for i in range(SUBMISSIONS_OF_SENDER):
+        yield (HEAD % (0x100000 + sender * 1000 + i) +
+               "X-Deadline-Ms: 200\r\nContent-Length: %d\r\n\r\n%s" %
+               (len(body), body)).encode()
+
+
+class StalledStore:
+    """While it lasts, the store leaves new jobs unanswered."""
+
+    def __init__(self, world):
+        self.server = world.store.server
+        self.handler = self.server.handler
+        self.over = asyncio.Event()
+
+    async def handle(self, method, path, query, headers, body):
+        if path == "/log-append" and query["topic"].startswith("keyed.jobs"):
+            await self.over.wait()
+            return 503, {}
+        return await self.handler(method, path, query, headers, body)
+
+    async def __aenter__(self):
+        self.server.handler = self.handle
+
+    async def __aexit__(self, *_):
+        self.server.handler = self.handler
+        self.over.set()
+
+
 async def ordinary_request(world):
     return await world.submit("quote", JOB, [STEP], [0.1], tries=ORDINARY_TRIES)
 
@@ -199,6 +236,11 @@
         held = await asyncio.gather(*[
             send_in_turn(process.frontend, requests_with_methods(i))
             for i in range(SENDERS)])
+    elif case == "submissions":
+        async with StalledStore(world):
+            held = await asyncio.gather(*[
+                send_in_turn(process.frontend, submissions(i))
+                for i in range(SENDERS)])
     else:
         held = await asyncio.gather(*[
             send_and_hold(process.frontend, parts) for parts in crowd_of(case)])
--- a/tests/scheduler_process/job_intake_test.cc
+++ b/tests/scheduler_process/job_intake_test.cc
@@ -104,6 +104,22 @@
     CHECK(store.received == std::vector<std::string>{"first", "second"});
     CHECK(second->result == IntakeResult::kUnknown);
   }
+  SECTION("records that would take too much memory together are refused") {
+    const std::string value(250 * 1024, 'v');
+    std::shared_ptr<PendingRecord> last;
+    size_t taken = 0;
+    for (; taken < 1000 && (!last || !last->result); ++taken)
+      last = intake->Append(CellId(taken % 12), {"large", value});
+    CHECK(last->result == IntakeResult::kRefused);
+    CHECK(taken * value.size() <= kMaxUnstoredBytes + value.size());
+
+    SECTION("until the store has taken them") {
+      store.answer = true;
+      io.run_for(milliseconds(200));
+      const auto later = intake->Append(CellId(0), {"later", value});
+      CHECK_FALSE(later->result);
+    }
+  }
   store.answer = true;
   io.run_for(milliseconds(50));
 }
