scheduler process: an owner that does not answer does not take all descriptors

Cause: each request of a caller that another process has to answer opens a connection of its own there. While that process had stopped, a crowd of callers took as many descriptors for these as for itself, and none was left for the store, the workers and the checks of owners.

Change: requests of callers to other owners take an eighth of the descriptors, 512 at most, and those to one owner half of that. Beyond it nothing is sent: a question is asked again until its deadline, a submission is stored by this process or refused. Checks of owners are not limited, as a crowd must not make an owner seem silent.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,7 +1,5 @@
 #include "src/net/http_server.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <exception>
 #include <map>
@@ -12,6 +10,7 @@
 
 #include "src/net/beast_message.h"
 #include "src/net/connection_choice.h"
+#include "src/net/descriptors.h"
 #include "src/net/listen.h"
 #include "src/net/message_budget.h"
 
@@ -26,14 +25,6 @@
 using Parser = http::request_parser<http::string_body>;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-// Connections that leave the process as many descriptors as they take.
-size_t HalfOfDescriptors() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-    return SIZE_MAX;
-  return std::max<size_t>(1, limit.rlim_cur / 2);
-}
-
 HttpRequest TakeRequest(Parser& parser) {
   http::request<http::string_body> message = parser.release();
   return HttpRequest{.method = std::string(message.method_string()),
@@ -78,7 +69,7 @@
       : acceptor(io),
         limits(server_limits),
         budget(MessageBudget::Make(server_limits.request_memory_bytes)) {
-    limits.connections = std::min(limits.connections, HalfOfDescriptors());
+    limits.connections = std::min(limits.connections, PartOfDescriptors(2));
   }
 
   asio::awaitable<void> AcceptLoop();
--- a/src/scheduler_process/job_service.cc
+++ b/src/scheduler_process/job_service.cc
@@ -9,6 +9,7 @@
 #include "cowslipmast/sched/cell_message.h"
 #include "cowslipmast/sched/job_codec.h"
 #include "src/core/strings.h"
+#include "src/net/descriptors.h"
 #include "src/scheduler_process/cell_path.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
@@ -48,6 +49,12 @@
 // append whose response was lost up to 6 s later.
 constexpr Duration kUnknownRetention = std::chrono::seconds(60);
 
+// Requests of callers that other processes are handling, each with a connection
+// of its own, and the part of them that one owner may have.
+constexpr size_t kMaxOwnerRequests = 512;
+constexpr size_t kDescriptorsPerOwnerRequest = 8;
+constexpr size_t kOwnersWithAllRequests = 2;
+
 struct CachedCount {
   size_t count = 0;
   TimePoint at;
@@ -143,6 +150,10 @@
                                         CellId id,
                                         KeyedRecord record,
                                         Duration timeout);
+  asio::awaitable<std::optional<HttpResponse>> CallOwner(Endpoint owner,
+                                                         HttpRequest request,
+                                                         Duration timeout,
+                                                         NetError& reason);
   asio::awaitable<std::optional<HttpResponse>>
   RequestFromOwner(CellId id, std::string path, TimePoint deadline);
   std::optional<HttpResponse> AnswerFromOwnCell(std::string_view path) const;
@@ -159,6 +170,12 @@
   std::shared_ptr<LoadExchange> loads;
   std::function<std::shared_ptr<Cell>(CellId)> cell;
   SchedulerFeatures features;
+  /** Requests to other owners without a response yet, by control address. */
+  std::map<Endpoint, size_t> owner_requests;
+  size_t all_owner_requests = 0;
+  size_t max_owner_requests =
+      std::min(kMaxOwnerRequests,
+               PartOfDescriptors(kDescriptorsPerOwnerRequest));
   // Cell whose owner is asked for waiting counts; another one after a failure.
   uint64_t next_counting_cell = 0;
   std::map<QueueId, CachedCount> waiting;
@@ -186,6 +203,34 @@
   return owner->control;
 }
 
+// Fails at once, and sends nothing, beyond the number of requests at a time: an
+// owner that does not answer must not take the descriptors of all other calls.
+asio::awaitable<std::optional<HttpResponse>> JobService::Impl::CallOwner(
+    Endpoint owner,
+    HttpRequest request,
+    Duration timeout,
+    NetError& reason) {
+  const auto self = shared_from_this();
+  const size_t max_of_owner =
+      std::max<size_t>(1, max_owner_requests / kOwnersWithAllRequests);
+  const auto open = owner_requests.find(owner);
+  if (all_owner_requests >= max_owner_requests ||
+      (open != owner_requests.end() && open->second >= max_of_owner)) {
+    reason = {NetErrorKind::kConnectFailed, false, "too many requests at once"};
+    co_return std::nullopt;
+  }
+  ++owner_requests[owner];
+  ++all_owner_requests;
+  const auto end_request = absl::MakeCleanup([this, owner] {
+    --all_owner_requests;
+    if (--owner_requests[owner] == 0)
+      owner_requests.erase(owner);
+  });
+  auto response =
+      co_await client.Call(owner, std::move(request), timeout, reason);
+  co_return response;
+}
+
 asio::awaitable<IntakeResult> JobService::Impl::Forward(Endpoint owner,
                                                         CellId id,
                                                         KeyedRecord record,
@@ -196,7 +241,7 @@
         {std::string(kTimeLeftHeader), std::to_string(ToMillis(timeout))});
   NetError error;
   const auto response =
-      co_await client.Call(owner, std::move(request), timeout, error);
+      co_await CallOwner(owner, std::move(request), timeout, error);
   if (!response) {
     co_return error.request_sent ? IntakeResult::kUnknown
                                  : IntakeResult::kRefused;
@@ -284,9 +329,9 @@
       NetError error;
       const Endpoint endpoint = owner->control;
       const Duration remaining = Limit(deadline) - MonotonicNow();
-      response = co_await client.Call(endpoint, std::move(request),
-                                      std::min(remaining, kOwnerRequestTimeout),
-                                      error);
+      response =
+          co_await CallOwner(endpoint, std::move(request),
+                             std::min(remaining, kOwnerRequestTimeout), error);
     }
     if (response && response->status != 503)
       co_return response;
--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -12,6 +12,7 @@
   short_trailers
               many tiny trailer fields that do end, while the store stalls
   submissions large jobs whose callers leave at once, while the store stalls
+  questions   questions that only a process that has stopped can answer
 A crowd does this to one process, which runs under lowered limits. It has to go
 on, stay under the bounds below, and accept an ordinary job afterwards.
 
@@ -22,6 +23,7 @@
 import json
 import os
 import resource
+import signal
 import sys
 import tempfile
 
@@ -46,6 +48,7 @@
 SHORT_TRAILERS = 4900
 SUBMISSIONS_OF_SENDER = 60
 LABEL_BYTES = 200000
+QUESTION_DEADLINE_MS = 4000
 ORDINARY_TRIES = 40
 JOB = "00000000000000aa"
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "est-ms": 100}
@@ -239,12 +242,38 @@
         self.over.set()
 
 
+async def ask_for_jobs_of_stopped_owner(world, process):
+    """The crowd asks one process for jobs that another one owns."""
+    owner, _ = await world.owner()
+    asked = process
+    if owner == process.name:
+        asked = next(p for p in world.processes if p is not process)
+    else:
+        process = next(p for p in world.processes if p.name == owner)
+    process.process.send_signal(signal.SIGSTOP)
+    try:
+        held = await asyncio.gather(*[
+            send_and_hold(asked.frontend, [(
+                "GET /quote/%016x HTTP/1.1\r\nHost: %s\r\n"
+                "X-Deadline-Ms: %d\r\n\r\n" %
+                (i, world2.HOST, QUESTION_DEADLINE_MS)).encode()])
+            for i in range(CROWD)])
+        most = 0
+        for _ in range(20):
+            most = max(most, asked.descriptors())
+            await asyncio.sleep(0.02)
+    finally:
+        process.process.send_signal(signal.SIGCONT)
+    return asked, held, most
+
+
 async def ordinary_request(world):
     return await world.submit("quote", JOB, [STEP], [0.1], tries=ORDINARY_TRIES)
 
 
 async def play(world, case):
     process = world.processes[0]
+    most_descriptors = 0
     if case == "answers":
         held = [await announce_hostile_workers(
             world, SENDERS, respond_without_end)]
@@ -263,10 +292,13 @@
                 send_and_hold(process.frontend, [submission_with_trailers(i)])
                 for i in range(CROWD)])
             await asyncio.sleep(2)
+    elif case == "questions":
+        process, held, most_descriptors = await ask_for_jobs_of_stopped_owner(
+            world, process)
     else:
         held = await asyncio.gather(*[
             send_and_hold(process.frontend, parts) for parts in crowd_of(case)])
-    descriptors = process.descriptors()
+    descriptors = max(most_descriptors, process.descriptors())
     answered = await ordinary_request(world)
     peak = process.peak_memory_mb()
     print("%s: %d connections, peak memory %.0f MB, %d descriptors, "
@@ -291,7 +323,8 @@
     with tempfile.TemporaryDirectory() as folder:
         world = world2.World(os.path.join(folder, "record"), processes=0,
                              minions=3)
-        world.processes.append(LimitedProcess(world, 0))
+        for i in range(2 if case == "questions" else 1):
+            world.processes.append(LimitedProcess(world, i))
         try:
             if not await world.start():
                 world.breaks_rule("the system did not start")
