owner election: the reports of candidates take bounded memory

Cause: an owner kept each report to its control address for a second, whatever the number of reporting addresses and the length of the text in place of one.

Change: a report without an IP address is left out, and an owner keeps 1,024 candidates for a cell.

--- a/src/scheduler_process/handover.cc
+++ b/src/scheduler_process/handover.cc
@@ -28,6 +28,8 @@
 // Difference of claim delays that is worth a handover: that of a VM with 0.5
 // core and one with 0.1 core.
 constexpr Duration kMinHandoverGain = milliseconds(250);
+// Of one cell; anyone who reaches the control address can report.
+constexpr size_t kMaxCandidates = 1024;
 
 Duration CandidateRank(const Candidate& candidate, Duration own_uptime) {
   return candidate.claim_delay +
@@ -50,12 +52,15 @@
   if (j.is_discarded())
     return std::nullopt;
   try {
-    return Candidate{
+    const Candidate candidate{
         .control = {j.at("address").get<std::string>(),
                     j.at("port").get<uint16_t>()},
         .may_claim = j.at("may_claim").get<bool>(),
         .uptime = milliseconds(j.at("uptime_ms").get<int64_t>()),
         .claim_delay = milliseconds(j.at("claim_delay_ms").get<int64_t>())};
+    boost::system::error_code error;
+    asio::ip::make_address(candidate.control.address, error);
+    return error ? std::nullopt : std::optional(candidate);
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -67,6 +72,9 @@
   std::erase_if(candidates.last_reports, [now](const auto& entry) {
     return now - entry.second.at > kMaxReportAge;
   });
+  if (candidates.last_reports.size() >= kMaxCandidates &&
+      !candidates.last_reports.contains(candidate.control))
+    return;
   candidates.last_reports[candidate.control] = {candidate, now};
 }
 
--- a/tests/scheduler_process/owner_watch_test.cc
+++ b/tests/scheduler_process/owner_watch_test.cc
@@ -104,6 +104,38 @@
     CHECK_FALSE(
         FindBetterOwner(candidates, milliseconds(580), now + seconds(2)));
   }
+  SECTION("keeps a bounded number of candidates") {
+    // Guards against reports without end, each from another port.
+    for (uint16_t port = 10; port < 20000; ++port)
+      NoteCandidate(candidates, candidate(port, milliseconds(600)), now);
+    CHECK(candidates.last_reports.size() <= 1024);
+
+    SECTION("and still hears those that it knows") {
+      NoteCandidate(candidates, candidate(1, milliseconds(130)), now);
+      const auto better = FindBetterOwner(candidates, milliseconds(580), now);
+      REQUIRE(better);
+      CHECK(better->port == 1);
+    }
+  }
+}
+
+TEST_CASE("the report of a candidate", "[scheduler-process]") {
+  const auto encode = [](const std::string& address) {
+    return EncodeCandidate(Candidate{.control = {address, 7},
+                                     .may_claim = true,
+                                     .uptime = seconds(50),
+                                     .claim_delay = milliseconds(600)});
+  };
+  SECTION("is read if its address is one") {
+    const auto decoded = DecodeCandidate(encode("10.0.0.1"));
+    REQUIRE(decoded);
+    CHECK(decoded->control.address == "10.0.0.1");
+    CHECK(DecodeCandidate(encode("::1")));
+  }
+  SECTION("is left out otherwise, however long its address") {
+    CHECK_FALSE(DecodeCandidate(encode("nowhere")));
+    CHECK_FALSE(DecodeCandidate(encode(std::string(200000, '1'))));
+  }
 }
 
 }  // namespace
