net: answers that are not read count as memory

Cause: the budget of a server ended with the request. Callers that ask for large answers, such as /dump on the control address, and do not read them held one each for 10 s, on up to 900 connections.

Change: an answer counts while it is being sent. Beyond the budget the largest message that is not complete is given up, which may be an answer of 16 KiB or more; a smaller one is always sent. No answer on the callers' address is that large.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
+// A smaller answer is sent whatever the others take: its request has had its
+// effect.
+constexpr size_t kMinAnswerToShed = 16 * 1024;
 
 using Parser = http::request_parser<http::string_body>;
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -90,6 +93,10 @@
   asio::awaitable<void> RejectRequest(ConnectionPtr connection,
                                       beast::error_code error,
                                       bool is_shed);
+  asio::awaitable<bool> WriteAnswer(ConnectionPtr connection,
+                                    HttpResponse response,
+                                    MessageBudget::Share& share,
+                                    bool keep_alive);
   asio::awaitable<bool> Write(ConnectionPtr connection,
                               HttpResponse response,
                               bool keep_alive);
@@ -218,7 +225,7 @@
   HttpResponse response = co_await HandleRequest(std::move(*request));
   SetPhase(*connection, ConnectionPhase::kAnswering);
   const bool written =
-      co_await Write(connection, std::move(response), keep_alive);
+      co_await WriteAnswer(connection, std::move(response), *share, keep_alive);
   --in_progress;
   SetPhase(*connection, ConnectionPhase::kIdle);
   co_return written&& keep_alive && !close_after_response &&
@@ -288,6 +295,22 @@
   co_await Write(connection, std::move(response), false);
 }
 
+// Sends the answer to a request. A large one counts as memory, and may be given
+// up for that.
+asio::awaitable<bool> HttpServer::Impl::WriteAnswer(ConnectionPtr connection,
+                                                    HttpResponse response,
+                                                    MessageBudget::Share& share,
+                                                    bool keep_alive) {
+  if (response.body.size() >= kMinAnswerToShed)
+    share.SetIncomplete();
+  share.SetBytes(response.body.size());
+  bool written = false;
+  if (!share.is_given_up())
+    written = co_await Write(connection, std::move(response), keep_alive);
+  counters.shed_requests += share.is_given_up() ? 1 : 0;
+  co_return written;
+}
+
 asio::awaitable<bool> HttpServer::Impl::Write(ConnectionPtr connection,
                                               HttpResponse response,
                                               bool keep_alive) {
--- a/src/net/message_budget.cc
+++ b/src/net/message_budget.cc
@@ -61,4 +61,8 @@
   m_is_complete = true;
 }
 
+void MessageBudget::Share::SetIncomplete() {
+  m_is_complete = m_is_given_up;
+}
+
 }  // namespace cowslipmast
--- a/src/net/message_budget.h
+++ b/src/net/message_budget.h
@@ -9,8 +9,8 @@
 
 namespace cowslipmast {
 
-/** Bounds the memory of all messages that are being read or handled, such as
- * the requests of one server. */
+/** Bounds the memory of all messages that are being read, handled or sent, such
+ * as the requests of one server and its answers. */
 class MessageBudget {
  public:
   /** `bytes` is what all messages together may hold. */
@@ -29,6 +29,8 @@
     void SetBytes(size_t bytes);
     /** From now on the message is not given up. */
     void SetComplete();
+    /** From now on it may be given up, such as an answer that is being sent. */
+    void SetIncomplete();
     /** True once the message has been given up; its part counts no more. */
     bool is_given_up() const { return m_is_given_up; }
 
@@ -44,8 +46,8 @@
     bool m_is_given_up = false;
   };
 
-  /** `give_up` is to end the reading of the message; it is called once at most,
-   * and must not destroy the share. */
+  /** `give_up` is to end the reading or sending of the message; it is called
+   * once at most, and must not destroy the share. */
   static std::unique_ptr<Share> Join(
       const std::shared_ptr<MessageBudget>& budget,
       std::function<void()> give_up);
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -155,6 +155,46 @@
   }
 }
 
+TEST_CASE("clients that do not read their answers", "[net]") {
+  // Guards against large answers that together take more than the memory of the
+  // VM. Each is more than the buffers of the system hold.
+  constexpr size_t answer_bytes = 16 * 1024 * 1024;
+  constexpr size_t answers_in_memory = 3;
+  constexpr size_t crowd = 8;
+  HttpServerLimits limits;
+  limits.request_memory_bytes = answers_in_memory * answer_bytes;
+  Fixture fixture(
+      limits, [](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        HttpResponse response;
+        response.body.assign(request.path == "/large" ? answer_bytes : 2, 'a');
+        co_return response;
+      });
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
+                                         fixture.server->port());
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (size_t i = 0; i < crowd; ++i) {
+    asio::ip::tcp::socket& socket = sockets.emplace_back(fixture.io);
+    socket.open(endpoint.protocol());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect(endpoint);
+    const std::string request = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+  }
+  while (fixture.server->counters().requests < crowd)
+    fixture.io.run_one();
+  fixture.io.run_for(std::chrono::milliseconds(200));
+
+  SECTION("leave no more answers in memory than the server may hold") {
+    CHECK(fixture.server->in_progress() <= answers_in_memory);
+  }
+  SECTION("leave the server to others") {
+    const auto response =
+        fixture.Call({.path = "/", .headers = {}, .body = {}});
+    REQUIRE(response);
+    CHECK(response->body == "aa");
+  }
+}
+
 TEST_CASE("HTTP server and client on loopback", "[net]") {
   SECTION("a request gets a complete response") {
     Fixture fixture(HttpServerLimits{}, Echo);
