owner election: a cell without an owner is checked once at a time

Cause: the mark that a cell is being checked was set only when its check began, a turn of the event loop after it had been started. A cell without an owner was started a second time in the same round; the check that ended first removed the mark, and while the other waited to claim the cell each further round started two more. Each read all claims again: with large records and little processor time the read before the claim then did not end in time, and the claim was given up.

Change: the mark is set when the check is started.

--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -173,6 +173,8 @@
 void OwnerElection::Impl::StartCheck(ElectedCell& cell) {
   if (cell.being_checked || cell.chart.state() != "following")
     return;
+  // The check itself begins later, and must not be started twice by then.
+  cell.being_checked = true;
   Spawn(io, "owner_check", CheckUntilSettled(cell.id));
 }
 
