--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -8,10 +8,13 @@
   bodies      bodies that stop just before their end
   idle        connections over which nothing is sent
   answers     workers whose response has trailer fields without end
+  answer_fields
+              workers whose response has many tiny header fields and never ends
   methods     requests that each have another long method
   short_trailers
               many tiny trailer fields that do end, while the store stalls
   submissions large jobs whose callers leave at once, while the store stalls
+  jobs        accepted jobs of many tasks that no worker can run
   questions   questions that only a process that has stopped can answer
 A crowd does this to one process, which runs under lowered limits. It has to go
 on, stay under the bounds below, and accept an ordinary job afterwards.
@@ -36,17 +39,20 @@
 DESCRIPTORS = 256       # limit under which the process runs
 DESCRIPTOR_BOUND = 200
 # Enough for the whole crowd at once.
-DESCRIPTORS_OF_CASE = {"short_trailers": 1024}
-DESCRIPTOR_BOUNDS_OF_CASE = {"short_trailers": 800}
+DESCRIPTORS_OF_CASE = {"short_trailers": 1024, "answer_fields": 1024}
+DESCRIPTOR_BOUNDS_OF_CASE = {"short_trailers": 800, "answer_fields": 800}
 SENDERS = 16
 ENDLESS_BYTES = 16 << 20    # that each sender sends at most
 CROWD = 320             # connections that hold what they have sent
 IDLE_CROWD = 400
 MAX_BODY = 262144
+HOSTILE_WORKERS = 250
 METHOD_BYTES = 12000
 METHODS_OF_SENDER = 500
 SHORT_TRAILERS = 4900
 SUBMISSIONS_OF_SENDER = 60
+JOBS_OF_SENDER = 100
+TASKS_OF_JOB = 4000     # as many as a job may have
 LABEL_BYTES = 200000
 QUESTION_DEADLINE_MS = 4000
 ORDINARY_TRIES = 40
@@ -152,6 +158,18 @@
         writer.close()
 
 
+async def respond_with_fields(reader, writer):
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 3900 +
+                     b"Content-Length: 9\r\n\r\n")
+        await reader.read()
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
 async def announce_hostile_workers(world, count, respond):
     server = await asyncio.start_server(respond, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -213,6 +231,14 @@
                (len(body), body)).encode()
 
 
+def jobs_of_many_tasks(sender):
+    body = json.dumps({"steps": [dict(
+        STEP_WITHOUT_WORKER, count=TASKS_OF_JOB)]})
+    for i in range(JOBS_OF_SENDER):
+        yield (HEAD % (0x300000 + sender * 1000 + i) +
+               "Content-Length: %d\r\n\r\n%s" % (len(body), body)).encode()
+
+
 def submission_with_trailers(number):
     body = json.dumps({"steps": [STEP_WITHOUT_WORKER]})
     return (HEAD % (0x200000 + number) + "X-Deadline-Ms: 8000\r\n"
@@ -277,10 +303,18 @@
     if case == "answers":
         held = [await announce_hostile_workers(
             world, SENDERS, respond_without_end)]
+    elif case == "answer_fields":
+        held = [await announce_hostile_workers(
+            world, HOSTILE_WORKERS, respond_with_fields)]
     elif case == "methods":
         held = await asyncio.gather(*[
             send_in_turn(process.frontend, requests_with_methods(i))
             for i in range(SENDERS)])
+    elif case == "jobs":
+        held = await asyncio.gather(*[
+            send_in_turn(process.frontend, jobs_of_many_tasks(i))
+            for i in range(SENDERS)])
+        await asyncio.sleep(3)
     elif case == "submissions":
         async with StalledStore(world):
             held = await asyncio.gather(*[
