sched: jobs without a run that find no worker do not keep others from trying

A best-effort job had no run although a worker could run it, as long as 24 steps that had waited longer found no worker: each plan tried the same 24 and left the rest out. Steps for a label or with a limit per worker rule out no others, so that each of them counts. Class of fault: a bound on the work of one plan that always leaves out the same.

Change: after 24 the plan goes on where the last one left off, for 24 more, as it does in the order of all waiting work.

Test, in virtual time: 'a job without a run waits behind many that find no worker' (60 with a label that no worker has) had no run after 4 s before. sched_test passes: 136 cases.

--- a/src/sched/jobs_without_run.cc
+++ b/src/sched/jobs_without_run.cc
@@ -17,8 +17,9 @@
 
 namespace {
 
-// Steps that find no worker in one plan, each at the cost of a look at all
-// workers. The order of all waiting work comes to the others.
+// Steps that find no worker in one plan before it goes on with those that
+// earlier plans left out, and of these before the rest is left out, each at the
+// cost of a look at all workers.
 constexpr size_t kMaxUnplaced = 24;
 
 // The task of the step that has waited longest, of those that may start.
@@ -51,26 +52,18 @@
   return ref;
 }
 
-struct WaitingStep {
-  ReadyKey key;
-  // Since when the job has had no run, as far as this owner knows; of jobs that
-  // it has found waiting, the one that arrived first goes first.
-  std::pair<TimePoint, TimePoint> wait;
-};
-
-std::vector<WaitingStep> FindJobsWithoutRun(const State& state, TimePoint now) {
-  std::vector<WaitingStep> waiting;
+std::vector<StepWithoutRun> FindJobsWithoutRun(const State& state,
+                                               TimePoint now) {
+  std::vector<StepWithoutRun> waiting;
   for (const ReadyKey& key : state.ready_steps) {
     const Job& job = *key.iteration->job;
     if (const auto ref = FindTaskToStart(state, key, now))
-      waiting.push_back({key,
-                         {std::max(ReadTask(*ref).ready_since, job.last_start),
-                          job.arrived}});
+      waiting.push_back(
+          {.since = std::max(ReadTask(*ref).ready_since, job.last_start),
+           .arrived = job.arrived,
+           .key = key});
   }
-  std::stable_sort(waiting.begin(), waiting.end(),
-                   [](const WaitingStep& a, const WaitingStep& b) {
-                     return a.wait < b.wait;
-                   });
+  std::sort(waiting.begin(), waiting.end());
   return waiting;
 }
 
@@ -80,7 +73,22 @@
   UnplacedSteps unplaced;
   size_t unplaced_count = 0;
   std::set<ServiceId> under_load;  // that have had their start
-  for (const auto& [key, wait] : FindJobsWithoutRun(state, now)) {
+  const std::vector<StepWithoutRun> waiting = FindJobsWithoutRun(state, now);
+  const auto resume_at = std::exchange(state.resume_without_run_at, {});
+  bool has_resumed = false;
+  for (auto next = waiting.begin(); next != waiting.end(); ++next) {
+    if (unplaced_count >= kMaxUnplaced) {
+      if (std::exchange(has_resumed, true)) {
+        state.resume_without_run_at = *next;
+        return;
+      }
+      unplaced_count = 0;
+      if (resume_at)
+        next = std::lower_bound(next, waiting.end(), *resume_at);
+      if (next == waiting.end())
+        return;
+    }
+    const ReadyKey& key = next->key;
     const ServiceId& service = PolicyOf(state, *key.iteration->job).service;
     // Another step of the job may have been started.
     const auto ref = FindTaskToStart(state, key, now);
@@ -101,8 +109,7 @@
       continue;
     }
     unplaced.Add(state, *ref, now);
-    if (++unplaced_count >= kMaxUnplaced)
-      return;
+    ++unplaced_count;
   }
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -317,6 +317,19 @@
   }
 };
 
+/** A step of a job without a run; the smallest starts first. */
+struct StepWithoutRun {
+  /** Since when the job has had no run, as far as this owner knows. */
+  TimePoint since;
+  TimePoint arrived;
+  ReadyKey key;
+
+  bool operator<(const StepWithoutRun& other) const {
+    return std::tie(since, arrived, key) <
+           std::tie(other.since, other.arrived, other.key);
+  }
+};
+
 struct State {
   SchedulerOptions options;
   TimePoint claimed_at;
@@ -346,6 +359,8 @@
   /** For each priority and rank, the step at which the next plan goes on, if
    * the last one left steps out. Their iterations may no longer exist. */
   std::map<std::pair<uint32_t, uint32_t>, ReadyKey> resume_at;
+  /** As `resume_at`, of jobs without a run. */
+  std::optional<StepWithoutRun> resume_without_run_at;
   /** Due times of iterations that do not exist yet. */
   std::multimap<WallTime, Job*> upcoming_iterations;
   /** Iterations whose record must be written. */
--- a/tests/sched/jobs_without_run_test.cc
+++ b/tests/sched/jobs_without_run_test.cc
@@ -68,5 +68,19 @@
   CHECK(cell.observations().violations.empty());
 }
 
+TEST_CASE("a job without a run waits behind many that find no worker",
+          "[sched][lost]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom();
+  StepSpec unsuitable = MakeBestEffortStep();
+  unsuitable.label = "missing";
+  for (int i = 0; i < 60; ++i)
+    cell.Submit(MakeJob(std::to_string(i), "batch", {unsuitable}));
+  cell.Run(milliseconds(100));
+  cell.Submit(MakeJob("suitable", "batch", {MakeBestEffortStep()}));
+  cell.Run(seconds(4));
+  CHECK(cell.CountRunning("suitable") == 1);
+  CHECK(cell.observations().violations.empty());
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
