sched: a job has a run although others leave too little memory on each worker

Callers saw best-effort jobs without a run while most of the service's processors and memory were free: on each worker another one ran that had started opportunistically, and a further start would have left less than a quarter of the memory. Class of fault: a condition that others can keep from being met, as with unused processor time.

'a job has no run since another leaves it too little memory' had no run after 3 s before.

--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -439,10 +439,8 @@
                                PlacementConditions& passed) {
   const OpportunisticConditions opportunistic =
       CheckOpportunistic(worker, SpecOf(ref));
-  if (opportunistic.has_unused_time) {
-    ++passed.with_unused_time;
-    passed.leaving_memory += opportunistic.leaves_memory ? 1 : 0;
-  }
+  passed.with_unused_time += opportunistic.has_unused_time ? 1 : 0;
+  passed.leaving_memory += opportunistic.leaves_memory ? 1 : 0;
   const BestEffortConditions conditions = CheckBestEffort(state, worker, ref);
   if (!conditions.has_idle_time)
     return;
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -76,8 +76,7 @@
       " reserved_percent=" + ToPercent(reserved.processors) +
       " reserved_memory_percent=" + ToPercent(reserved.memory) +
       " max_opportunistic=" + std::to_string(passed.opportunistic.max_tasks) +
-      " needs_unused_time=" +
-      std::to_string(passed.opportunistic.needs_unused_time ? 1 : 0) +
+      " needs_room=" + std::to_string(passed.opportunistic.needs_room ? 1 : 0) +
       " with_unused_time=" + std::to_string(passed.with_unused_time) +
       " leaving_memory=" + std::to_string(passed.leaving_memory);
   if (passed.best_headroom)
--- a/src/sched/worker_score.cc
+++ b/src/sched/worker_score.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMaxWaitWithoutRun = std::chrono::seconds(2);
 // Memory that opportunistic tasks leave to tasks that need it more.
 constexpr double kMemoryLeftByOpportunistic = 0.25;
+// Larger than differences in headroom and processor time.
+constexpr double kPenaltyWithoutMemory = 100.0;
 // Larger than any other difference between trusted workers.
 constexpr double kOpportunisticPenalty = 5000.0;
 
@@ -72,15 +74,15 @@
     return std::nullopt;
   const OpportunisticConditions conditions = CheckOpportunistic(worker, spec);
   const bool has_processors =
-      limits.needs_unused_time
-          ? conditions.has_unused_time
-          : Millicores(worker.info.capacity.cpu) >=
-                Millicores(spec.need.cpu) * kMinIdleShareOfNeed;
-  if (!has_processors || !conditions.leaves_memory)
+      limits.needs_room ? conditions.has_unused_time
+                        : Millicores(worker.info.capacity.cpu) >=
+                              Millicores(spec.need.cpu) * kMinIdleShareOfNeed;
+  if (!has_processors || (limits.needs_room && !conditions.leaves_memory))
     return std::nullopt;
   return HeadroomBeside(state, worker, StepOf(ref).image, spec.need.cpu,
                         PacePriority::kOpportunistic) +
          CpuShare(worker, std::min(0.0, conditions.unused)) -
+         (conditions.leaves_memory ? 0.0 : kPenaltyWithoutMemory) -
          kOpportunisticPenalty;
 }
 
@@ -121,12 +123,12 @@
   if (!HasWaitedWithoutRun(ref, now))
     return {};
   if (SpecOf(ref).long_running)
-    return {.max_tasks = kUnlimited, .needs_unused_time = false};
+    return {.max_tasks = kUnlimited, .needs_room = false};
   const ReservedShares reserved =
       ReservedSharesOf(state, PolicyOf(state, *ref.iteration->job).service);
   if (reserved.processors < kMaxUseOfMostlyFree)
     return {.max_tasks = kUnlimited,
-            .needs_unused_time = reserved.memory >= kMaxUseOfMostlyFree};
+            .needs_room = reserved.memory >= kMaxUseOfMostlyFree};
   if (now < state.next_opportunistic_start)
     return {};
   return {.max_tasks = kMaxOpportunisticTasksUnderLoad};
--- a/src/sched/worker_score.h
+++ b/src/sched/worker_score.h
@@ -16,8 +16,9 @@
   /** Opportunistic tasks that a worker may have with this one; 0 if it may not
    * start opportunistically. */
   uint32_t max_tasks = 0;
-  /** The task waits for a worker with unused processor time. */
-  bool needs_unused_time = true;
+  /** The task waits for a worker with unused processor time on which it leaves
+   * memory to others. */
+  bool needs_room = true;
 
   bool operator==(const OpportunisticLimits&) const = default;
 };
@@ -25,7 +26,7 @@
 /** A task may start opportunistically when its job has had no run for seconds:
  * where all workers have latency-critical tasks, it may fit beside none at full
  * pace. Each task that is long-running must have a run, and each job while most
- * of the service is free, whatever other best-effort tasks use. */
+ * of the service is free, whatever best-effort tasks use on each worker. */
 OpportunisticLimits OpportunisticLimitsOf(const State& state,
                                           const TaskRef& ref,
                                           TimePoint now);
--- a/tests/sched/jobs_without_run_test.cc
+++ b/tests/sched/jobs_without_run_test.cc
@@ -82,5 +82,22 @@
   CHECK(cell.observations().violations.empty());
 }
 
+TEST_CASE("a job has no run since another leaves it too little memory",
+          "[sched][lost]") {
+  SimulatedCell cell = MakeCellWithoutHeadroom();
+  cell.run_time_s_of = [](const TaskName&) { return 300.0; };
+  StepSpec step = MakeBestEffortStep();
+  step.need.memory = Mebibytes(18000);
+  cell.Submit(MakeJob("first", "batch", {step}));
+  cell.Run(seconds(3));
+  REQUIRE(cell.CountRunning("first") == 1);
+  // With both of them less than a quarter of the memory is left.
+  step.need.memory = Mebibytes(32000);
+  cell.Submit(MakeJob("second", "batch", {step}));
+  cell.Run(seconds(3));
+  CHECK(cell.CountRunning("second") == 1);
+  CHECK(cell.observations().violations.empty());
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
