sched: a paused run goes on beside tasks that use all processors

A best-effort run that had been paused stayed so although the latency-critical tasks beside it left it time again: a pace command is sent for a change of 12 percent, and where others use all processors an opportunistic task gets 5. Its job counted as one that runs, and did not end.

Change: the pace of a paused run is commanded as soon as it is 5 percent.

'a paused run never goes on beside tasks that use all processors' failed before.

--- a/src/sched/pacing.cc
+++ b/src/sched/pacing.cc
@@ -275,7 +275,10 @@
   const uint32_t change = task.pace_percent > task.target_pace_percent
                               ? task.pace_percent - task.target_pace_percent
                               : task.target_pace_percent - task.pace_percent;
-  return change >= kMinPaceChangePercent || task.target_pace_percent == 0;
+  const bool ends_pause = task.pace_percent == 0 &&
+                          task.target_pace_percent >= kMinOpportunisticPercent;
+  return change >= kMinPaceChangePercent || task.target_pace_percent == 0 ||
+         ends_pause;
 }
 
 bool RunsBothTaskClasses(const WorkerState& worker) {
--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -272,6 +272,43 @@
   CHECK(cell.observations().starts.at(task) == 1);
 }
 
+TEST_CASE("a paused run never goes on beside tasks that use all processors",
+          "[sched]") {
+  SimulatedCell cell;
+  cell.AddWorkers(1, 16, 64000);
+  cell.SetQueue("critical", MakePolicy(0, 2));
+  cell.SetQueue("batch", MakePolicy(2, 3));
+  cell.interference_of = [](const std::string& best_effort,
+                            const std::string&) {
+    return best_effort == "heavy" ? 3.0 : 0.0;
+  };
+  double own_utilisation = 0.45;
+  cell.own_utilisation_of = [&](const TaskName&, double) {
+    return own_utilisation;
+  };
+  cell.run_time_s_of = [](const TaskName& task) {
+    return task.job.value() == "light" ? 60.0 : 5.0;
+  };
+  cell.Run(milliseconds(200));
+  cell.Submit(
+      MakeJob("seats", "critical", {MakeLatencyCriticalStep(1, "seats")}));
+  cell.Run(seconds(3));
+  cell.Submit(MakeJob("light", "batch", {MakeBestEffortStep(100, "light")}));
+  cell.Run(seconds(2));
+  cell.Submit(MakeJob("heavy", "batch", {MakeBestEffortStep(1, "heavy")}));
+  cell.Run(seconds(4));
+  const TaskName task{JobId("heavy"), 0, 0, 0};
+  REQUIRE(cell.WorkerOf(task));
+
+  own_utilisation = 0.75;
+  cell.Run(seconds(10));
+  REQUIRE(cell.worker(0).running.at(task).pace_percent == 0);
+  own_utilisation = 0.45;
+  cell.Run(seconds(20));
+  const auto run = cell.worker(0).running.find(task);
+  CHECK((run == cell.worker(0).running.end() || run->second.pace_percent > 0));
+}
+
 TEST_CASE("a run that goes on after a pause is taken for a stalled one",
           "[sched]") {
   SimulatedCell cell = MakeCellWithSlowedRun();
