sched: after a change of owner jobs that never had a run start first

Callers saw accepted jobs that never ran while the owner changed every some seconds: when a job last started is known to one owner only, so that under each owner the jobs that had arrived first went first again.

Change: of jobs that an owner has found waiting, those go first of which no start was ever confirmed, which is stored. Turns within each group still begin anew.

--- a/src/sched/jobs_without_run.cc
+++ b/src/sched/jobs_without_run.cc
@@ -60,6 +60,7 @@
     if (const auto ref = FindTaskToStart(state, key, now))
       waiting.push_back(
           {.since = std::max(ReadTask(*ref).ready_since, job.last_start),
+           .has_started = job.has_started,
            .arrived = job.arrived,
            .key = key});
   }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -321,12 +321,14 @@
 struct StepWithoutRun {
   /** Since when the job has had no run, as far as this owner knows. */
   TimePoint since;
+  /** Its turns under earlier owners are not known, but that it had one. */
+  bool has_started = false;
   TimePoint arrived;
   ReadyKey key;
 
+  auto AsTuple() const { return std::tie(since, has_started, arrived, key); }
   bool operator<(const StepWithoutRun& other) const {
-    return std::tie(since, arrived, key) <
-           std::tie(other.since, other.arrived, other.key);
+    return AsTuple() < other.AsTuple();
   }
 };
 
--- a/tests/sched/best_effort_starvation_test.cc
+++ b/tests/sched/best_effort_starvation_test.cc
@@ -105,6 +105,7 @@
   }
   Duration longest_without_run() const { return m_longest_without_run; }
 
+  size_t CountJobsWithRun() const { return m_has_run.size(); }
   size_t submitted() const { return m_submitted.size(); }
 
   size_t CountUnfinished() const {
@@ -225,6 +226,20 @@
   CHECK(loaded.cell().observations().violations.empty());
 }
 
+TEST_CASE("jobs that had a run go first again under each owner",
+          "[sched][lost]") {
+  LoadedCell loaded(1);
+  loaded.RunLoad(seconds(60));
+  const size_t had_run = loaded.CountJobsWithRun();
+  REQUIRE(had_run < loaded.submitted());
+  for (int i = 0; i < 2; ++i) {
+    loaded.cell().ReplaceOwner();
+    loaded.Run(seconds(14));
+  }
+  // Two starts at least under each owner.
+  CHECK(loaded.CountJobsWithRun() >= had_run + 4);
+}
+
 // One worker, whose latency-critical tasks slow a best-effort one down.
 SimulatedCell MakeCellWithSlowedRun() {
   SimulatedCell cell;
