sched: log what holds the capacity that a waiting task needs

Cause: run_waits named the workers with capacity for a task, and nothing about those without: neither what holds their capacity, nor what the other cells have free.

Change: for each waiting task that is not best-effort, the largest free capacity, the number of workers on which it would fit by their last listing, without short work, without best-effort work and without both, what holds the roomiest worker, and what the other cells told.

--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -11,6 +11,7 @@
 #include "src/sched/order.h"
 #include "src/sched/reservations.h"
 #include "src/sched/task_placement.h"
+#include "src/sched/waiting_capacity.h"
 #include "src/sched/worker_score.h"
 #include "src/sched/workspace_caps.h"
 
@@ -100,7 +101,10 @@
               ? " reserved_for=" + ToString(*passed.held_back_by)
               : "") +
          DescribeExamination(state, waiting, passed, now) +
-         DescribeCap(state, waiting.ref);
+         DescribeCap(state, waiting.ref) +
+         (SpecOf(waiting.ref).best_effort
+              ? ""
+              : DescribeCapacityFor(state, waiting.ref, now));
 }
 
 void AddOverdueTasks(const ReadyKey& key,
