sched: tasks that have lost their workers go before those that never ran

Cause: overdue long-running tasks went in order of their jobs' arrival in the cell, so that a task that had moved came after all others, and a service that runs competed with submissions that had waited longer for their first run.

--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -1,10 +1,16 @@
 #ifndef COWSLIPMAST_SRC_SCHED_ORDER_H_
 #define COWSLIPMAST_SRC_SCHED_ORDER_H_
 
+#include <chrono>
+
 #include "src/sched/state.h"
 
 namespace cowslipmast::sched {
 
+/** Half of the 3 s within which a long-running task must have a worker. */
+inline constexpr Duration kLongRunningOverdueAfter =
+    std::chrono::milliseconds(1500);
+
 /** Order within a priority. */
 enum class ReadyRank : uint8_t {
   kOverdue,  // long-running tasks, and late work that has a turn
@@ -38,6 +44,12 @@
  * worker with enough capacity: it must not be without a worker for 3 s. */
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now);
 
+/** True if the task had a worker before. */
+bool HasLostWorker(const Task& task);
+
+/** Of overdue long-running tasks the one with the earliest value is first. */
+TimePoint OverdueOrder(const Task& task);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_ORDER_H_
