sched: a long-running task that lost its worker displaces short work

Cause: what frees on a full cell does so in small pieces, and each piece goes to a short task at once. An overdue task was first in order, but never found a worker with its 5 to 10 cores, although on 2 to 29 workers nothing but short tasks stood in its way. Other cells were told only of pieces that are free at that moment, so a task of a cell that long-running work fills did not move either.

Change: a task that has lost its worker and found none for 1.7 s gets capacity held on the worker where least is lost: short or best-effort tasks there that do not end soon anyway are stopped, once each, and nobody else takes what frees. Cells tell what could be displaced, and a task for which its own cell holds nothing moves there. The log says what was displaced and for whom, counters say how often.

--- a/include/cowslipmast/sched/cell.h
+++ b/include/cowslipmast/sched/cell.h
@@ -51,6 +51,7 @@
 /** The workers of a service that have one label. */
 struct LabelLoad {
   std::vector<Resources> free_pieces;   // largest ones, largest first
+  std::vector<Resources> reclaimable;   // see `ServiceLoad::reclaimable`
   std::vector<Resources> worker_sizes;  // see `ServiceLoad::worker_sizes`
 
   bool operator==(const LabelLoad&) const = default;
@@ -71,6 +72,9 @@
   std::vector<std::string> labels;  // of the workers, without their racks
   /** Free capacities of single workers: the largest ones, largest first. */
   std::vector<Resources> free_pieces;
+  /** As `free_pieces`, with what tasks use there that an overdue long-running
+   * one may displace. */
+  std::vector<Resources> reclaimable;
   /** Capacities of workers, without those that another one exceeds; empty if
    * unknown. */
   std::vector<Resources> worker_sizes;
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -112,6 +112,9 @@
   uint64_t late_steps = 0;   // put behind work that can meet its objective
   uint64_t turns = 0;        // of late work that has waited for too long
   uint64_t reservations_made = 0;    // of capacity, for large waiting tasks
+  uint64_t capacity_holds_made = 0;  // for overdue long-running tasks
+  uint64_t capacity_holds_used = 0;  // whose task has started
+  uint64_t displaced_tasks = 0;      // stopped to make room for these
   uint64_t reservations_kept = 0;    // whose step has started
   uint64_t reservations_failed = 0;  // dropped while the step still waited
   uint64_t tasks_backfilled = 0;     // started on a worker reserved for another
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -28,6 +28,8 @@
   if (TaskOf(ref).crashes.total > 0)
     ++worker_state.suspects;
   worker_state.reserved += ReservedBy(spec);
+  if (!spec.long_running && !spec.gang)
+    worker_state.displaceable += ReservedBy(spec);
   AddToWorkspace(state, ref);
   if (spec.best_effort)
     worker_state.best_effort_cpu += spec.need.cpu;
@@ -46,6 +48,8 @@
   if (task.crashes.total > 0)
     --worker_state.suspects;
   worker_state.reserved -= ReservedBy(spec);
+  if (!spec.long_running && !spec.gang)
+    worker_state.displaceable -= ReservedBy(spec);
   RemoveFromWorkspace(state, ref);
   if (spec.best_effort)
     worker_state.best_effort_cpu -= spec.need.cpu;
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -44,15 +44,18 @@
   }
 }
 
-void AddFreePiece(ServiceLoad& load, const WorkerState& worker) {
-  const Resources free = FreeCapacity(worker);
-  if (free.cpu.count() <= 0)
+void AddPiece(ServiceLoad& load,
+              const WorkerState& worker,
+              const Resources& piece,
+              std::vector<Resources> ServiceLoad::*pieces,
+              std::vector<Resources> LabelLoad::*labelled_pieces) {
+  if (piece.cpu.count() <= 0)
     return;
-  load.free_pieces.push_back(free);
+  (load.*pieces).push_back(piece);
   for (const std::string& label : worker.info.labels) {
     const auto labelled = load.by_label.find(label);
     if (label != worker.info.rack.value() && labelled != load.by_label.end())
-      labelled->second.free_pieces.push_back(free);
+      (labelled->second.*labelled_pieces).push_back(piece);
   }
 }
 
@@ -62,7 +65,11 @@
   load.long_running += worker.long_running_cpu;
   load.idle += MilliCores(
       std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
-  AddFreePiece(load, worker);
+  const Resources free = FreeCapacity(worker) - worker.held;
+  AddPiece(load, worker, free, &ServiceLoad::free_pieces,
+           &LabelLoad::free_pieces);
+  AddPiece(load, worker, free + worker.displaceable, &ServiceLoad::reclaimable,
+           &LabelLoad::reclaimable);
 }
 
 void KeepLargest(std::vector<Resources>& pieces, size_t count) {
@@ -75,8 +82,11 @@
 
 void KeepLargestPieces(ServiceLoad& load) {
   KeepLargest(load.free_pieces, kMaxFreePieces);
-  for (auto& [label, entry] : load.by_label)
+  KeepLargest(load.reclaimable, kMaxFreePieces);
+  for (auto& [label, entry] : load.by_label) {
     KeepLargest(entry.free_pieces, kMaxLabelPieces);
+    KeepLargest(entry.reclaimable, kMaxLabelPieces);
+  }
 }
 
 void AddWaitingStep(ServiceLoad& load, const ReadyKey& key) {
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -184,11 +184,16 @@
   return false;
 }
 
-const std::vector<Resources>& PiecesFor(const ServiceLoad& load,
-                                        const WaitingWork& work) {
-  const auto labelled = load.by_label.find(work.label);
-  return labelled == load.by_label.end() ? load.free_pieces
-                                         : labelled->second.free_pieces;
+// Number of tasks that the pieces hold.
+size_t CountInPieces(const std::vector<Resources>& pieces,
+                     const WaitingWork& work) {
+  size_t count = 0;
+  for (Resources piece : pieces) {
+    const size_t limit = count + TaskLimitOfPiece(work);
+    for (; Fits(work.task_need, piece) && count < limit; ++count)
+      piece -= work.task_need;
+  }
+  return count;
 }
 
 // Takes the smallest suitable pieces first, which leaves large ones whole.
@@ -219,20 +224,29 @@
 }
 
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work) {
-  size_t count = 0;
-  for (Resources piece : PiecesFor(load, work)) {
-    const size_t limit = count + TaskLimitOfPiece(work);
-    for (; Fits(work.task_need, piece) && count < limit; ++count)
-      piece -= work.task_need;
-  }
-  return count;
+  const auto labelled = load.by_label.find(work.label);
+  return CountInPieces(labelled == load.by_label.end()
+                           ? load.free_pieces
+                           : labelled->second.free_pieces,
+                       work);
+}
+
+size_t CountReclaimableTasks(const ServiceLoad& load, const WaitingWork& work) {
+  const auto labelled = load.by_label.find(work.label);
+  return CountInPieces(labelled == load.by_label.end()
+                           ? load.reclaimable
+                           : labelled->second.reclaimable,
+                       work);
 }
 
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
   TakeFrom(load.free_pieces, work, tasks);
+  TakeFrom(load.reclaimable, work, tasks);
   for (auto& [label, labelled] : load.by_label) {
-    if (work.label.empty() || work.label == label)
-      TakeFrom(labelled.free_pieces, work, tasks);
+    if (!work.label.empty() && work.label != label)
+      continue;
+    TakeFrom(labelled.free_pieces, work, tasks);
+    TakeFrom(labelled.reclaimable, work, tasks);
   }
 }
 
@@ -261,17 +275,25 @@
       return std::nullopt;
   }
   std::vector<Candidate> with_spare;
+  std::vector<Candidate> with_reclaimable;
   std::vector<Candidate> with_workers;
   for (const CellLoad& other : others) {
     const ServiceLoad* entry = FindServiceLoad(other, work.service);
     if (other.cell == own.cell || entry == nullptr || !CouldRun(*entry, work))
       continue;
     with_workers.push_back({other.cell, Cores(entry->capacity)});
+    const bool is_full_of_step = IsFullOfStep(work, *entry, other.cell);
     const double spare = SpareFor(work, *entry, mean_use);
     if (spare > 0)
-      with_spare.push_back(
-          {other.cell, spare, IsFullOfStep(work, *entry, other.cell)});
+      with_spare.push_back({other.cell, spare, is_full_of_step});
+    const size_t reclaimable =
+        work.may_reclaim ? CountReclaimableTasks(*entry, work) : 0;
+    if (reclaimable > 0)
+      with_reclaimable.push_back(
+          {other.cell, static_cast<double>(reclaimable), is_full_of_step});
   }
+  if (with_spare.empty())
+    with_spare = std::move(with_reclaimable);
   PreferNotFullOfStep(with_spare);
   PreferOtherThan(work.came_from, with_spare);
   // Work without any worker here goes to any cell that has some.
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -29,6 +29,8 @@
   Resources task_need{};        // of one task
   uint32_t max_per_worker = 0;  // tasks on one worker; 0 for no limit
   size_t min_tasks = 1;  // that a cell must be able to start: all of a gang
+  /** May go where it must displace other tasks: it can't in its own cell. */
+  bool may_reclaim = false;
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
@@ -66,7 +68,10 @@
  * with its label hold. */
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work);
 
-/** Takes the capacity for that many tasks out of the free pieces. */
+/** As `CountFittingTasks`, with the capacity of tasks that may be displaced. */
+size_t CountReclaimableTasks(const ServiceLoad& load, const WaitingWork& work);
+
+/** Takes the capacity for that many tasks out of the pieces. */
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks);
 
 /** The load of a service in a cell; null if the cell has none. */
--- a/src/sched/expected_ends.cc
+++ b/src/sched/expected_ends.cc
@@ -38,7 +38,8 @@
   return std::max<Duration>(kMinOverdueWait, overdue);
 }
 
-// When a running task is expected to end; nothing for one that does not end.
+}  // namespace
+
 std::optional<TimePoint> ExpectedEnd(const State& state,
                                      const TaskRef& ref,
                                      TimePoint now) {
@@ -60,8 +61,6 @@
   return now + OverdueWait(elapsed - run_time.upper);
 }
 
-}  // namespace
-
 std::vector<CapacityChange> ExpectedChanges(const State& state,
                                             const WorkerState& worker,
                                             TimePoint now) {
--- a/src/sched/expected_ends.h
+++ b/src/sched/expected_ends.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPMAST_SRC_SCHED_EXPECTED_ENDS_H_
 #define COWSLIPMAST_SRC_SCHED_EXPECTED_ENDS_H_
 
+#include <optional>
 #include <vector>
 
 #include "src/sched/state.h"
@@ -13,6 +14,12 @@
   Resources freed;
 };
 
+/** When a task that has a worker is expected to end; nothing for one that does
+ * not end by itself. */
+std::optional<TimePoint> ExpectedEnd(const State& state,
+                                     const TaskRef& ref,
+                                     TimePoint now);
+
 /** The ends expected on the worker in the next seconds, in order. */
 std::vector<CapacityChange> ExpectedChanges(const State& state,
                                             const WorkerState& worker,
--- a/src/sched/look_ahead.h
+++ b/src/sched/look_ahead.h
@@ -35,6 +35,25 @@
   Resources surplus;
 };
 
+/** Capacity of one worker that only an overdue long-running task of one step
+ * may take. */
+struct CapacityHold {
+  StepName step;
+  int32_t worker = -1;  // index into `State::workers`
+  Resources need;
+  /** Of overdue tasks, those are kept off that come later; see order.h. */
+  uint32_t priority = 0;
+  TimePoint order;
+  TimePoint since;
+};
+
+/** Capacity that is held in the cell; a new owner starts without. */
+struct CapacityHolds {
+  std::vector<CapacityHold> holds;
+  /** Steps for which no worker is looked for before that time. */
+  std::map<StepName, TimePoint> search_at;
+};
+
 /** What placement knows of the near future; learned again by a new owner. */
 struct LookAhead {
   RunEstimates estimates;
--- a/src/sched/reservations.cc
+++ b/src/sched/reservations.cc
@@ -8,6 +8,7 @@
 #include "src/sched/expected_ends.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
+#include "src/sched/step_name.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/workers.h"
 
@@ -34,14 +35,6 @@
 // Bounds the cost of one search.
 constexpr size_t kMaxWorkersPerSearch = 256;
 
-StepName NameOfStep(const ReadyKey& key) {
-  return {key.iteration->job->spec.id, key.iteration_number, key.step};
-}
-
-StepName NameOfStep(const TaskRef& ref) {
-  return {ref.iteration->job->spec.id, ref.iteration->number, ref.step};
-}
-
 Resources Times(const Resources& need, size_t count) {
   const auto factor = static_cast<int64_t>(count);
   return Resources{.cpu = need.cpu * factor,
@@ -177,21 +170,6 @@
   }
 }
 
-std::optional<TaskRef> FindWaitingTask(const State& state,
-                                       const StepName& step) {
-  const auto job = state.jobs.find(step.job);
-  if (job == state.jobs.end() || job->second->ended_at)
-    return std::nullopt;
-  const auto iteration = job->second->iterations.find(step.iteration);
-  if (iteration == job->second->iterations.end())
-    return std::nullopt;
-  const StepState& waiting = iteration->second->steps[step.step];
-  if (waiting.ready_tasks.empty())
-    return std::nullopt;
-  return TaskRef{iteration->second.get(), step.step,
-                 waiting.ready_tasks.back()};
-}
-
 enum class Renewal { kRenewed, kWorkerLost, kTooLate };
 
 // Renews the expectation, unless it can no longer be met.
@@ -342,9 +320,4 @@
                  spec, now - *task.started);
 }
 
-std::string ToString(const StepName& step) {
-  return step.job.value() + "/" + std::to_string(step.iteration) + "/" +
-         std::to_string(step.step);
-}
-
 }  // namespace cowslipmast::sched
--- a/src/sched/reservations.h
+++ b/src/sched/reservations.h
@@ -1,8 +1,6 @@
 #ifndef COWSLIPMAST_SRC_SCHED_RESERVATIONS_H_
 #define COWSLIPMAST_SRC_SCHED_RESERVATIONS_H_
 
-#include <string>
-
 #include "src/sched/state.h"
 
 namespace cowslipmast::sched {
@@ -32,9 +30,6 @@
 /** Learns from a run that has completed on the task's worker. */
 void LearnRunTime(State& state, const TaskRef& ref, TimePoint now);
 
-/** For logs, such as "job/0/1". */
-std::string ToString(const StepName& step);
-
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_RESERVATIONS_H_
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -121,6 +121,8 @@
   /** A best-effort task that runs at the pace that the other tasks of its
    * worker leave to it, so that its job has a run at all. */
   bool is_opportunistic = false;
+  /** Stopped once to make room for a long-running task. */
+  bool was_displaced = false;
   /** Utilisation, from 0 to 1, of a latency-critical task without interference;
    * a moving average. */
   double own_utilisation = kInitialOwnUtilisation;
@@ -265,6 +267,8 @@
   TimePoint lease_expiry;
   Resources reserved;           // by tasks that count against capacity
   Resources unexpected;         // used by listed runs that no task accounts for
+  Resources displaceable;       // by tasks that may be displaced; of `reserved`
+  Resources held;               // sum of `State::capacity_holds` there
   MilliCores best_effort_cpu;   // declared by best-effort tasks
   MilliCores long_running_cpu;  // of long-running tasks, part of `reserved`
   std::vector<TaskRef> tasks;
@@ -348,6 +352,7 @@
   Policy policy;
   InterferenceModel interference;
   LookAhead look_ahead;
+  CapacityHolds capacity_holds;
   std::optional<TimePoint> interference_stored_at;
   LeaseNotes lease_notes;
   /** Needs of the tasks that have a worker in this cell. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/sched/assignment.h"
+#include "src/sched/capacity_holds.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
@@ -15,6 +16,7 @@
 #include "src/sched/overload_order.h"
 #include "src/sched/pacing.h"
 #include "src/sched/reservations.h"
+#include "src/sched/step_name.h"
 #include "src/sched/unplaced_steps.h"
 #include "src/sched/worker_score.h"
 #include "src/sched/workers.h"
@@ -47,8 +49,12 @@
                    label) != worker.info.labels.end();
 }
 
-bool HasCapacity(const WorkerState& worker, const StepSpec& spec) {
-  return Fits(ReservedBy(spec), FreeCapacity(worker));
+bool HasCapacity(const State& state,
+                 const WorkerState& worker,
+                 const TaskRef& ref,
+                 TimePoint now) {
+  return Fits(ReservedBy(SpecOf(ref)),
+              FreeCapacityFor(state, worker, ref, now));
 }
 
 // True if the long-running tasks of the service, with one more of this step,
@@ -98,7 +104,7 @@
                 const PlacementQuery& query,
                 TimePoint now) {
   return worker.info.service == query.policy.service &&
-         HasCapacity(worker, query.spec) &&
+         HasCapacity(state, worker, query.ref, now) &&
          EligibilityOf(state, worker, now) == WorkerEligibility::kEligible &&
          (query.is_overdue ||
           IsTrusted(worker, query.policy.priority, query.last_attempt, now)) &&
@@ -367,7 +373,7 @@
       reservations.begin(), reservations.end(), [&](const Reservation& r) {
         const WorkerState& worker =
             state.workers[static_cast<size_t>(r.worker)];
-        return HasCapacity(worker, SpecOf(ref)) &&
+        return HasCapacity(state, worker, ref, now) &&
                FindBlockingReservation(state, worker, ref, now) != nullptr &&
                MayRunOn(state, worker, ref, now);
       });
@@ -392,6 +398,15 @@
   }
 }
 
+// Overdue tasks that now fit where capacity was held for them.
+void PlaceOnHeldCapacity(State& state, TimePoint now, Plan& plan) {
+  for (const StepName& step : FindStepsWithFreeHold(state)) {
+    if (const auto ref = FindWaitingTask(state, step))
+      PlaceStep(state, MakeReadyKey(state, *ref->iteration, ref->step, now),
+                now, plan);
+  }
+}
+
 // Steps of one priority and rank that a plan could not place.
 struct UnplacedCount {
   size_t count = 0;
@@ -507,7 +522,7 @@
     if (!AllowsTask(worker, query))
       continue;
     ++passed.suitable;
-    if (!HasCapacity(worker, query.spec))
+    if (!HasCapacity(state, worker, ref, now))
       continue;
     ++passed.with_capacity;
     if (!IsTrusted(worker, query.policy.priority, query.last_attempt, now))
@@ -530,6 +545,7 @@
   Task& task = TaskOf(ref);
   Job& job = *ref.iteration->job;
   UpdateReservationsForStart(state, ref, worker, now);
+  EndHoldForStart(state, ref, worker);
   task.phase = SchedulingPhase::kPlanned;
   task.run = task.run.Next();
   job.may_have_started = true;
@@ -571,6 +587,8 @@
   std::vector<ReadyKey> to_reserve;
   if (looks_ahead)
     ReviewReservations(state, now);
+  ReviewHolds(state, now);
+  PlaceOnHeldCapacity(state, now, plan);
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
     const ReadyKey key = *next;
@@ -594,7 +612,8 @@
       ++next;
       continue;
     }
-    step.is_ruled_out = unplaced_steps.RulesOut(state, key, now);
+    step.is_ruled_out = CountHolds(state, NameOfStep(key)) == 0 &&
+                        unplaced_steps.RulesOut(state, key, now);
     if (step.is_ruled_out) {
       ++next;
       continue;
@@ -616,6 +635,7 @@
   ReserveForUnplaced(state, to_reserve, now);
   ForgetFinishedRanks(state, unplaced_counts);
   state.ready_steps.insert(reordered.begin(), reordered.end());
+  HoldForOverdueTasks(state, now);
   if (!reordered.empty())
     state.needs_plan = true;
   StartJobsWithoutRun(state, now, plan);
--- a/src/sched/task_transfers.cc
+++ b/src/sched/task_transfers.cc
@@ -5,10 +5,13 @@
 #include <utility>
 #include <vector>
 
+#include "src/sched/capacity_holds.h"
 #include "src/sched/cell_load.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/job_parts.h"
 #include "src/sched/jobs.h"
+#include "src/sched/order.h"
+#include "src/sched/step_name.h"
 #include "src/sched/work_to_move.h"
 #include "src/sched/workspace_caps.h"
 
@@ -25,6 +28,8 @@
 // Where no worker could ever run it. A new owner has heard of its workers by
 // then.
 constexpr Duration kMinWaitWithoutWorker = milliseconds(500);
+// By then the cell has held capacity for the task if any could be displaced.
+constexpr Duration kMinWaitToReclaim = milliseconds(1900);
 // A task that has come from another cell waits here until the loads of the
 // other cells have been read again. The longer it has waited in all, the less
 // another move helps; still it must not miss capacity for 3 s.
@@ -104,7 +109,11 @@
                 0, load.idle.count() /
                        std::max<int64_t>(1, work.task_need.cpu.count())))
           : CountFittingTasks(load, work);
-  return fitting > 0 ? std::min(ready, fitting) : ready;
+  if (fitting > 0)
+    return std::min(ready, fitting);
+  const size_t reclaimable =
+      work.may_reclaim ? CountReclaimableTasks(load, work) : 0;
+  return reclaimable > 0 ? std::min(ready, reclaimable) : ready;
 }
 
 // Takes the capacity for tasks that move out of the loads, so that the next
@@ -127,6 +136,9 @@
                                 TimePoint now) {
   WaitingWork work = DescribeWork(state, key, now);
   work.kind = OverdueKindOf(SpecOf(key));
+  work.may_reclaim = SpecOf(key).long_running && !SpecOf(key).best_effort &&
+                     !SpecOf(key).gang && HasLostWorker(OldestTask(key)) &&
+                     now - OldestTask(key).ready_since >= kMinWaitToReclaim;
   const uint32_t came_from = OldestTask(key).came_from;
   if (came_from != kThisCell)
     work.came_from = CellId(came_from);
@@ -145,7 +157,9 @@
                                        const CellLoad& own,
                                        TimePoint now) {
   const WaitingWork work = DescribeOverdueWork(state, key, now);
-  if (!HasWaitedFor(key, MinWait(key, own, work), now))
+  const size_t held = CountHolds(state, NameOfStep(key));
+  if (!HasWaitedFor(key, MinWait(key, own, work), now) ||
+      held >= key.iteration->steps[key.step].ready_tasks.size())
     return std::nullopt;
   auto target = CellOfOversizedStep(state, key);
   if (!target && IsHeldBackByCap(state, key))
@@ -154,7 +168,8 @@
     target = ChooseCell(work, own, state.cell_loads);
   if (!target)
     return std::nullopt;
-  size_t tasks = key.iteration->steps[key.step].ready_tasks.size();
+  // The others will have a worker here.
+  size_t tasks = key.iteration->steps[key.step].ready_tasks.size() - held;
   for (CellLoad& other : state.cell_loads) {
     ServiceLoad* load =
         other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
--- a/src/sched/waiting_tasks.cc
+++ b/src/sched/waiting_tasks.cc
@@ -10,6 +10,7 @@
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
 #include "src/sched/reservations.h"
+#include "src/sched/step_name.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/waiting_capacity.h"
 #include "src/sched/worker_score.h"
--- a/src/scheduler_process/cell_load_codec.cc
+++ b/src/scheduler_process/cell_load_codec.cc
@@ -36,6 +36,7 @@
   json encoded = json::object();
   for (const auto& [label, load] : labels)
     encoded[label] = {{"free_pieces", EncodePieces(load.free_pieces)},
+                      {"reclaimable", EncodePieces(load.reclaimable)},
                       {"worker_sizes", EncodePieces(load.worker_sizes)}};
   return encoded;
 }
@@ -47,6 +48,7 @@
     return labels;
   for (const auto& [label, load] : encoded->items())
     labels[label] = {.free_pieces = DecodePieces(load, "free_pieces"),
+                     .reclaimable = DecodePieces(load, "reclaimable"),
                      .worker_sizes = DecodePieces(load, "worker_sizes")};
   return labels;
 }
@@ -63,6 +65,7 @@
           {"idle", load.idle.count()},
           {"labels", load.labels},
           {"free_pieces", EncodePieces(load.free_pieces)},
+          {"reclaimable", EncodePieces(load.reclaimable)},
           {"worker_sizes", EncodePieces(load.worker_sizes)},
           {"by_label", EncodeLabels(load.by_label)}};
 }
@@ -82,6 +85,7 @@
           .idle = cpu("idle"),
           .labels = j.at("labels").get<std::vector<std::string>>(),
           .free_pieces = DecodePieces(j, "free_pieces"),
+          .reclaimable = DecodePieces(j, "reclaimable"),
           .worker_sizes = DecodePieces(j, "worker_sizes"),
           .by_label = DecodeLabels(j)};
 }
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -374,6 +374,12 @@
           [](const Cell& c) { return c.counters().late_steps; });
   counter("cowslipmast_late_turns",
           [](const Cell& c) { return c.counters().turns; });
+  counter("cowslipmast_capacity_holds_made",
+          [](const Cell& c) { return c.counters().capacity_holds_made; });
+  counter("cowslipmast_capacity_holds_used",
+          [](const Cell& c) { return c.counters().capacity_holds_used; });
+  counter("cowslipmast_displaced_tasks",
+          [](const Cell& c) { return c.counters().displaced_tasks; });
   counter("cowslipmast_reservations_made",
           [](const Cell& c) { return c.counters().reservations_made; });
   counter("cowslipmast_reservations_kept",
