sched: capacity that is held reaches the younger tasks of a step, and searches stay cheap

Cause: a hold took the place in the order of its step's oldest task, and kept off the younger ones once that had started, for up to 2 s; an overdue step lost a plan after each start of its oldest task; tasks that had been displaced once still counted as displaceable, so that services moved on and on between cells and waited for a run that does not stop; each search walked all tasks of all workers where memory is what is short; services of a less urgent queue displaced more urgent tasks.

Change: a hold never keeps off its own step, nor more urgent tasks, and only tasks that are not more urgent are displaced; a step that stays overdue is placed before its key changes; a displaced task is displaceable no more; workers without enough are left out first.

--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -28,7 +28,7 @@
   if (TaskOf(ref).crashes.total > 0)
     ++worker_state.suspects;
   worker_state.reserved += ReservedBy(spec);
-  if (!spec.long_running && !spec.gang)
+  if (!spec.long_running && !spec.gang && !ReadTask(ref).was_displaced)
     worker_state.displaceable += ReservedBy(spec);
   AddToWorkspace(state, ref);
   if (spec.best_effort)
@@ -48,7 +48,7 @@
   if (task.crashes.total > 0)
     --worker_state.suspects;
   worker_state.reserved -= ReservedBy(spec);
-  if (!spec.long_running && !spec.gang)
+  if (!spec.long_running && !spec.gang && !ReadTask(ref).was_displaced)
     worker_state.displaceable -= ReservedBy(spec);
   RemoveFromWorkspace(state, ref);
   if (spec.best_effort)
--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -62,13 +62,17 @@
 
 // Number of the step's tasks that have lost their workers for so long that
 // capacity is held for them.
-size_t CountOverdue(const Iteration& iteration, uint32_t index, TimePoint now) {
-  const StepState& step = iteration.steps[index];
+size_t CountOverdue(const State& state,
+                    Iteration& iteration,
+                    uint32_t index,
+                    TimePoint now) {
+  const StepState& step = std::as_const(iteration.steps[index]);
   const StepSpec& spec = iteration.job->spec.steps[index];
   return static_cast<size_t>(std::count_if(
       step.ready_tasks.begin(), step.ready_tasks.end(), [&](uint32_t task) {
         return IsOverdue(spec, step.tasks[task], now) &&
                HasLostWorker(step.tasks[task]) &&
+               !IsHeldBack(state, TaskRef{&iteration, index, task}) &&
                now - step.tasks[task].ready_since >= kMinWaitToDisplace;
       }));
 }
@@ -80,7 +84,8 @@
                         const std::optional<TaskRef>& waiting,
                         size_t kept,
                         TimePoint now) {
-  if (!waiting || CountOverdue(*waiting->iteration, waiting->step, now) <= kept)
+  if (!waiting ||
+      CountOverdue(state, *waiting->iteration, waiting->step, now) <= kept)
     return "task waits no more";
   const WorkerState& worker = WorkerOf(state, hold);
   if (!MayRunOn(state, worker, *waiting, now))
@@ -115,10 +120,12 @@
     const auto index = static_cast<int32_t>(i);
     if (spec.need.cpu > worker.info.capacity.cpu - worker.long_running_cpu -
                             worker.held.cpu ||
+        !Fits(spec.need,
+              FreeCapacity(worker) - worker.held + worker.displaceable) ||
         !MayRunOn(state, worker, ref, now) ||
         (spec.max_per_worker > 0 && HasHoldOn(state, NameOfStep(ref), index)))
       continue;
-    if (auto displacement = FindDisplacement(state, worker, spec.need, now))
+    if (auto displacement = FindDisplacement(state, worker, ref, now))
       candidates.push_back({.is_untrusted = !IsTrusted(worker, policy.priority,
                                                        last_attempt, now),
                             .displacement = *std::move(displacement),
@@ -164,7 +171,7 @@
       IsHeldBack(state, *waiting) || IsHeldBackByCap(state, key) ||
       state.capacity_holds.search_at.contains(step))
     return false;
-  const size_t overdue = CountOverdue(*key.iteration, key.step, now);
+  const size_t overdue = CountOverdue(state, *key.iteration, key.step, now);
   const size_t held = CountHolds(state, step);
   if (overdue <= held)
     return false;
@@ -242,12 +249,17 @@
   if (worker.held == Resources{})
     return free;
   const bool is_overdue = IsOverdue(SpecOf(ref), ReadTask(ref), now);
-  const std::pair order(PolicyOf(state, *ref.iteration->job).priority,
-                        OverdueOrder(ReadTask(ref)));
+  const uint32_t priority = PolicyOf(state, *ref.iteration->job).priority;
+  const TimePoint order = OverdueOrder(ReadTask(ref));
+  const StepName step = NameOfStep(ref);
+  const auto keeps_off = [&](const CapacityHold& hold) {
+    if (hold.priority != priority)
+      return hold.priority < priority;
+    return hold.step != step && (!is_overdue || hold.order < order);
+  };
   Resources kept;
   for (const CapacityHold& hold : state.capacity_holds.holds) {
-    if (&WorkerOf(state, hold) == &worker &&
-        (!is_overdue || std::pair(hold.priority, hold.order) < order))
+    if (&WorkerOf(state, hold) == &worker && keeps_off(hold))
       kept += hold.need;
   }
   // What is held and not free yet does not keep off a task that needs none of
--- a/src/sched/displacement.cc
+++ b/src/sched/displacement.cc
@@ -90,8 +90,11 @@
 
 std::optional<Displacement> FindDisplacement(const State& state,
                                              const WorkerState& worker,
-                                             const Resources& need,
+                                             const TaskRef& beneficiary,
                                              TimePoint now) {
+  const Resources& need = SpecOf(beneficiary).need;
+  const uint32_t priority =
+      PolicyOf(state, *beneficiary.iteration->job).priority;
   Resources free = FreeCapacity(worker) - worker.held;
   for (const TaskRef& ref : worker.tasks) {
     if (EndsSoon(state, ref, now))
@@ -100,7 +103,7 @@
   std::vector<Candidate> chosen;
   if (IsShortOf(need, free)) {
     for (const Candidate& candidate : FindCandidates(state, worker, now)) {
-      if (!Helps(candidate.need, need, free))
+      if (candidate.priority < priority || !Helps(candidate.need, need, free))
         continue;
       free += candidate.need;
       chosen.push_back(candidate);
@@ -126,6 +129,8 @@
     ++state.counters.displaced_tasks;
     LogDecision(state, "run_displaced", ref,
                 "by=" + ToString(NameOfStep(beneficiary)));
+    state.workers[static_cast<size_t>(ReadTask(ref).worker)].displaceable -=
+        ReservedBy(SpecOf(ref));
     TaskOf(ref).was_displaced = true;
     StopTask(state, ref);
   }
--- a/src/sched/displacement.h
+++ b/src/sched/displacement.h
@@ -15,13 +15,13 @@
   double lost = 0;
 };
 
-/** The tasks to stop so that the worker has `need` free beside what is held;
- * none if it soon has anyway, nothing if that is not enough. Less urgent tasks
- * go first, then those that lose least. Long-running tasks stay, members of
- * gangs, and tasks that were displaced before. */
+/** The tasks to stop so that the beneficiary fits on the worker beside what is
+ * held; none if it soon does anyway, nothing if that is not enough. Less urgent
+ * tasks go first, then those that lose least. More urgent tasks stay, as do
+ * long-running ones, members of gangs, and those that were displaced before. */
 std::optional<Displacement> FindDisplacement(const State& state,
                                              const WorkerState& worker,
-                                             const Resources& need,
+                                             const TaskRef& beneficiary,
                                              TimePoint now);
 
 /** Stops the tasks of a displacement for the benefit of the task. */
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -44,7 +44,8 @@
  * worker with enough capacity: it must not be without a worker for 3 s. */
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now);
 
-/** True if the task had a worker before. */
+/** True if the task had a worker before, as far as its run number tells: a move
+ * to another cell raises it, too. */
 bool HasLostWorker(const Task& task);
 
 /** Of overdue long-running tasks the one with the earliest value is first. */
