--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -144,7 +144,7 @@
       .worker = candidate.worker,
       .need = SpecOf(ref).need,
       .priority = PolicyOf(state, *ref.iteration->job).priority,
-      .order = OverdueOrder(ReadTask(ref)),
+      .sequence = ref.iteration->job->sequence,
       .since = now};
   WorkerState& worker = WorkerOf(state, hold);
   worker.held += hold.need;
@@ -250,12 +250,12 @@
     return free;
   const bool is_overdue = IsOverdue(SpecOf(ref), ReadTask(ref), now);
   const uint32_t priority = PolicyOf(state, *ref.iteration->job).priority;
-  const TimePoint order = OverdueOrder(ReadTask(ref));
+  const uint64_t sequence = ref.iteration->job->sequence;
   const StepName step = NameOfStep(ref);
   const auto keeps_off = [&](const CapacityHold& hold) {
     if (hold.priority != priority)
       return hold.priority < priority;
-    return hold.step != step && (!is_overdue || hold.order < order);
+    return hold.step != step && (!is_overdue || hold.sequence < sequence);
   };
   Resources kept;
   for (const CapacityHold& hold : state.capacity_holds.holds) {
--- a/src/sched/capacity_holds.h
+++ b/src/sched/capacity_holds.h
@@ -25,8 +25,7 @@
 size_t CountHolds(const State& state, const StepName& step);
 
 /** The worker's free capacity without what is held for other tasks. An overdue
- * long-running task may take what is held for those that have waited for less
- * long. */
+ * long-running task may take what is held for later jobs. */
 Resources FreeCapacityFor(const State& state,
                           const WorkerState& worker,
                           const TaskRef& ref,
--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A service that runs loses more by each task that it lacks than one that does
-// not run yet.
-constexpr Duration kHeadStartOfLostTasks = std::chrono::seconds(60);
-
 // Reverses the order of arrival.
 constexpr uint64_t kNewestFirst = std::numeric_limits<uint64_t>::max();
 
@@ -83,24 +79,14 @@
   }
 }
 
-// Overdue tasks go in order of their waits, wherever they waited: a task that
-// has moved is among the last ones by its arrival here.
-void RankLongRunning(const StepSpec& spec,
-                     const StepState& waiting,
-                     TimePoint now,
-                     ReadyKey& key) {
-  key.rank = static_cast<uint32_t>(ReadyRank::kLongRunning);
-  for (const uint32_t index : waiting.ready_tasks) {
-    const Task& task = waiting.tasks[index];
-    if (!IsOverdue(spec, task, now))
-      continue;
-    const bool is_first =
-        key.rank != static_cast<uint32_t>(ReadyRank::kOverdue);
-    key.rank = static_cast<uint32_t>(ReadyRank::kOverdue);
-    key.latest_start = is_first
-                           ? OverdueOrder(task)
-                           : std::min(key.latest_start, OverdueOrder(task));
-  }
+// Rank of a long-running step. Short work soon releases its worker.
+ReadyRank LongRunningRank(const StepSpec& spec,
+                          const StepState& waiting,
+                          TimePoint now) {
+  const bool is_overdue =
+      !waiting.ready_tasks.empty() &&
+      IsOverdue(spec, waiting.tasks[waiting.ready_tasks.back()], now);
+  return is_overdue ? ReadyRank::kOverdue : ReadyRank::kLongRunning;
 }
 
 }  // namespace
@@ -128,7 +114,8 @@
                .step = step,
                .iteration = &iteration};
   if (step_spec.long_running) {
-    RankLongRunning(step_spec, iteration.steps[step], now, key);
+    key.rank = static_cast<uint32_t>(
+        LongRunningRank(step_spec, iteration.steps[step], now));
   } else if (state.options.features.overload_order) {
     RankUnderOverload(state, now, key);
   } else if (now + CriticalPath(spec, step) > ObjectiveOf(state, iteration)) {
@@ -141,11 +128,6 @@
   return task.run > RunNumber();
 }
 
-TimePoint OverdueOrder(const Task& task) {
-  return task.ready_since +
-         (HasLostWorker(task) ? Duration(0) : kHeadStartOfLostTasks);
-}
-
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now) {
   return spec.long_running && task.phase == SchedulingPhase::kReady &&
          now - task.ready_since >= kLongRunningOverdueAfter;
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -48,9 +48,6 @@
  * to another cell raises it, too. */
 bool HasLostWorker(const Task& task);
 
-/** Of overdue long-running tasks the one with the earliest value is first. */
-TimePoint OverdueOrder(const Task& task);
-
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_ORDER_H_
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -440,12 +440,6 @@
   return before.rank != late && now.rank == late;
 }
 
-bool IsOverdueStep(const ReadyKey& before, const ReadyKey& now) {
-  const auto overdue = static_cast<uint32_t>(ReadyRank::kOverdue);
-  return before.priority == now.priority && before.rank == overdue &&
-         now.rank == overdue;
-}
-
 // A rank that was planned to its end starts again after its first steps.
 void ForgetFinishedRanks(State& state, const UnplacedCounts& unplaced) {
   std::erase_if(state.resume_at, [&unplaced](const auto& entry) {
@@ -604,10 +598,7 @@
       continue;
     }
     const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
-    const bool is_reordered = key < current || current < key;
-    // The start of one task changes the place of an overdue step, but not that
-    // it goes first.
-    if (is_reordered && !IsOverdueStep(key, current)) {
+    if (key < current || current < key) {
       state.counters.late_steps += BecameLate(key, current) ? 1 : 0;
       reordered.push_back(current);
       next = state.ready_steps.erase(next);
@@ -639,11 +630,6 @@
         to_reserve.push_back(key);
       ++unplaced.count;
     }
-    if (is_reordered) {
-      reordered.push_back(MakeReadyKey(state, *key.iteration, key.step, now));
-      next = state.ready_steps.erase(next);
-      continue;
-    }
     ++next;
   }
   ReserveForUnplaced(state, to_reserve, now);
