--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -8,7 +8,6 @@
 #include <tuple>
 #include <utility>
 
-#include "src/sched/assignment.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/displacement.h"
 #include "src/sched/health.h"
@@ -26,6 +25,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Of one step, for workers to hold capacity on.
 constexpr Duration kSearchInterval = milliseconds(300);
 // Capacity becomes free by itself all the time: a task that is overdue takes
 // that first.
--- a/src/sched/capacity_holds.h
+++ b/src/sched/capacity_holds.h
@@ -12,10 +12,9 @@
 void ReviewHolds(State& state, TimePoint now);
 
 /** Makes room for long-running tasks that have lost their workers, are overdue
- * and found no other one: each
- * displaces tasks on the worker where least is lost, and the capacity there is
- * held for it. What ends by itself frees small pieces, which others would take
- * one by one. */
+ * and found no other one: each displaces tasks on the worker where least is
+ * lost, and the capacity there is held for it. What ends by itself frees small
+ * pieces, which others would take one by one. */
 void HoldForOverdueTasks(State& state, TimePoint now);
 
 /** Steps with a hold whose capacity is free by now. */
