--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -184,9 +184,16 @@
   return false;
 }
 
-// Number of tasks that the pieces hold.
-size_t CountInPieces(const std::vector<Resources>& pieces,
-                     const WaitingWork& work) {
+// Number of the work's tasks that the pieces hold: those of the workers with
+// its label, if the cell tells them.
+size_t CountInPieces(const ServiceLoad& load,
+                     const WaitingWork& work,
+                     std::vector<Resources> ServiceLoad::*all,
+                     std::vector<Resources> LabelLoad::*labelled) {
+  const auto with_label = load.by_label.find(work.label);
+  const std::vector<Resources>& pieces = with_label == load.by_label.end()
+                                             ? load.*all
+                                             : with_label->second.*labelled;
   size_t count = 0;
   for (Resources piece : pieces) {
     const size_t limit = count + TaskLimitOfPiece(work);
@@ -224,19 +231,13 @@
 }
 
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work) {
-  const auto labelled = load.by_label.find(work.label);
-  return CountInPieces(labelled == load.by_label.end()
-                           ? load.free_pieces
-                           : labelled->second.free_pieces,
-                       work);
+  return CountInPieces(load, work, &ServiceLoad::free_pieces,
+                       &LabelLoad::free_pieces);
 }
 
 size_t CountReclaimableTasks(const ServiceLoad& load, const WaitingWork& work) {
-  const auto labelled = load.by_label.find(work.label);
-  return CountInPieces(labelled == load.by_label.end()
-                           ? load.reclaimable
-                           : labelled->second.reclaimable,
-                       work);
+  return CountInPieces(load, work, &ServiceLoad::reclaimable,
+                       &LabelLoad::reclaimable);
 }
 
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
--- a/tests/sched/displacement_test.cc
+++ b/tests/sched/displacement_test.cc
@@ -42,6 +42,20 @@
   cell.Run(seconds(3));
 }
 
+// A service on the only worker, and others that short tasks fill.
+void StartServiceAndFill(SimulatedCell& cell,
+                         const std::string& service_queue,
+                         int workers,
+                         const std::string& short_queue) {
+  SetQueues(cell);
+  cell.AddWorkers(1, 10, 64000);
+  cell.Run(milliseconds(500));
+  cell.Submit(MakeJob("service", service_queue, {MakeLongRunningStep(1, 10)}));
+  cell.Run(seconds(3));
+  REQUIRE(cell.CountRunning("service") == 1);
+  FillNewWorkers(cell, workers, 10, short_queue);
+}
+
 TEST_CASE("two tasks of a service lose their workers at different times",
           "[sched]") {
   const int offset_ms = GENERATE(0, 50, 250, 400, 550, 700);
@@ -69,13 +83,7 @@
 
 TEST_CASE("a service waits for a run that does not stop", "[sched]") {
   SimulatedCell cell;
-  SetQueues(cell);
-  cell.AddWorkers(1, 10, 64000);
-  cell.Run(milliseconds(500));
-  cell.Submit(MakeJob("service", "urgent", {MakeLongRunningStep(1, 10)}));
-  cell.Run(seconds(3));
-  REQUIRE(cell.CountRunning("service") == 1);
-  FillNewWorkers(cell, 3, 10, "batch");
+  StartServiceAndFill(cell, "urgent", 3, "batch");
   cell.RemoveWorker(0);
   cell.stop_delay = seconds(1000);
   while (cell.scheduler().counters().displaced_tasks == 0)
@@ -90,13 +98,7 @@
 TEST_CASE("a batch service that lost its worker leaves urgent tasks alone",
           "[sched]") {
   SimulatedCell cell;
-  SetQueues(cell);
-  cell.AddWorkers(1, 10, 64000);
-  cell.Run(milliseconds(500));
-  cell.Submit(MakeJob("service", "batch", {MakeLongRunningStep(1, 10)}));
-  cell.Run(seconds(3));
-  REQUIRE(cell.CountRunning("service") == 1);
-  FillNewWorkers(cell, 1, 10, "urgent");
+  StartServiceAndFill(cell, "batch", 1, "urgent");
   REQUIRE(cell.CountRunning("short") == 10);
   cell.RemoveWorker(0);
   cell.Run(seconds(12));
