sched: one test for what may be displaced, and no work for holds where there are none

Each plan built the name of each waiting step, a copy of a string, to ask for holds that hardly ever exist; the search for capacity looked the task up again that its key names; the same condition stood in three places.

Change: holds are counted by key, at no cost without any; cheap conditions come first; IsDisplaceable; pages name the preemption that there is.

--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -11,6 +11,11 @@
 
 namespace cowslipmast::sched {
 
+bool IsDisplaceable(const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(ref);
+  return !spec.long_running && !spec.gang && !ReadTask(ref).was_displaced;
+}
+
 Resources ReservedBy(const StepSpec& spec) {
   Resources reserved = spec.need;
   if (spec.best_effort)
@@ -28,7 +33,7 @@
   if (TaskOf(ref).crashes.total > 0)
     ++worker_state.suspects;
   worker_state.reserved += ReservedBy(spec);
-  if (!spec.long_running && !spec.gang && !ReadTask(ref).was_displaced)
+  if (IsDisplaceable(ref))
     worker_state.displaceable += ReservedBy(spec);
   AddToWorkspace(state, ref);
   if (spec.best_effort)
@@ -48,7 +53,7 @@
   if (task.crashes.total > 0)
     --worker_state.suspects;
   worker_state.reserved -= ReservedBy(spec);
-  if (!spec.long_running && !spec.gang && !ReadTask(ref).was_displaced)
+  if (IsDisplaceable(ref))
     worker_state.displaceable -= ReservedBy(spec);
   RemoveFromWorkspace(state, ref);
   if (spec.best_effort)
--- a/src/sched/assignment.h
+++ b/src/sched/assignment.h
@@ -34,6 +34,9 @@
                      std::string_view reason,
                      TimePoint now);
 
+/** True if the task may be stopped to make room for a long-running one. */
+bool IsDisplaceable(const TaskRef& ref);
+
 /** What a task of the step reserves on its worker: a best-effort one reserves
  * memory and accelerators, but no CPU. */
 Resources ReservedBy(const StepSpec& spec);
--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "src/sched/crash_suspects.h"
 #include "src/sched/displacement.h"
@@ -164,24 +165,29 @@
 // Holds capacity for the step's overdue tasks, one on a worker. True if it
 // looked at workers.
 bool HoldForStep(State& state, const ReadyKey& key, TimePoint now) {
-  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+  const Job& job = *key.iteration->job;
+  const StepSpec& spec = job.spec.steps[key.step];
+  const std::vector<uint32_t>& ready =
+      key.iteration->steps[key.step].ready_tasks;
+  if (!spec.long_running || spec.best_effort || spec.gang || ready.empty() ||
+      job.ended_at)
+    return false;
+  const TaskRef waiting{key.iteration, key.step, ready.back()};
   const StepName step = NameOfStep(key);
-  const auto waiting = FindWaitingTask(state, step);
-  if (!spec.long_running || spec.best_effort || spec.gang || !waiting ||
-      IsHeldBack(state, *waiting) || IsHeldBackByCap(state, key) ||
-      state.capacity_holds.search_at.contains(step))
+  if (state.capacity_holds.search_at.contains(step) ||
+      IsHeldBack(state, waiting) || IsHeldBackByCap(state, key))
     return false;
   const size_t overdue = CountOverdue(state, *key.iteration, key.step, now);
-  const size_t held = CountHolds(state, step);
+  const size_t held = CountHolds(state, key);
   if (overdue <= held)
     return false;
   state.capacity_holds.search_at.emplace(step, now + kSearchInterval);
   size_t missing =
       std::min(overdue - held, kMaxHolds - state.capacity_holds.holds.size());
-  for (const HoldCandidate& candidate : FindCandidates(state, *waiting, now)) {
+  for (const HoldCandidate& candidate : FindCandidates(state, waiting, now)) {
     if (missing-- == 0)
       break;
-    AddHold(state, *waiting, candidate, now);
+    AddHold(state, waiting, candidate, now);
   }
   return true;
 }
@@ -235,7 +241,11 @@
   return steps;
 }
 
-size_t CountHolds(const State& state, const StepName& step) {
+size_t CountHolds(const State& state, const ReadyKey& key) {
+  // Most plans look at thousands of steps while nothing is held.
+  if (state.capacity_holds.holds.empty())
+    return 0;
+  const StepName step = NameOfStep(key);
   return static_cast<size_t>(std::count_if(
       state.capacity_holds.holds.begin(), state.capacity_holds.holds.end(),
       [&step](const CapacityHold& hold) { return hold.step == step; }));
--- a/src/sched/capacity_holds.h
+++ b/src/sched/capacity_holds.h
@@ -21,7 +21,7 @@
 std::vector<StepName> FindStepsWithFreeHold(const State& state);
 
 /** Number of tasks of the step for which capacity is held. */
-size_t CountHolds(const State& state, const StepName& step);
+size_t CountHolds(const State& state, const ReadyKey& key);
 
 /** The worker's free capacity without what is held for other tasks. An overdue
  * long-running task may take what is held for later jobs. */
--- a/src/sched/displacement.cc
+++ b/src/sched/displacement.cc
@@ -31,10 +31,6 @@
   return end && *end <= now + kSoon;
 }
 
-bool IsShortOf(const Resources& need, const Resources& free) {
-  return !Fits(need, free);
-}
-
 // True if the task frees some of what is missing.
 bool Helps(const Resources& freed,
            const Resources& need,
@@ -50,16 +46,14 @@
                                       TimePoint now) {
   std::vector<Candidate> candidates;
   for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(ref);
     const Task& task = ReadTask(ref);
-    if (spec.long_running || spec.gang || task.was_displaced ||
-        EndsSoon(state, ref, now))
+    if (!IsDisplaceable(ref) || EndsSoon(state, ref, now))
       continue;
     candidates.push_back(
         {.task = ref,
          .priority = PolicyOf(state, *ref.iteration->job).priority,
          .elapsed = task.started ? now - *task.started : Duration(0),
-         .need = ReservedBy(spec)});
+         .need = ReservedBy(SpecOf(ref))});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
@@ -74,7 +68,7 @@
                   const Resources& need,
                   Resources free) {
   for (size_t i = chosen.size(); i-- > 0;) {
-    if (IsShortOf(need, free - chosen[i].need))
+    if (!Fits(need, free - chosen[i].need))
       continue;
     free -= chosen[i].need;
     chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
@@ -101,17 +95,17 @@
       free += ReservedBy(SpecOf(ref));
   }
   std::vector<Candidate> chosen;
-  if (IsShortOf(need, free)) {
+  if (!Fits(need, free)) {
     for (const Candidate& candidate : FindCandidates(state, worker, now)) {
       if (candidate.priority < priority || !Helps(candidate.need, need, free))
         continue;
       free += candidate.need;
       chosen.push_back(candidate);
-      if (!IsShortOf(need, free))
+      if (Fits(need, free))
         break;
     }
   }
-  if (IsShortOf(need, free))
+  if (!Fits(need, free))
     return std::nullopt;
   DropNeedless(chosen, need, free);
   Displacement displacement;
--- a/src/sched/displacement.h
+++ b/src/sched/displacement.h
@@ -8,7 +8,7 @@
 
 namespace cowslipmast::sched {
 
-/** Tasks to stop on a worker so that another one fits there. */
+/** Tasks to preempt on a worker so that another one fits there. */
 struct Displacement {
   std::vector<TaskRef> tasks;
   /** Processor time, in core-milliseconds, that is lost with their runs. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -612,8 +612,8 @@
       ++next;
       continue;
     }
-    step.is_ruled_out = CountHolds(state, NameOfStep(key)) == 0 &&
-                        unplaced_steps.RulesOut(state, key, now);
+    step.is_ruled_out =
+        CountHolds(state, key) == 0 && unplaced_steps.RulesOut(state, key, now);
     if (step.is_ruled_out) {
       ++next;
       continue;
--- a/src/sched/task_transfers.cc
+++ b/src/sched/task_transfers.cc
@@ -11,7 +11,6 @@
 #include "src/sched/job_parts.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
-#include "src/sched/step_name.h"
 #include "src/sched/work_to_move.h"
 #include "src/sched/workspace_caps.h"
 
@@ -157,7 +156,7 @@
                                        const CellLoad& own,
                                        TimePoint now) {
   const WaitingWork work = DescribeOverdueWork(state, key, now);
-  const size_t held = CountHolds(state, NameOfStep(key));
+  const size_t held = CountHolds(state, key);
   if (!HasWaitedFor(key, MinWait(key, own, work), now) ||
       held >= key.iteration->steps[key.step].ready_tasks.size())
     return std::nullopt;
