sched: a new owner takes up the waits of tasks that lost their workers

What callers saw: long-running tasks without a run for 20 to 36 s although services ended and freed capacity for them (LOST).

Cause: a restored cell counted all waits from its own start. A task that had waited for 20 s was new again: for 1.5 s it stood behind all short work of its priority, and for 1.7 s nothing was held for it. A run that the earlier owner had planned and not sent was put back in the same way.

Change: a long-running task that had a run and waits when a cell is restored is overdue at once, as is one whose planned run is missing from the first listing.

--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -312,6 +312,20 @@
   }
 }
 
+void ResumeWaits(State& state, Iteration& iteration, TimePoint now) {
+  const JobDefinition& spec = iteration.job->spec;
+  for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
+    if (!spec.steps[i].long_running)
+      continue;
+    iteration.steps[i].tasks.VisitOwn([&](uint32_t index) {
+      const TaskRef ref{&iteration, i, index};
+      if (ReadTask(ref).phase == SchedulingPhase::kBlocked &&
+          ReadTask(ref).run > iteration.job->base_run)
+        MakeReady(state, ref, now, kLongRunningOverdueAfter);
+    });
+  }
+}
+
 void FinishTask(State& state, const TaskRef& ref, TimePoint now) {
   if (ReadTask(ref).phase == SchedulingPhase::kDone)
     return;
--- a/src/sched/jobs.h
+++ b/src/sched/jobs.h
@@ -26,6 +26,10 @@
 /** Queues the tasks of each step whose dependencies are done. */
 void UnblockSteps(State& state, Iteration& iteration, TimePoint now);
 
+/** Queues the long-running tasks that wait although they had a run, as overdue:
+ * for how long they have waited under earlier owners is not stored. */
+void ResumeWaits(State& state, Iteration& iteration, TimePoint now);
+
 /** Queues a task for placement that has waited in other cells for `waited`. */
 void MakeReady(State& state,
                const TaskRef& ref,
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -10,6 +10,7 @@
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/lease.h"
+#include "src/sched/order.h"
 #include "src/sched/pacing.h"
 #include "src/sched/run_outcome.h"
 #include "src/sched/silent_ends.h"
@@ -107,7 +108,10 @@
   }
   ++state.counters.lost;
   LogDecision(state, "run_lost", ref, "missing from the listing");
-  RequeueTask(state, ref, now);
+  // A run that an earlier owner planned may never have begun.
+  const bool may_have_waited = SpecOf(ref).long_running && !task.is_confirmed;
+  RequeueTask(state, ref, now,
+              may_have_waited ? kLongRunningOverdueAfter : Duration(0));
 }
 
 bool IsPaceKnown(const Task& task) {
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -141,8 +141,10 @@
       job.state != JobState::kCancelled && job.state != JobState::kCompleted) {
     job.published_state = job.state;
     // Tasks of the job may have come back here alone.
-    for (auto& [number, iteration] : job.iterations)
+    for (auto& [number, iteration] : job.iterations) {
+      ResumeWaits(state, *iteration, now);
       UnblockSteps(state, *iteration, now);
+    }
     RepeatMessages(state, job);
     return;
   }
@@ -153,8 +155,10 @@
     if (job.has_started || job.placed_tasks > 0)
       job.state = JobState::kActive;
     job.published_state = job.state;
-    for (auto& [number, iteration] : job.iterations)
+    for (auto& [number, iteration] : job.iterations) {
+      ResumeWaits(state, *iteration, now);
       UnblockSteps(state, *iteration, now);
+    }
     RepeatMessages(state, job);
     return;
   }
