sched: a long-running task moves to make room for an overdue one

What callers saw: long-running tasks that lost their workers had no run for up to 39 s after one loss of 15% of the workers.

Cause: placement never moves a long-running task. Each worker is full of them, and what is free is free in pieces of less than a waiting task needs. Nothing that may be displaced is in the way, so nothing was held for the task.

Change: where displacement finds no worker, the owner looks for one smaller long-running task whose move to a free place in the cell makes room. Both places are held, the moved task starts before anything else is placed, at most 10 tasks a second move, none of them twice in 10 s, and none beyond what its step lets the scheduler make unavailable. Cells tell each other what moves would join. run_waits says on how many workers one move would make room (with_move) and what is free in all of them (free_in_all).

--- a/include/cowslipmast/sched/cell.h
+++ b/include/cowslipmast/sched/cell.h
@@ -73,7 +73,8 @@
   /** Free capacities of single workers: the largest ones, largest first. */
   std::vector<Resources> free_pieces;
   /** As `free_pieces`, with what tasks use there that an overdue long-running
-   * one may displace. */
+   * one may displace, and with moves of long-running tasks that would leave
+   * larger pieces. */
   std::vector<Resources> reclaimable;
   /** Capacities of workers, without those that another one exceeds; empty if
    * unknown. */
--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -115,6 +115,7 @@
   uint64_t capacity_holds_made = 0;  // for overdue long-running tasks
   uint64_t capacity_holds_used = 0;  // whose task has started
   uint64_t displaced_tasks = 0;      // stopped to make room for these
+  uint64_t relocated_tasks = 0;      // long-running, moved for the same reason
   uint64_t reservations_kept = 0;    // whose step has started
   uint64_t reservations_failed = 0;  // dropped while the step still waited
   uint64_t tasks_backfilled = 0;     // started on a worker reserved for another
--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -14,6 +14,7 @@
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/order.h"
+#include "src/sched/relocation.h"
 #include "src/sched/step_name.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/workers.h"
@@ -46,14 +47,6 @@
   return state.workers[static_cast<size_t>(hold.worker)];
 }
 
-bool HasHoldOn(const State& state, const StepName& step, int32_t worker) {
-  return std::any_of(state.capacity_holds.holds.begin(),
-                     state.capacity_holds.holds.end(),
-                     [&](const CapacityHold& hold) {
-                       return hold.step == step && hold.worker == worker;
-                     });
-}
-
 std::string DescribeHold(const State& state,
                          const CapacityHold& hold,
                          TimePoint now) {
@@ -61,6 +54,17 @@
          " ms=" + std::to_string((now - hold.since) / milliseconds(1));
 }
 
+// Of long-running tasks that are not being stopped.
+MilliCores LongRunningCpuThatStays(const WorkerState& worker) {
+  MilliCores cpu = worker.long_running_cpu;
+  for (const TaskRef& ref : worker.tasks) {
+    if (SpecOf(ref).long_running && !SpecOf(ref).best_effort &&
+        ReadTask(ref).phase == SchedulingPhase::kStopping)
+      cpu -= SpecOf(ref).need.cpu;
+  }
+  return cpu;
+}
+
 // Number of the step's tasks that have lost their workers for so long that
 // capacity is held for them.
 size_t CountOverdue(const State& state,
@@ -91,7 +95,8 @@
   const WorkerState& worker = WorkerOf(state, hold);
   if (!MayRunOn(state, worker, *waiting, now))
     return "worker lost";
-  if (hold.need.cpu > worker.info.capacity.cpu - worker.long_running_cpu)
+  if (hold.need.cpu >
+      worker.info.capacity.cpu - LongRunningCpuThatStays(worker))
     return "taken by others";
   return now - hold.since >= kMaxHold ? "too late" : nullptr;
 }
@@ -126,7 +131,7 @@
         !MayRunOn(state, worker, ref, now) ||
         (spec.max_per_worker > 0 && HasHoldOn(state, NameOfStep(ref), index)))
       continue;
-    if (auto displacement = FindDisplacement(state, worker, ref, now))
+    if (auto displacement = FindDisplacement(state, worker, ref, {}, now))
       candidates.push_back({.is_untrusted = !IsTrusted(worker, policy.priority,
                                                        last_attempt, now),
                             .displacement = *std::move(displacement),
@@ -162,9 +167,37 @@
   Displace(state, candidate.displacement, ref);
 }
 
+// Tasks that may move, found once for all searches of a plan until one moves.
+using MovableCache = std::optional<std::vector<MovableTasks>>;
+
+// Holds capacity for the task where the move of another one makes room. False
+// if there is no such worker.
+bool HoldByMove(State& state,
+                const TaskRef& ref,
+                MovableCache& movable,
+                TimePoint now) {
+  if (!MayRelocate(state, now))
+    return false;
+  if (!movable)
+    movable = FindMovableTasks(state, now);
+  auto room = FindRoomByMove(state, *movable, ref, now);
+  if (!room)
+    return false;
+  BeginRelocation(state, *room, ref, now);
+  AddHold(
+      state, ref,
+      {.displacement = std::move(room->displacement), .worker = room->worker},
+      now);
+  movable.reset();
+  return true;
+}
+
 // Holds capacity for the step's overdue tasks, one on a worker. True if it
 // looked at workers.
-bool HoldForStep(State& state, const ReadyKey& key, TimePoint now) {
+bool HoldForStep(State& state,
+                 const ReadyKey& key,
+                 MovableCache& movable,
+                 TimePoint now) {
   const Job& job = *key.iteration->job;
   const StepSpec& spec = job.spec.steps[key.step];
   const std::vector<uint32_t>& ready =
@@ -185,10 +218,13 @@
   size_t missing =
       std::min(overdue - held, kMaxHolds - state.capacity_holds.holds.size());
   for (const HoldCandidate& candidate : FindCandidates(state, waiting, now)) {
-    if (missing-- == 0)
+    if (missing == 0)
       break;
     AddHold(state, waiting, candidate, now);
+    --missing;
   }
+  while (missing > 0 && HoldByMove(state, waiting, movable, now))
+    --missing;
   return true;
 }
 
@@ -218,6 +254,7 @@
 void HoldForOverdueTasks(State& state, TimePoint now) {
   const auto overdue = static_cast<uint32_t>(ReadyRank::kOverdue);
   size_t searches = 0;
+  MovableCache movable;
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end() && searches < kMaxSearches &&
        state.capacity_holds.holds.size() < kMaxHolds;) {
@@ -226,7 +263,7 @@
           ReadyKey{.priority = next->priority + 1});
       continue;
     }
-    searches += HoldForStep(state, *next, now) ? 1 : 0;
+    searches += HoldForStep(state, *next, movable, now) ? 1 : 0;
     ++next;
   }
 }
@@ -241,6 +278,14 @@
   return steps;
 }
 
+bool HasHoldOn(const State& state, const StepName& step, int32_t worker) {
+  return std::any_of(state.capacity_holds.holds.begin(),
+                     state.capacity_holds.holds.end(),
+                     [&](const CapacityHold& hold) {
+                       return hold.step == step && hold.worker == worker;
+                     });
+}
+
 size_t CountHolds(const State& state, const ReadyKey& key) {
   // Most plans look at thousands of steps while nothing is held.
   if (state.capacity_holds.holds.empty())
@@ -267,7 +312,7 @@
       return hold.priority < priority;
     return hold.step != step && (!is_overdue || hold.sequence < sequence);
   };
-  Resources kept;
+  Resources kept = HeldForRelocations(state, worker, ref);
   for (const CapacityHold& hold : state.capacity_holds.holds) {
     if (&WorkerOf(state, hold) == &worker && keeps_off(hold))
       kept += hold.need;
--- a/src/sched/capacity_holds.h
+++ b/src/sched/capacity_holds.h
@@ -20,6 +20,9 @@
 /** Steps with a hold whose capacity is free by now. */
 std::vector<StepName> FindStepsWithFreeHold(const State& state);
 
+/** True if capacity is held for a task of the step on that worker. */
+bool HasHoldOn(const State& state, const StepName& step, int32_t worker);
+
 /** Number of tasks of the step for which capacity is held. */
 size_t CountHolds(const State& state, const ReadyKey& key);
 
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/sched/jobs.h"
+#include "src/sched/relocation.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -59,7 +60,9 @@
   }
 }
 
-void AddCapacity(ServiceLoad& load, const WorkerState& worker) {
+void AddCapacity(ServiceLoad& load,
+                 const WorkerState& worker,
+                 const Resources& change_by_moves) {
   load.capacity += worker.info.capacity.cpu;
   load.reserved += worker.reserved.cpu;
   load.long_running += worker.long_running_cpu;
@@ -68,8 +71,8 @@
   const Resources free = FreeCapacity(worker) - worker.held;
   AddPiece(load, worker, free, &ServiceLoad::free_pieces,
            &LabelLoad::free_pieces);
-  AddPiece(load, worker, free + worker.displaceable, &ServiceLoad::reclaimable,
-           &LabelLoad::reclaimable);
+  AddPiece(load, worker, free + worker.displaceable + change_by_moves,
+           &ServiceLoad::reclaimable, &LabelLoad::reclaimable);
 }
 
 void KeepLargest(std::vector<Resources>& pieces, size_t count) {
@@ -119,15 +122,20 @@
 
 CellLoad MeasureLoad(const State& state, TimePoint now) {
   std::map<ServiceId, ServiceLoad> loads;
-  for (const WorkerState& worker : state.workers) {
+  const std::map<int32_t, Resources> changes = ChangesByMoves(state, now);
+  for (size_t i = 0; i < state.workers.size(); ++i) {
+    const WorkerState& worker = state.workers[i];
     const WorkerEligibility eligibility = EligibilityOf(state, worker, now);
     const bool is_eligible = eligibility == WorkerEligibility::kEligible;
     if (!is_eligible && eligibility != WorkerEligibility::kFull)
       continue;
     ServiceLoad& load = loads[worker.info.service];
     AddUsableWorker(load, worker);
-    if (is_eligible)
-      AddCapacity(load, worker);
+    if (!is_eligible)
+      continue;
+    const auto found = changes.find(static_cast<int32_t>(i));
+    AddCapacity(load, worker,
+                found == changes.end() ? Resources{} : found->second);
   }
   for (const ReadyKey& key : state.ready_steps)
     AddWaitingStep(loads[PolicyOf(state, *key.iteration->job).service], key);
--- a/src/sched/displacement.cc
+++ b/src/sched/displacement.cc
@@ -85,11 +85,12 @@
 std::optional<Displacement> FindDisplacement(const State& state,
                                              const WorkerState& worker,
                                              const TaskRef& beneficiary,
+                                             const Resources& freed,
                                              TimePoint now) {
   const Resources& need = SpecOf(beneficiary).need;
   const uint32_t priority =
       PolicyOf(state, *beneficiary.iteration->job).priority;
-  Resources free = FreeCapacity(worker) - worker.held;
+  Resources free = FreeCapacity(worker) - worker.held + freed;
   for (const TaskRef& ref : worker.tasks) {
     if (EndsSoon(state, ref, now))
       free += ReservedBy(SpecOf(ref));
--- a/src/sched/displacement.h
+++ b/src/sched/displacement.h
@@ -16,12 +16,14 @@
 };
 
 /** The tasks to stop so that the beneficiary fits on the worker beside what is
- * held; none if it soon does anyway, nothing if that is not enough. Less urgent
+ * held, once `freed` is free as well; none if it soon does anyway, nothing if
+ * that is not enough. Less urgent
  * tasks go first, then those that lose least. More urgent tasks stay, as do
  * long-running ones, members of gangs, and those that were displaced before. */
 std::optional<Displacement> FindDisplacement(const State& state,
                                              const WorkerState& worker,
                                              const TaskRef& beneficiary,
+                                             const Resources& freed,
                                              TimePoint now);
 
 /** Stops the tasks of a displacement for the benefit of the task. */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -123,6 +123,9 @@
   bool is_opportunistic = false;
   /** Stopped once to make room for a long-running task. */
   bool was_displaced = false;
+  /** When a run of it was last stopped by this owner to go on at another
+   * worker. */
+  std::optional<TimePoint> relocated_at;
   /** Utilisation, from 0 to 1, of a latency-critical task without interference;
    * a moving average. */
   double own_utilisation = kInitialOwnUtilisation;
@@ -268,7 +271,7 @@
   Resources reserved;           // by tasks that count against capacity
   Resources unexpected;         // used by listed runs that no task accounts for
   Resources displaceable;       // by tasks that may be displaced; of `reserved`
-  Resources held;               // sum of `State::capacity_holds` there
+  Resources held;               // for overdue and for relocated tasks
   MilliCores best_effort_cpu;   // declared by best-effort tasks
   MilliCores long_running_cpu;  // of long-running tasks, part of `reserved`
   std::vector<TaskRef> tasks;
@@ -300,6 +303,23 @@
   std::map<WorkerId, Duration> inherited;
 };
 
+/** A long-running task that goes on at another worker, so that its own one has
+ * room for a task that needs more. */
+struct Relocation {
+  TaskName task;
+  int32_t source = kNoWorker;  // indices into `State::workers`
+  int32_t target = kNoWorker;
+  Resources need;  // held at the target
+  TimePoint since;
+};
+
+/** Relocations of this owner; a new one starts without. */
+struct Relocations {
+  std::vector<Relocation> pending;
+  /** When the latest ones began, for the limit on their rate. */
+  std::deque<TimePoint> begun;
+};
+
 /** Order in which waiting steps get workers; the smallest is first. */
 struct ReadyKey {
   uint32_t priority = 0;
@@ -353,6 +373,7 @@
   InterferenceModel interference;
   LookAhead look_ahead;
   CapacityHolds capacity_holds;
+  Relocations relocations;
   std::optional<TimePoint> interference_stored_at;
   LeaseNotes lease_notes;
   /** Needs of the tasks that have a worker in this cell. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -15,6 +15,7 @@
 #include "src/sched/order.h"
 #include "src/sched/overload_order.h"
 #include "src/sched/pacing.h"
+#include "src/sched/relocation.h"
 #include "src/sched/reservations.h"
 #include "src/sched/step_name.h"
 #include "src/sched/unplaced_steps.h"
@@ -545,7 +546,8 @@
   Task& task = TaskOf(ref);
   Job& job = *ref.iteration->job;
   UpdateReservationsForStart(state, ref, worker, now);
-  EndHoldForStart(state, ref, worker);
+  if (!EndRelocationForStart(state, ref))
+    EndHoldForStart(state, ref, worker);
   task.phase = SchedulingPhase::kPlanned;
   task.run = task.run.Next();
   job.may_have_started = true;
@@ -588,6 +590,7 @@
   if (looks_ahead)
     ReviewReservations(state, now);
   ReviewHolds(state, now);
+  PlaceRelocatedTasks(state, now, plan);
   PlaceOnHeldCapacity(state, now, plan);
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
--- a/src/sched/waiting_capacity.cc
+++ b/src/sched/waiting_capacity.cc
@@ -8,6 +8,7 @@
 #include "src/sched/cell_load.h"
 #include "src/sched/choose_cell.h"
 #include "src/sched/jobs.h"
+#include "src/sched/relocation.h"
 #include "src/sched/task_placement.h"
 #include "src/sched/workers.h"
 
@@ -124,16 +125,22 @@
                                 TimePoint now) {
   const Resources need = ReservedBy(SpecOf(ref));
   FittingWorkers fitting;
+  MilliCores free_in_all;
   const WorkerState* roomiest = nullptr;
   for (const WorkerState& worker : state.workers) {
     if (!MayRunOn(state, worker, ref, now))
       continue;
     AddWorker(need, FreeCapacity(worker), MeasureHeld(worker), fitting);
+    free_in_all += std::max(MilliCores(0), FreeCapacity(worker).cpu);
     if (roomiest == nullptr ||
         FreeCapacity(worker).cpu > FreeCapacity(*roomiest).cpu)
       roomiest = &worker;
   }
+  const size_t with_move =
+      CountRoomByMoves(state, FindMovableTasks(state, now), ref, now);
   return " needs=" + Format(need) + Format(fitting) +
+         " with_move=" + std::to_string(with_move) +
+         " free_in_all=" + std::to_string(free_in_all.count()) +
          (roomiest != nullptr ? Format(*roomiest, MeasureHeld(*roomiest))
                               : "") +
          DescribeOtherCells(state, ref, now);
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -380,6 +380,8 @@
           [](const Cell& c) { return c.counters().capacity_holds_used; });
   counter("cowslipmast_displaced_tasks",
           [](const Cell& c) { return c.counters().displaced_tasks; });
+  counter("cowslipmast_relocated_tasks",
+          [](const Cell& c) { return c.counters().relocated_tasks; });
   counter("cowslipmast_reservations_made",
           [](const Cell& c) { return c.counters().reservations_made; });
   counter("cowslipmast_reservations_kept",
