sched: moves that leave a task without a place

- A task of a workspace at its cap lost the cap to short work while it moved, and had no run for 25 s.
Tasks of capped workspaces stay.
- Two tasks of a step with a limit on a worker moved to the same one.
Places that are held there count.
- After a change of owner a task was moved again 0.8 s after its start.
A run moves 10 s after its start, or after the claim, at the earliest; the time of the last move need not be kept any more.
- A run that took over 2 s to stop had a second task moved for the same one.
The room is held while the run stops, for 4 s at most.

Cells look for what moves would join for other cells only, not in each plan.

--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -98,7 +98,9 @@
   if (hold.need.cpu >
       worker.info.capacity.cpu - LongRunningCpuThatStays(worker))
     return "taken by others";
-  return now - hold.since >= kMaxHold ? "too late" : nullptr;
+  const bool is_too_late =
+      now - hold.since >= kMaxHold && !IsBeingLeft(state, hold.worker, now);
+  return is_too_late ? "too late" : nullptr;
 }
 
 struct HoldCandidate {
@@ -279,7 +281,8 @@
 }
 
 bool HasHoldOn(const State& state, const StepName& step, int32_t worker) {
-  return std::any_of(state.capacity_holds.holds.begin(),
+  return IsTargetOfStep(state, step, worker) ||
+         std::any_of(state.capacity_holds.holds.begin(),
                      state.capacity_holds.holds.end(),
                      [&](const CapacityHold& hold) {
                        return hold.step == step && hold.worker == worker;
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "src/sched/jobs.h"
-#include "src/sched/relocation.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -120,9 +119,10 @@
 
 }  // namespace
 
-CellLoad MeasureLoad(const State& state, TimePoint now) {
+CellLoad MeasureLoad(const State& state,
+                     TimePoint now,
+                     const std::map<int32_t, Resources>& changes_by_moves) {
   std::map<ServiceId, ServiceLoad> loads;
-  const std::map<int32_t, Resources> changes = ChangesByMoves(state, now);
   for (size_t i = 0; i < state.workers.size(); ++i) {
     const WorkerState& worker = state.workers[i];
     const WorkerEligibility eligibility = EligibilityOf(state, worker, now);
@@ -133,9 +133,9 @@
     AddUsableWorker(load, worker);
     if (!is_eligible)
       continue;
-    const auto found = changes.find(static_cast<int32_t>(i));
+    const auto found = changes_by_moves.find(static_cast<int32_t>(i));
     AddCapacity(load, worker,
-                found == changes.end() ? Resources{} : found->second);
+                found == changes_by_moves.end() ? Resources{} : found->second);
   }
   for (const ReadyKey& key : state.ready_steps)
     AddWaitingStep(loads[PolicyOf(state, *key.iteration->job).service], key);
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -108,7 +108,8 @@
   }
   ++state.counters.lost;
   LogDecision(state, "run_lost", ref, "missing from the listing");
-  // A run that an earlier owner planned may never have begun.
+  // Without a confirmation the run may never have begun, so that the wait of
+  // its task goes on.
   const bool may_have_waited = SpecOf(ref).long_running && !task.is_confirmed;
   RequeueTask(state, ref, now,
               may_have_waited ? kLongRunningOverdueAfter : Duration(0));
--- a/src/sched/relocation.cc
+++ b/src/sched/relocation.cc
@@ -24,10 +24,10 @@
 using std::chrono::seconds;
 
 constexpr size_t kMaxPendingRelocations = 16;
-// A task that has just started serves nobody yet, and one that moves again and
-// again would not either.
-constexpr Duration kMinRunBeforeMove = seconds(3);
-constexpr Duration kMinTimeBetweenMoves = seconds(10);
+// So that a task that was lost or moved just now is not interrupted again.
+constexpr Duration kMinRunBeforeMove = seconds(10);
+// While its run stops, for the task that is to take its place.
+constexpr Duration kMaxWaitForSource = seconds(4);
 // From the end of the run to the start at the target, which displaced tasks may
 // still have to leave.
 constexpr Duration kMaxWaitForTarget = seconds(3);
@@ -68,10 +68,10 @@
   return spec.long_running && !spec.best_effort && !spec.gang &&
          task.phase == SchedulingPhase::kRunning && !IsSuspect(task) &&
          !ref.iteration->job->ended_at &&
-         (!task.started || now - *task.started >= kMinRunBeforeMove) &&
-         (!task.relocated_at ||
-          now - *task.relocated_at >= kMinTimeBetweenMoves) &&
-         MayBeUnavailable(state, ref);
+         // A new owner does not know when the runs that it finds began.
+         now - task.started.value_or(state.claimed_at) >= kMinRunBeforeMove &&
+         // While it moves, other work of its workspace could use up the cap.
+         !IsCapped(state, ref) && MayBeUnavailable(state, ref);
 }
 
 bool FitsAny(const Resources& need, const std::vector<Resources>& pieces) {
@@ -89,6 +89,13 @@
   pieces.push_back(piece);
 }
 
+// True if another task of the step will have a place there, of a step that
+// limits how many of its tasks a worker runs.
+bool IsOneTooMany(const State& state, const TaskRef& ref, int32_t worker) {
+  return SpecOf(ref).max_per_worker > 0 &&
+         HasHoldOn(state, NameOfStep(ref), worker);
+}
+
 struct Target {
   int32_t worker = kNoWorker;
   Displacement displacement;
@@ -112,6 +119,7 @@
     const auto index = static_cast<int32_t>(i);
     const Resources room = RoomWithoutDisplaceable(worker);
     if (index == source || !Fits(need, room) ||
+        IsOneTooMany(state, moved, index) ||
         !MayRunOn(state, worker, moved, now) ||
         FindBlockingReservation(state, worker, moved, now) != nullptr)
       continue;
@@ -146,10 +154,7 @@
              int32_t worker,
              const TaskRef& beneficiary,
              TimePoint now) {
-  const bool is_one_too_many =
-      SpecOf(beneficiary).max_per_worker > 0 &&
-      HasHoldOn(state, NameOfStep(beneficiary), worker);
-  return !is_one_too_many &&
+  return !IsOneTooMany(state, beneficiary, worker) &&
          MayRunOn(state, WorkerAt(state, worker), beneficiary, now);
 }
 
@@ -370,7 +375,6 @@
   state.relocations.begun.push_back(now);
   state.relocations.pending.push_back(relocation);
   WorkerAt(state, room.target).held += relocation.need;
-  TaskOf(ref).relocated_at = now;
   Displace(state, room.displacement_at_target, ref);
   StopTask(state, ref);
 }
@@ -397,6 +401,21 @@
   }
 }
 
+bool IsTargetOfStep(const State& state, const StepName& step, int32_t worker) {
+  const std::vector<Relocation>& pending = state.relocations.pending;
+  return std::any_of(pending.begin(), pending.end(), [&](const Relocation& r) {
+    return r.target == worker && r.task.job == step.job &&
+           r.task.iteration == step.iteration && r.task.step == step.step;
+  });
+}
+
+bool IsBeingLeft(const State& state, int32_t worker, TimePoint now) {
+  const std::vector<Relocation>& pending = state.relocations.pending;
+  return std::any_of(pending.begin(), pending.end(), [&](const Relocation& r) {
+    return r.source == worker && now - r.since < kMaxWaitForSource;
+  });
+}
+
 bool EndRelocationForStart(State& state, const TaskRef& ref) {
   std::vector<Relocation>& pending = state.relocations.pending;
   if (pending.empty())
--- a/src/sched/relocation.h
+++ b/src/sched/relocation.h
@@ -66,6 +66,12 @@
  * their places, and ends relocations that cannot succeed. */
 void PlaceRelocatedTasks(State& state, TimePoint now, Plan& plan);
 
+/** True if a task of the step is to go on at that worker. */
+bool IsTargetOfStep(const State& state, const StepName& step, int32_t worker);
+
+/** True while a task that is relocated may still stop on that worker. */
+bool IsBeingLeft(const State& state, int32_t worker, TimePoint now);
+
 /** To be called when a start of the task is planned. False if it is not being
  * relocated. */
 bool EndRelocationForStart(State& state, const TaskRef& ref);
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -17,6 +17,7 @@
 #include "src/sched/listing.h"
 #include "src/sched/pacing.h"
 #include "src/sched/progress.h"
+#include "src/sched/relocation.h"
 #include "src/sched/shared_interference.h"
 #include "src/sched/silent_ends.h"
 #include "src/sched/task_placement.h"
@@ -326,7 +327,8 @@
 }
 
 CellLoad Scheduler::Load(TimePoint now) const {
-  return MeasureLoad(m_impl->state, now);
+  const State& state = m_impl->state;
+  return MeasureLoad(state, now, ChangesByMoves(state, now));
 }
 
 std::vector<CellMessage> Scheduler::TakeCancellations() {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -123,9 +123,6 @@
   bool is_opportunistic = false;
   /** Stopped once to make room for a long-running task. */
   bool was_displaced = false;
-  /** When a run of it was last stopped by this owner to go on at another
-   * worker. */
-  std::optional<TimePoint> relocated_at;
   /** Utilisation, from 0 to 1, of a latency-critical task without interference;
    * a moving average. */
   double own_utilisation = kInitialOwnUtilisation;
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -546,6 +546,8 @@
   Task& task = TaskOf(ref);
   Job& job = *ref.iteration->job;
   UpdateReservationsForStart(state, ref, worker, now);
+  // The start of a relocated task must not end the hold of another task of its
+  // step.
   if (!EndRelocationForStart(state, ref))
     EndHoldForStart(state, ref, worker);
   task.phase = SchedulingPhase::kPlanned;
--- a/src/sched/workspace_caps.cc
+++ b/src/sched/workspace_caps.cc
@@ -50,6 +50,11 @@
 
 }  // namespace
 
+bool IsCapped(const State& state, const TaskRef& ref) {
+  const WorkspacePolicy* policy = FindWorkspacePolicy(state, ref);
+  return policy != nullptr && policy->cap != Resources{};
+}
+
 CellId CellForOversizedTasks(const CellLayout& layout,
                              const WorkspaceId& workspace) {
   return CellOfJob(layout, JobId(workspace.value()));
--- a/src/sched/workspace_caps.h
+++ b/src/sched/workspace_caps.h
@@ -25,6 +25,9 @@
 void AddToWorkspace(State& state, const TaskRef& ref);
 void RemoveFromWorkspace(State& state, const TaskRef& ref);
 
+/** True if the task's workspace has a cap. */
+bool IsCapped(const State& state, const TaskRef& ref);
+
 enum class CapVerdict {
   kAllowed,
   kPartUsedUp,  // this cell's part of the cap has no room for it
