sched: moves of long-running tasks are switched on by a feature

Cause, by reading: a move takes a place that a smaller overdue task could take itself, and leaves it empty while the run stops.

--- a/include/cowslipmast/sched/features.h
+++ b/include/cowslipmast/sched/features.h
@@ -17,6 +17,9 @@
   bool balance = false;
   /** Capacity is reserved for large tasks, and small ones fill the gaps. */
   bool look_ahead = false;
+  /** A long-running task moves to make room for a larger one that is overdue.
+   */
+  bool relocation = false;
 
   bool operator==(const SchedulerFeatures&) const = default;
 };
--- a/src/sched/features.cc
+++ b/src/sched/features.cc
@@ -15,6 +15,8 @@
       features.balance = true;
     } else if (name == "look_ahead") {
       features.look_ahead = true;
+    } else if (name == "relocation") {
+      features.relocation = true;
     } else {
       unknown = name;
       return std::nullopt;
--- a/src/sched/relocation.cc
+++ b/src/sched/relocation.cc
@@ -10,6 +10,7 @@
 #include "src/sched/capacity_holds.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/jobs.h"
+#include "src/sched/order.h"
 #include "src/sched/reservations.h"
 #include "src/sched/step_name.h"
 #include "src/sched/task_placement.h"
@@ -96,6 +97,33 @@
          HasHoldOn(state, NameOfStep(ref), worker);
 }
 
+// Of overdue long-running tasks, without those that exceed another one.
+std::vector<Resources> NeedsOfOverdueTasks(const State& state) {
+  const auto overdue = static_cast<uint32_t>(ReadyRank::kOverdue);
+  std::vector<Resources> needs;
+  for (auto next = state.ready_steps.begin();
+       next != state.ready_steps.end();) {
+    if (next->rank != overdue) {
+      next = state.ready_steps.lower_bound(
+          ReadyKey{.priority = next->priority + 1});
+      continue;
+    }
+    const ReadyKey& key = *next++;
+    const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+    const auto is_smaller = [&spec](const Resources& need) {
+      return Fits(need, spec.need);
+    };
+    if (!spec.long_running || spec.best_effort ||
+        key.iteration->steps[key.step].ready_tasks.empty() ||
+        std::any_of(needs.begin(), needs.end(), is_smaller))
+      continue;
+    std::erase_if(needs,
+                  [&](const Resources& need) { return Fits(spec.need, need); });
+    needs.push_back(spec.need);
+  }
+  return needs;
+}
+
 struct Target {
   int32_t worker = kNoWorker;
   Displacement displacement;
@@ -109,16 +137,17 @@
 };
 
 std::optional<Target> FindTarget(const State& state,
+                                 const std::vector<MovableTasks>& workers,
                                  const TaskRef& moved,
                                  int32_t source,
                                  TimePoint now) {
   const Resources& need = SpecOf(moved).need;
   std::optional<Target> best;
-  for (size_t i = 0; i < state.workers.size(); ++i) {
-    const WorkerState& worker = state.workers[i];
-    const auto index = static_cast<int32_t>(i);
-    const Resources room = RoomWithoutDisplaceable(worker);
-    if (index == source || !Fits(need, room) ||
+  for (const MovableTasks& to : workers) {
+    const int32_t index = to.worker;
+    const WorkerState& worker = WorkerAt(state, index);
+    const Resources& room = to.room;
+    if (index == source || !to.may_take_moved || !Fits(need, room) ||
         IsOneTooMany(state, moved, index) ||
         !MayRunOn(state, worker, moved, now) ||
         FindBlockingReservation(state, worker, moved, now) != nullptr)
@@ -198,7 +227,8 @@
                 TimePoint now) {
   if (MayRunOn(state, WorkerAt(state, relocation.target), ref, now))
     return true;
-  const auto target = FindTarget(state, ref, relocation.source, now);
+  const auto target = FindTarget(state, FindMovableTasks(state, now), ref,
+                                 relocation.source, now);
   if (!target)
     return false;
   ReleaseTarget(state, relocation);
@@ -260,8 +290,8 @@
       continue;
     const auto target = std::find_if(
         workers.begin(), workers.end(), [&](const MovableTasks& to) {
-          return to.worker != from.worker && Fits(need, to.room) &&
-                 (from.room + need).cpu > to.room.cpu &&
+          return to.worker != from.worker && to.may_take_moved &&
+                 Fits(need, to.room) && (from.room + need).cpu > to.room.cpu &&
                  !changes.contains(to.worker);
         });
     if (target != workers.end())
@@ -273,6 +303,7 @@
 }  // namespace
 
 std::vector<MovableTasks> FindMovableTasks(const State& state, TimePoint now) {
+  const std::vector<Resources> waiting = NeedsOfOverdueTasks(state);
   std::vector<Resources> pieces;
   std::vector<MovableTasks> movable;
   for (size_t i = 0; i < state.workers.size(); ++i) {
@@ -280,8 +311,12 @@
     if (EligibilityOf(state, worker, now) != WorkerEligibility::kEligible)
       continue;
     const Resources room = RoomWithoutDisplaceable(worker);
-    AddPiece(pieces, room);
-    movable.push_back({static_cast<int32_t>(i), room, {}});
+    const bool may_take_moved =
+        std::none_of(waiting.begin(), waiting.end(),
+                     [&](const Resources& need) { return Fits(need, room); });
+    if (may_take_moved)
+      AddPiece(pieces, room);
+    movable.push_back({static_cast<int32_t>(i), room, may_take_moved, {}});
   }
   for (MovableTasks& from : movable) {
     for (const TaskRef& ref : WorkerAt(state, from.worker).tasks) {
@@ -335,7 +370,7 @@
                          SpecOf(option.moved).need, now);
     if (!displacement)
       continue;
-    auto target = FindTarget(state, option.moved, worker, now);
+    auto target = FindTarget(state, movable, option.moved, worker, now);
     if (!target)
       continue;
     RoomByMove room{worker, *std::move(displacement), option.moved,
@@ -353,7 +388,8 @@
   std::deque<TimePoint>& begun = state.relocations.begun;
   while (!begun.empty() && now - begun.front() >= seconds(1))
     begun.pop_front();
-  return begun.size() < kMaxRelocationsPerSecond &&
+  return state.options.features.relocation &&
+         begun.size() < kMaxRelocationsPerSecond &&
          state.relocations.pending.size() < kMaxPendingRelocations;
 }
 
--- a/src/sched/relocation.h
+++ b/src/sched/relocation.h
@@ -19,6 +19,9 @@
   int32_t worker = kNoWorker;
   /** Free there once all that may be displaced is gone. */
   Resources room;
+  /** The room is too small for each overdue task that waits: one that fits goes
+   * there itself. */
+  bool may_take_moved = false;
   std::vector<TaskRef> tasks;
 };
 
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -328,6 +328,8 @@
 
 CellLoad Scheduler::Load(TimePoint now) const {
   const State& state = m_impl->state;
+  if (!state.options.features.relocation)
+    return MeasureLoad(state, now);
   return MeasureLoad(state, now, ChangesByMoves(state, now));
 }
 
--- a/tests/sched/relocation_test.cc
+++ b/tests/sched/relocation_test.cc
@@ -16,6 +16,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+SchedulerOptions WithRelocation() {
+  SchedulerOptions options;
+  options.features.relocation = true;
+  return options;
+}
+
 class PartlyFullCell {
  public:
   PartlyFullCell() {
@@ -39,7 +45,7 @@
     step.need.memory = Mebibytes(memory_mb);
     m_cell.Submit(MakeJob(job, queue, {step}));
     m_cell.Run(seconds(2));
-    const TaskName task{JobId(job), 0, 0, 0};
+    TaskName task{JobId(job), 0, 0, 0};
     REQUIRE(m_cell.WorkerOf(task) == worker);
     return task;
   }
@@ -66,7 +72,7 @@
   SimulatedCell& cell() { return m_cell; }
 
  private:
-  SimulatedCell m_cell;
+  SimulatedCell m_cell{WithRelocation()};
 };
 
 TEST_CASE("two tasks that must not share a worker move at the same time",
--- a/tests/sched/simulated_cells.cc
+++ b/tests/sched/simulated_cells.cc
@@ -47,10 +47,12 @@
 
 SimulatedCells::SimulatedCells(uint32_t cells,
                                int workers_per_cell,
-                               int64_t cores)
+                               int64_t cores,
+                               const SchedulerFeatures& features)
     : m_layout{kLayoutVersion, cells} {
   for (uint32_t i = 0; i < cells; ++i) {
     SchedulerOptions options;
+    options.features = features;
     options.cell = CellId(i);
     options.layout = m_layout;
     m_cells.push_back(std::make_unique<SimulatedCell>(options));
--- a/tests/sched/simulated_cells.h
+++ b/tests/sched/simulated_cells.h
@@ -16,7 +16,10 @@
  * Checks that no task runs in two cells at once. */
 class SimulatedCells {
  public:
-  SimulatedCells(uint32_t cells, int workers_per_cell, int64_t cores);
+  SimulatedCells(uint32_t cells,
+                 int workers_per_cell,
+                 int64_t cores,
+                 const SchedulerFeatures& features = {});
 
   void SetQueue(const std::string& queue, const QueuePolicy& policy);
   void SetWorkspace(const std::string& workspace,
--- a/tests/sched/stranded_capacity_test.cc
+++ b/tests/sched/stranded_capacity_test.cc
@@ -20,6 +20,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+SchedulerOptions WithRelocation() {
+  SchedulerOptions options;
+  options.features.relocation = true;
+  return options;
+}
+
 constexpr int64_t kCores = 64;
 // The rule: 3 s, from 6 s after the last run.
 constexpr Duration kMaxWithoutRun = seconds(9);
@@ -213,7 +219,7 @@
     }
   }
 
-  SimulatedCell m_cell;
+  SimulatedCell m_cell{WithRelocation()};
   std::map<JobId, StepSpec> m_steps;
   std::map<TaskName, std::vector<RunSpan>> m_runs;
 };
@@ -476,7 +482,7 @@
 }
 
 TEST_CASE("only the other cell has a task whose move makes room", "[sched]") {
-  SimulatedCells system(2, 1, kCores);
+  SimulatedCells system(2, 1, kCores, {.relocation = true});
   system.SetQueue("urgent", MakePolicy(0, 2));
   for (size_t i = 0; i < system.size(); ++i)
     system.cell(i).stop_delay = milliseconds(500);
