--- a/include/cowslipmast/sched/cell.h
+++ b/include/cowslipmast/sched/cell.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,19 @@
   bool operator==(const LabelLoad&) const = default;
 };
 
+/** Number of lost tasks that an owner tells at most for a service. */
+inline constexpr size_t kMaxLostTasks = 24;
+
+/** A long-running task that has lost its run and waits for a worker. */
+struct LostTask {
+  Resources need;
+  uint32_t priority = 0;
+  Duration waited{0};      // since it had a run
+  std::string label = {};  // that its worker must have; empty for none
+
+  bool operator==(const LostTask&) const = default;
+};
+
 /** Use of one service's workers in a cell. Counts only workers that may get new
  * tasks. */
 struct ServiceLoad {
@@ -70,12 +84,20 @@
   MilliCores waiting_best_effort;   // best-effort tasks without a worker
   MilliCores idle;  // expected to be used by none; may serve best-effort tasks
   std::vector<std::string> labels;  // of the workers, without their racks
-  /** Free capacities of single workers: the largest ones, largest first. */
+  /** Free capacities of single workers: the largest ones, largest first.
+   * Without what is kept for tasks that had a run. */
   std::vector<Resources> free_pieces;
+  /** Lost tasks of other cells for which free capacity is kept. */
+  std::vector<LostTask> kept_places;
   /** As `free_pieces`, with what tasks use there that an overdue long-running
    * one may displace, and with moves of long-running tasks that would leave
    * larger pieces. */
   std::vector<Resources> reclaimable;
+  /** Lost tasks that may go to another cell: those that have waited longest,
+   * longest first, and the number of all, nothing if unknown. Without those for
+   * which capacity is held. */
+  std::vector<LostTask> lost_tasks;
+  std::optional<uint32_t> lost_task_count;
   /** Capacities of workers, without those that another one exceeds; empty if
    * unknown. */
   std::vector<Resources> worker_sizes;
--- a/include/cowslipmast/sched/cell_message.h
+++ b/include/cowslipmast/sched/cell_message.h
@@ -20,6 +20,7 @@
   std::string checkpoint;
   Duration waited{0};  // for a worker, in all cells so far
   CrashCount crashes = {};
+  bool has_run = false;  // a worker has had a run of it
 
   bool operator==(const MovedTask&) const = default;
 };
--- a/src/sched/assignment.cc
+++ b/src/sched/assignment.cc
@@ -1,6 +1,7 @@
 #include "src/sched/assignment.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,6 +12,38 @@
 
 namespace cowslipmast::sched {
 
+namespace {
+
+// Last time that the worker is known to have had the run.
+TimePoint LastSignOfLife(const State& state, const Task& task) {
+  const WorkerState& worker = state.workers[static_cast<size_t>(task.worker)];
+  const bool was_heard =
+      worker.instance && MayBeSameInstance(worker.instance->start_time_ms,
+                                           task.worker_start_time_ms);
+  // A worker that has not answered this owner had its lease from an earlier
+  // one.
+  const TimePoint heard =
+      was_heard ? worker.instance->clock_received_at
+                : std::min(state.claimed_at,
+                           worker.lease_expiry - state.options.lease);
+  return std::max(heard, task.started.value_or(heard));
+}
+
+// Time for which a long-running task whose run is lost has had none. The waits
+// of other tasks count from when their loss is known.
+Duration TimeWithoutRun(const State& state, const TaskRef& ref, TimePoint now) {
+  const Task& task = ReadTask(ref);
+  if (!SpecOf(ref).long_running || task.worker == kNoWorker)
+    return Duration(0);
+  const bool is_unconfirmed = task.phase == SchedulingPhase::kPlanned ||
+                              task.phase == SchedulingPhase::kUncertain;
+  const TimePoint since =
+      is_unconfirmed ? task.ready_since : LastSignOfLife(state, task);
+  return std::max(Duration(0), now - since);
+}
+
+}  // namespace
+
 bool IsDisplaceable(const TaskRef& ref) {
   const StepSpec& spec = SpecOf(ref);
   return !spec.long_running && !spec.gang && !ReadTask(ref).was_displaced;
@@ -27,6 +60,7 @@
   WorkerState& worker_state = state.workers[static_cast<size_t>(worker)];
   const StepSpec& spec = SpecOf(ref);
   TaskOf(ref).worker = worker;
+  TaskOf(ref).has_just_moved = false;
   TaskOf(ref).worker_start_time_ms =
       worker_state.instance ? worker_state.instance->start_time_ms : 0;
   worker_state.tasks.push_back(ref);
@@ -128,17 +162,29 @@
   RequeueTask(state, ref, now, now - TaskOf(ref).ready_since);
 }
 
+void RequeueLostTask(State& state,
+                     const TaskRef& ref,
+                     std::string_view reason,
+                     TimePoint now) {
+  ++state.counters.lost;
+  const Duration without_run = TimeWithoutRun(state, ref, now);
+  LogDecision(state, "run_lost", ref,
+              std::string(reason) + " ms_without_run=" +
+                  std::to_string(without_run / std::chrono::milliseconds(1)));
+  Task& task = TaskOf(ref);
+  task.has_run |= task.phase == SchedulingPhase::kRunning ||
+                  task.phase == SchedulingPhase::kStopping;
+  RequeueTask(state, ref, now, without_run);
+}
+
 void RequeueAllTasks(State& state,
                      int32_t worker,
                      std::string_view reason,
                      TimePoint now) {
   const std::vector<TaskRef> tasks =
       state.workers[static_cast<size_t>(worker)].tasks;
-  for (const TaskRef& ref : tasks) {
-    ++state.counters.lost;
-    LogDecision(state, "run_lost", ref, std::string(reason));
-    RequeueTask(state, ref, now);
-  }
+  for (const TaskRef& ref : tasks)
+    RequeueLostTask(state, ref, reason, now);
 }
 
 }  // namespace cowslipmast::sched
--- a/src/sched/assignment.h
+++ b/src/sched/assignment.h
@@ -28,6 +28,13 @@
 /** Requeues a task whose start was not carried out: its wait goes on. */
 void RequeueUnstartedTask(State& state, const TaskRef& ref, TimePoint now);
 
+/** Requeues a task whose run is lost. A long-running one has waited since the
+ * run was last known to be there. */
+void RequeueLostTask(State& state,
+                     const TaskRef& ref,
+                     std::string_view reason,
+                     TimePoint now);
+
 /** Requeues all tasks of a worker on which nothing can run any more. */
 void RequeueAllTasks(State& state,
                      int32_t worker,
--- a/src/sched/capacity_holds.cc
+++ b/src/sched/capacity_holds.cc
@@ -75,8 +75,7 @@
   const StepSpec& spec = iteration.job->spec.steps[index];
   return static_cast<size_t>(std::count_if(
       step.ready_tasks.begin(), step.ready_tasks.end(), [&](uint32_t task) {
-        return IsOverdue(spec, step.tasks[task], now) &&
-               HasLostWorker(step.tasks[task]) &&
+        return IsLost(spec, step.tasks[task], now) &&
                !IsHeldBack(state, TaskRef{&iteration, index, task}) &&
                now - step.tasks[task].ready_since >= kMinWaitToDisplace;
       }));
@@ -143,16 +142,26 @@
   return candidates;
 }
 
+// The task of the step for which the next hold is made: holds go to its tasks
+// in order.
+TaskRef NextToHoldFor(const State& state, const TaskRef& first) {
+  const std::vector<uint32_t>& ready = StepOf(first).ready_tasks;
+  const size_t held = CountHolds(state, NameOfStep(first));
+  return {first.iteration, first.step,
+          held < ready.size() ? ready[ready.size() - 1 - held] : first.index};
+}
+
 void AddHold(State& state,
-             const TaskRef& ref,
+             const TaskRef& first,
              const HoldCandidate& candidate,
              TimePoint now) {
+  const TaskRef ref = NextToHoldFor(state, first);
   const CapacityHold hold{
       .step = NameOfStep(ref),
       .worker = candidate.worker,
       .need = SpecOf(ref).need,
       .priority = PolicyOf(state, *ref.iteration->job).priority,
-      .sequence = ref.iteration->job->sequence,
+      .waiting_since = ReadTask(ref).ready_since,
       .since = now};
   WorkerState& worker = WorkerOf(state, hold);
   worker.held += hold.need;
@@ -254,13 +263,13 @@
 }
 
 void HoldForOverdueTasks(State& state, TimePoint now) {
-  const auto overdue = static_cast<uint32_t>(ReadyRank::kOverdue);
+  const auto lost = static_cast<uint32_t>(ReadyRank::kLost);
   size_t searches = 0;
   MovableCache movable;
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end() && searches < kMaxSearches &&
        state.capacity_holds.holds.size() < kMaxHolds;) {
-    if (next->rank != overdue) {
+    if (next->rank != lost) {
       next = state.ready_steps.lower_bound(
           ReadyKey{.priority = next->priority + 1});
       continue;
@@ -280,6 +289,15 @@
   return steps;
 }
 
+bool FitsOnHeldCapacity(const State& state, const TaskRef& ref, TimePoint now) {
+  const std::vector<CapacityHold>& holds = state.capacity_holds.holds;
+  return std::any_of(holds.begin(), holds.end(), [&](const CapacityHold& hold) {
+    const WorkerState& worker = WorkerOf(state, hold);
+    return Fits(hold.need, FreeCapacity(worker)) &&
+           Fits(SpecOf(ref).need, FreeCapacityFor(state, worker, ref, now));
+  });
+}
+
 bool HasHoldOn(const State& state, const StepName& step, int32_t worker) {
   return IsTargetOfStep(state, step, worker) ||
          std::any_of(state.capacity_holds.holds.begin(),
@@ -291,9 +309,12 @@
 
 size_t CountHolds(const State& state, const ReadyKey& key) {
   // Most plans look at thousands of steps while nothing is held.
-  if (state.capacity_holds.holds.empty())
-    return 0;
-  const StepName step = NameOfStep(key);
+  return state.capacity_holds.holds.empty()
+             ? 0
+             : CountHolds(state, NameOfStep(key));
+}
+
+size_t CountHolds(const State& state, const StepName& step) {
   return static_cast<size_t>(std::count_if(
       state.capacity_holds.holds.begin(), state.capacity_holds.holds.end(),
       [&step](const CapacityHold& hold) { return hold.step == step; }));
@@ -306,14 +327,15 @@
   const Resources free = FreeCapacity(worker);
   if (worker.held == Resources{})
     return free;
-  const bool is_overdue = IsOverdue(SpecOf(ref), ReadTask(ref), now);
+  const Task& task = ReadTask(ref);
+  const bool is_lost = IsLost(SpecOf(ref), task, now);
   const uint32_t priority = PolicyOf(state, *ref.iteration->job).priority;
-  const uint64_t sequence = ref.iteration->job->sequence;
   const StepName step = NameOfStep(ref);
   const auto keeps_off = [&](const CapacityHold& hold) {
     if (hold.priority != priority)
       return hold.priority < priority;
-    return hold.step != step && (!is_overdue || hold.sequence < sequence);
+    return hold.step != step &&
+           (!is_lost || hold.waiting_since < task.ready_since);
   };
   Resources kept = HeldForRelocations(state, worker, ref);
   for (const CapacityHold& hold : state.capacity_holds.holds) {
--- a/src/sched/capacity_holds.h
+++ b/src/sched/capacity_holds.h
@@ -20,14 +20,20 @@
 /** Steps with a hold whose capacity is free by now. */
 std::vector<StepName> FindStepsWithFreeHold(const State& state);
 
+/** True if the task may take capacity that is held for another one and is free
+ * by now. */
+bool FitsOnHeldCapacity(const State& state, const TaskRef& ref, TimePoint now);
+
 /** True if capacity is held for a task of the step on that worker. */
 bool HasHoldOn(const State& state, const StepName& step, int32_t worker);
 
 /** Number of tasks of the step for which capacity is held. */
 size_t CountHolds(const State& state, const ReadyKey& key);
+size_t CountHolds(const State& state, const StepName& step);
 
-/** The worker's free capacity without what is held for other tasks. An overdue
- * long-running task may take what is held for later jobs. */
+/** The worker's free capacity without what is held for other tasks. A lost
+ * long-running task may take what is held for those that wait for a shorter
+ * time. */
 Resources FreeCapacityFor(const State& state,
                           const WorkerState& worker,
                           const TaskRef& ref,
--- a/src/sched/cell_load.cc
+++ b/src/sched/cell_load.cc
@@ -4,8 +4,13 @@
 #include <map>
 #include <utility>
 
+#include "src/sched/capacity_holds.h"
+#include "src/sched/crash_suspects.h"
 #include "src/sched/jobs.h"
+#include "src/sched/order.h"
+#include "src/sched/work_to_move.h"
 #include "src/sched/workers.h"
+#include "src/sched/workspace_caps.h"
 
 namespace cowslipmast::sched {
 
@@ -61,6 +66,7 @@
 
 void AddCapacity(ServiceLoad& load,
                  const WorkerState& worker,
+                 const Resources& kept,
                  const Resources& change_by_moves) {
   load.capacity += worker.info.capacity.cpu;
   load.reserved += worker.reserved.cpu;
@@ -68,12 +74,29 @@
   load.idle += MilliCores(
       std::max<int64_t>(0, static_cast<int64_t>(IdleMillicores(worker))));
   const Resources free = FreeCapacity(worker) - worker.held;
-  AddPiece(load, worker, free, &ServiceLoad::free_pieces,
+  AddPiece(load, worker, free - kept, &ServiceLoad::free_pieces,
            &LabelLoad::free_pieces);
   AddPiece(load, worker, free + worker.displaceable + change_by_moves,
            &ServiceLoad::reclaimable, &LabelLoad::reclaimable);
 }
 
+// What is kept on the worker. Adds what of it is for other cells to `places`.
+Resources KeptOn(const State& state,
+                 int32_t worker,
+                 std::vector<LostTask>& places) {
+  Resources kept;
+  for (const KeptCapacity& entry : state.kept_capacity) {
+    if (entry.worker != worker)
+      continue;
+    kept += entry.need;
+    if (entry.is_for_other_cell)
+      places.push_back({.need = entry.need,
+                        .priority = entry.priority,
+                        .label = entry.label});
+  }
+  return kept;
+}
+
 void KeepLargest(std::vector<Resources>& pieces, size_t count) {
   std::sort(
       pieces.begin(), pieces.end(),
@@ -84,6 +107,8 @@
 
 void KeepLargestPieces(ServiceLoad& load) {
   KeepLargest(load.free_pieces, kMaxFreePieces);
+  if (load.kept_places.size() > kMaxLostTasks)
+    load.kept_places.resize(kMaxLostTasks);
   KeepLargest(load.reclaimable, kMaxFreePieces);
   for (auto& [label, entry] : load.by_label) {
     KeepLargest(entry.free_pieces, kMaxLabelPieces);
@@ -104,6 +129,44 @@
     load.waiting += need;
 }
 
+// Lost tasks of the step for which no capacity is held.
+void AddLostTasks(const State& state,
+                  const ReadyKey& key,
+                  TimePoint now,
+                  ServiceLoad& load) {
+  const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+  const StepState& step = std::as_const(key.iteration->steps[key.step]);
+  if (!spec.long_running || spec.best_effort || spec.gang ||
+      !IsSmallEnoughToMove(*key.iteration->job) || IsHeldBackByCap(state, key))
+    return;
+  size_t held = CountHolds(state, key);
+  for (auto index = step.ready_tasks.rbegin(); index != step.ready_tasks.rend();
+       ++index) {
+    const Task& task = step.tasks[*index];
+    if (!IsLost(spec, task, now) ||
+        IsHeldBack(state, TaskRef{key.iteration, key.step, *index}))
+      continue;
+    if (held > 0) {
+      --held;
+      continue;
+    }
+    load.lost_tasks.push_back(
+        {.need = spec.need,
+         .priority = PolicyOf(state, *key.iteration->job).priority,
+         .waited = now - task.ready_since,
+         .label = spec.label});
+  }
+}
+
+void KeepLongestWaiting(ServiceLoad& load) {
+  load.lost_task_count = static_cast<uint32_t>(load.lost_tasks.size());
+  std::stable_sort(
+      load.lost_tasks.begin(), load.lost_tasks.end(),
+      [](const LostTask& a, const LostTask& b) { return a.waited > b.waited; });
+  if (load.lost_tasks.size() > kMaxLostTasks)
+    load.lost_tasks.resize(kMaxLostTasks);
+}
+
 std::vector<QueueWaiting> CountWaitingJobs(const State& state) {
   std::map<QueueId, uint64_t> counts;
   for (const auto& [id, job] : state.jobs) {
@@ -135,16 +198,21 @@
       continue;
     const auto found = changes_by_moves.find(static_cast<int32_t>(i));
     AddCapacity(load, worker,
+                KeptOn(state, static_cast<int32_t>(i), load.kept_places),
                 found == changes_by_moves.end() ? Resources{} : found->second);
   }
-  for (const ReadyKey& key : state.ready_steps)
-    AddWaitingStep(loads[PolicyOf(state, *key.iteration->job).service], key);
+  for (const ReadyKey& key : state.ready_steps) {
+    ServiceLoad& load = loads[PolicyOf(state, *key.iteration->job).service];
+    AddWaitingStep(load, key);
+    AddLostTasks(state, key, now, load);
+  }
   CellLoad load{.cell = state.options.cell,
                 .services = {},
                 .waiting = CountWaitingJobs(state)};
   for (auto& [service, entry] : loads) {
     entry.service = service;
     KeepLargestPieces(entry);
+    KeepLongestWaiting(entry);
     load.services.push_back(std::move(entry));
   }
   return load;
--- a/src/sched/cell_message.cc
+++ b/src/sched/cell_message.cc
@@ -31,11 +31,12 @@
   return json::array({task.step, task.index, task.run.value(), task.failures,
                       with_checkpoint ? task.checkpoint : std::string(),
                       task.waited.count(), task.crashes.total,
-                      task.crashes.blamed, task.crashes.proven});
+                      task.crashes.blamed, task.crashes.proven, task.has_run});
 }
 
 MovedTask DecodeTask(const json& j) {
-  // Earlier versions store neither the wait nor crashes.
+  // Earlier versions store neither the wait nor crashes, nor whether it has
+  // run.
   CrashCount crashes;
   if (j.size() > 6)
     crashes.total = j.at(6).get<uint32_t>();
@@ -50,7 +51,8 @@
           .failures = j.at(3).get<uint32_t>(),
           .checkpoint = j.at(4).get<std::string>(),
           .waited = Duration(j.size() > 5 ? j.at(5).get<int64_t>() : 0),
-          .crashes = crashes};
+          .crashes = crashes,
+          .has_run = j.size() > 9 && j.at(9).get<bool>()};
 }
 
 json EncodePositions(const std::vector<TaskPosition>& positions) {
--- a/src/sched/choose_cell.cc
+++ b/src/sched/choose_cell.cc
@@ -24,6 +24,11 @@
 // A move takes about 0.1 s, so shorter waits are left to the cell.
 constexpr Duration kMinShortWait = milliseconds(150);
 constexpr Duration kMinBestEffortWait = milliseconds(300);
+// Lost tasks that fewer must go first in another cell for a move to help: the
+// cells' loads are half a second old, in which some of them get a worker.
+constexpr double kMinPlacesGained = 2;
+// A load may have been measured this long before it was asked for.
+constexpr Duration kMaxMeasuredEarlier = milliseconds(300);
 // Share of a cell's processors up to which waiting work counts as none.
 constexpr double kNegligibleShare = 0.01;
 
@@ -137,6 +142,39 @@
   return 0;
 }
 
+// Number of lost tasks that have waited for at least so long. Many are lost at
+// the same moment.
+double CountWaitingAsLong(const ServiceLoad& load, Duration without_run) {
+  const auto count = static_cast<size_t>(std::count_if(
+      load.lost_tasks.begin(), load.lost_tasks.end(),
+      [without_run](const LostTask& t) { return t.waited >= without_run; }));
+  return static_cast<double>(count < load.lost_tasks.size()
+                                 ? count
+                                 : load.lost_task_count.value_or(count));
+}
+
+// Places in the order of lost tasks, for the capacity of the own cell, that the
+// work gains by a move.
+double PlacesGained(const WaitingWork& work,
+                    const ServiceLoad& own,
+                    const ServiceLoad& other) {
+  // All workers of the cell may run as many tasks of the step as they may.
+  const bool may_be_full =
+      work.max_per_worker > 0 &&
+      size_t{other.workers} * work.max_per_worker <= work.step_tasks;
+  if (!work.may_rebalance || !work.without_run || may_be_full ||
+      !other.lost_task_count || other.capacity.count() <= 0)
+    return 0;
+  const double ratio = Cores(own.capacity) / Cores(other.capacity);
+  // It is one of those that wait here.
+  const double ahead_here =
+      std::max(0.0, CountWaitingAsLong(own, *work.without_run) - 1);
+  const double ahead_there = CountWaitingAsLong(
+      other, *work.without_run - work.load_age - kMaxMeasuredEarlier);
+  const double gained = ahead_here - ahead_there * ratio;
+  return gained >= kMinPlacesGained ? gained : 0;
+}
+
 bool IsOverdue(WorkKind kind) {
   return kind == WorkKind::kOverdueShort ||
          kind == WorkKind::kOverdueLongRunning ||
@@ -215,6 +253,24 @@
   }
 }
 
+bool IsKeptFor(const LostTask& place, const WaitingWork& work) {
+  return place.label == work.label && Fits(work.task_need, place.need);
+}
+
+// Takes kept places, each for one task. Returns how many.
+size_t TakeKept(std::vector<LostTask>& places,
+                const WaitingWork& work,
+                size_t tasks) {
+  size_t taken = 0;
+  for (size_t i = places.size(); i-- > 0 && taken < tasks;) {
+    if (!IsKeptFor(places[i], work))
+      continue;
+    places.erase(places.begin() + static_cast<std::ptrdiff_t>(i));
+    ++taken;
+  }
+  return taken;
+}
+
 }  // namespace
 
 bool CouldRun(const ServiceLoad& load, const WaitingWork& work) {
@@ -231,8 +287,13 @@
 }
 
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work) {
-  return CountInPieces(load, work, &ServiceLoad::free_pieces,
-                       &LabelLoad::free_pieces);
+  const size_t free = CountInPieces(load, work, &ServiceLoad::free_pieces,
+                                    &LabelLoad::free_pieces);
+  if (!work.without_run)
+    return free;
+  return free + static_cast<size_t>(std::count_if(
+                    load.kept_places.begin(), load.kept_places.end(),
+                    [&work](const LostTask& p) { return IsKeptFor(p, work); }));
 }
 
 size_t CountReclaimableTasks(const ServiceLoad& load, const WaitingWork& work) {
@@ -241,6 +302,8 @@
 }
 
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks) {
+  if (work.without_run)
+    tasks -= TakeKept(load.kept_places, work, tasks);
   TakeFrom(load.free_pieces, work, tasks);
   TakeFrom(load.reclaimable, work, tasks);
   for (auto& [label, labelled] : load.by_label) {
@@ -251,6 +314,27 @@
   }
 }
 
+void AddLostTask(ServiceLoad& load, const LostTask& task) {
+  // The number of those that wait there is not known.
+  if (!load.lost_task_count)
+    return;
+  const auto place = std::find_if(
+      load.lost_tasks.begin(), load.lost_tasks.end(),
+      [&task](const LostTask& t) { return t.waited < task.waited; });
+  load.lost_tasks.insert(place, task);
+  ++*load.lost_task_count;
+}
+
+void TakeLostTask(ServiceLoad& load, Duration waited) {
+  const auto found =
+      std::find_if(load.lost_tasks.begin(), load.lost_tasks.end(),
+                   [waited](const LostTask& t) { return t.waited <= waited; });
+  if (found != load.lost_tasks.end())
+    load.lost_tasks.erase(found);
+  if (load.lost_task_count && *load.lost_task_count > 0)
+    --*load.lost_task_count;
+}
+
 const ServiceLoad* FindServiceLoad(const CellLoad& load,
                                    const ServiceId& service) {
   const auto found = std::find_if(
@@ -277,6 +361,7 @@
   }
   std::vector<Candidate> with_spare;
   std::vector<Candidate> with_reclaimable;
+  std::vector<Candidate> with_fewer_lost;
   std::vector<Candidate> with_workers;
   for (const CellLoad& other : others) {
     const ServiceLoad* entry = FindServiceLoad(other, work.service);
@@ -287,14 +372,23 @@
     const double spare = SpareFor(work, *entry, mean_use);
     if (spare > 0)
       with_spare.push_back({other.cell, spare, is_full_of_step});
-    const size_t reclaimable =
-        work.may_reclaim ? CountReclaimableTasks(*entry, work) : 0;
+    const bool is_back = work.came_from == other.cell;
+    const size_t reclaimable = work.may_reclaim && !work.has_just_moved
+                                   ? CountReclaimableTasks(*entry, work)
+                                   : 0;
     if (reclaimable > 0)
       with_reclaimable.push_back(
           {other.cell, static_cast<double>(reclaimable), is_full_of_step});
+    const double gained = can_stay && !is_back && !work.has_just_moved
+                              ? PlacesGained(work, *load, *entry)
+                              : 0;
+    if (gained > 0)
+      with_fewer_lost.push_back({other.cell, gained, is_full_of_step});
   }
   if (with_spare.empty())
     with_spare = std::move(with_reclaimable);
+  if (with_spare.empty())
+    with_spare = std::move(with_fewer_lost);
   PreferNotFullOfStep(with_spare);
   PreferOtherThan(work.came_from, with_spare);
   // Work without any worker here goes to any cell that has some.
--- a/src/sched/choose_cell.h
+++ b/src/sched/choose_cell.h
@@ -28,9 +28,19 @@
   MilliCores need;  // of all its tasks that wait; part of the cell's own load
   Resources task_need{};        // of one task
   uint32_t max_per_worker = 0;  // tasks on one worker; 0 for no limit
+  size_t step_tasks = 1;        // of the step, waiting or not
   size_t min_tasks = 1;  // that a cell must be able to start: all of a gang
   /** May go where it must displace other tasks: it can't in its own cell. */
   bool may_reclaim = false;
+  /** How long a lost task has had no run; nothing for other work. */
+  std::optional<Duration> without_run = std::nullopt;
+  /** Age of the other cells' loads, in which waits were shorter. */
+  Duration load_age{0};
+  /** A lost task that may go where fewer lost tasks have waited for longer. */
+  bool may_rebalance = false;
+  /** It came here a moment ago: it goes back only where it has a place, as full
+   * cells must not send it to and fro. */
+  bool has_just_moved = false;
   std::string label;
   Duration waited{0};
   uint32_t hop = 0;  // cells that it has moved through already
@@ -52,10 +62,11 @@
  * others have capacity. Long-running work leaves a cell only down to the mean
  * use of all cells, so that cells with the same view do not overload the
  * emptiest one; overdue work goes only where workers that may run it have free
- * capacity in pieces that are large enough. Short and best-effort work leaves
- * only after it has waited, for a cell where nothing waits; overdue short work
- * also for one with capacity beside what waits, or that is less than half used.
- * Work that no worker here could ever run goes to any cell where one could. */
+ * capacity in pieces that are large enough, and a lost task of a full cell
+ * where it is served sooner. Short and best-effort work leaves only after it
+ * has waited, for a cell where nothing waits; overdue short work also for one
+ * with capacity beside what waits, or that is less than half used. Work that no
+ * worker here could ever run goes to any cell where one could. */
 std::optional<CellId> ChooseCell(const WaitingWork& work,
                                  const CellLoad& own,
                                  const std::vector<CellLoad>& others);
@@ -65,12 +76,18 @@
 bool CouldRun(const ServiceLoad& load, const WaitingWork& work);
 
 /** Number of the work's tasks that the free pieces of the service's workers
- * with its label hold. */
+ * with its label hold; for lost tasks also what is kept for them. */
 size_t CountFittingTasks(const ServiceLoad& load, const WaitingWork& work);
 
 /** As `CountFittingTasks`, with the capacity of tasks that may be displaced. */
 size_t CountReclaimableTasks(const ServiceLoad& load, const WaitingWork& work);
 
+/** Adds a lost task to those that wait in the cell. */
+void AddLostTask(ServiceLoad& load, const LostTask& task);
+
+/** Takes a lost task that has waited for so long from those that wait there. */
+void TakeLostTask(ServiceLoad& load, Duration waited);
+
 /** Takes the capacity for that many tasks out of the pieces. */
 void TakePieces(ServiceLoad& load, const WaitingWork& work, size_t tasks);
 
--- a/src/sched/crash_suspects.cc
+++ b/src/sched/crash_suspects.cc
@@ -298,11 +298,8 @@
     return;
   const std::vector<Suspect> suspects =
       FindSuspects(state, WorkerAt(state, worker), tasks, now);
-  for (const TaskRef& ref : tasks) {
-    ++state.counters.lost;
-    LogDecision(state, "run_lost", ref, std::string(reason));
-    RequeueTask(state, ref, now);
-  }
+  for (const TaskRef& ref : tasks)
+    RequeueLostTask(state, ref, reason, now);
   CountEnds(state, worker, suspects, reason, now);
 }
 
@@ -352,6 +349,7 @@
   if (TaskOf(ref).is_confirmed)
     return;
   TaskOf(ref).is_confirmed = true;
+  TaskOf(ref).has_run = true;
   if (!IsSuspect(TaskOf(CountedTask(ref))))
     return;
   // A later owner may be the one that learns of the next crash.
--- a/src/sched/job_parts.cc
+++ b/src/sched/job_parts.cc
@@ -8,6 +8,7 @@
 
 #include "src/sched/assignment.h"
 #include "src/sched/jobs.h"
+#include "src/sched/order.h"
 #include "src/sched/work_to_move.h"
 
 namespace cowslipmast::sched {
@@ -48,9 +49,12 @@
   task.run = moved.run;
   task.failures = moved.failures;
   task.checkpoint = moved.checkpoint;
+  task.has_run = moved.has_run;
+  task.ready_since = now - moved.waited;
   SetCrashes(state, ref, moved.crashes);
   task.other_cell = kThisCell;
   task.came_from = static_cast<uint32_t>(from.value());
+  task.has_just_moved = true;
   task.phase = SchedulingPhase::kBlocked;
   MarkDirty(state, iteration);
   // A replay makes its tasks ready at its end.
@@ -109,7 +113,9 @@
   MarkDirty(state, iteration);
 }
 
-void RepeatTaskTransfers(State& state, const Iteration& iteration) {
+void RepeatTaskTransfers(State& state,
+                         const Iteration& iteration,
+                         TimePoint now) {
   std::map<CellId, std::vector<MovedTask>> moved;
   Iteration* own = iteration.job->iterations.at(iteration.number).get();
   for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
@@ -118,8 +124,8 @@
       const Task& task = ReadTask(ref);
       if (task.phase == SchedulingPhase::kElsewhere &&
           task.other_cell != kThisCell)
-        moved[CellId(task.other_cell)].push_back(
-            DescribeTask(ref, Duration(0)));
+        moved[CellId(task.other_cell)].push_back(DescribeTask(
+            ref, IsWaitKnown(task) ? now - task.ready_since : Duration(0)));
     }
   }
   for (auto& [cell, tasks] : moved)
@@ -259,11 +265,11 @@
     job.state = JobState::kCancelled;
 }
 
-void RepeatPartMessages(State& state, const Job& job) {
+void RepeatPartMessages(State& state, const Job& job, TimePoint now) {
   for (const auto& [number, iteration] : job.iterations) {
     if (IsDone(job, number))
       continue;
-    RepeatTaskTransfers(state, *iteration);
+    RepeatTaskTransfers(state, *iteration, now);
     if (!IsCoordinator(job) && AnyTask(*iteration, IsDoneHere))
       PlanPartReport(state, *iteration);
   }
--- a/src/sched/job_parts.h
+++ b/src/sched/job_parts.h
@@ -55,7 +55,7 @@
 
 /** Plans to send the transfers and reports of a restored job again, as the
  * previous owner may not have sent them. */
-void RepeatPartMessages(State& state, const Job& job);
+void RepeatPartMessages(State& state, const Job& job, TimePoint now);
 
 }  // namespace cowslipmast::sched
 
--- a/src/sched/jobs.cc
+++ b/src/sched/jobs.cc
@@ -275,6 +275,7 @@
     task.ready_here_since = now;
   });
   step.ready_tasks.insert(PlaceOf(step, now), ready.begin(), ready.end());
+  OrderReadyTasks(iteration.job->spec.steps[index], step, now);
   state.ready_steps.insert(MakeReadyKey(state, iteration, index, now));
   state.needs_plan = true;
 }
@@ -293,6 +294,7 @@
   task.ready_since = now - waited;
   task.ready_here_since = now;
   step.ready_tasks.insert(PlaceOf(step, task.ready_since), ref.index);
+  OrderReadyTasks(SpecOf(ref), step, now);
   state.ready_steps.insert(MakeReadyKey(state, *ref.iteration, ref.step, now));
   state.needs_plan = true;
 }
@@ -312,6 +314,17 @@
   }
 }
 
+namespace {
+
+// A task that has lost its run is overdue at once.
+Duration RestoredWait(const Task& task, TimePoint now) {
+  return IsWaitKnown(task)
+             ? std::max(now - task.ready_since, kLongRunningOverdueAfter)
+             : kLongRunningOverdueAfter;
+}
+
+}  // namespace
+
 void ResumeWaits(State& state, Iteration& iteration, TimePoint now) {
   const JobDefinition& spec = iteration.job->spec;
   for (uint32_t i = 0; i < iteration.steps.size(); ++i) {
@@ -321,7 +334,7 @@
       const TaskRef ref{&iteration, i, index};
       if (ReadTask(ref).phase == SchedulingPhase::kBlocked &&
           ReadTask(ref).run > iteration.job->base_run)
-        MakeReady(state, ref, now, kLongRunningOverdueAfter);
+        MakeReady(state, ref, now, RestoredWait(ReadTask(ref), now));
     });
   }
 }
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -97,6 +97,17 @@
   task.visible_from = now;
 }
 
+// Without a confirmation the run may never have begun, so that the wait of a
+// long-running task goes on.
+Duration WaitOfMissingRun(const TaskRef& ref, TimePoint now) {
+  const Task& task = ReadTask(ref);
+  if (!SpecOf(ref).long_running || task.is_confirmed)
+    return Duration(0);
+  return IsWaitKnown(task)
+             ? std::max(now - task.ready_since, kLongRunningOverdueAfter)
+             : kLongRunningOverdueAfter;
+}
+
 // Handles a run that the worker lists neither as active nor as ended although a
 // listing should show it by now.
 void HandleMissingRun(State& state, const TaskRef& ref, TimePoint now) {
@@ -108,11 +119,7 @@
   }
   ++state.counters.lost;
   LogDecision(state, "run_lost", ref, "missing from the listing");
-  // Without a confirmation the run may never have begun, so that the wait of
-  // its task goes on.
-  const bool may_have_waited = SpecOf(ref).long_running && !task.is_confirmed;
-  RequeueTask(state, ref, now,
-              may_have_waited ? kLongRunningOverdueAfter : Duration(0));
+  RequeueTask(state, ref, now, WaitOfMissingRun(ref, now));
 }
 
 bool IsPaceKnown(const Task& task) {
@@ -192,6 +199,7 @@
     instance.outcomes_applied = ended.number;
     state.needs_plan = true;
   }
+  instance.heard_lease_end = instance.latest_lease_end;
   worker_state.unexpected = Resources{};
   for (const ActiveRun& running : listing.running)
     ApplyActiveRun(state, worker, running, now);
--- a/src/sched/look_ahead.h
+++ b/src/sched/look_ahead.h
@@ -41,9 +41,9 @@
   StepName step;
   int32_t worker = -1;  // index into `State::workers`
   Resources need;
-  /** Of overdue tasks, those of later jobs are kept off. */
   uint32_t priority = 0;
-  uint64_t sequence = 0;
+  /** Lost tasks that have waited for longer are not kept off. */
+  TimePoint waiting_since;
   TimePoint since;
 };
 
--- a/src/sched/order.cc
+++ b/src/sched/order.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 #include <vector>
 
 #include "src/sched/jobs.h"
@@ -62,6 +63,7 @@
       .is_started = IsStarted(iteration)};
   if (iteration.has_turn) {
     key.rank = static_cast<uint32_t>(ReadyRank::kOverdue);
+    key.latest_start = iteration.due;
     return;
   }
   switch (ClassifyStep(outlook)) {
@@ -79,14 +81,21 @@
   }
 }
 
-// Rank of a long-running step. Short work soon releases its worker.
-ReadyRank LongRunningRank(const StepSpec& spec,
-                          const StepState& waiting,
-                          TimePoint now) {
-  const bool is_overdue =
-      !waiting.ready_tasks.empty() &&
-      IsOverdue(spec, waiting.tasks[waiting.ready_tasks.back()], now);
-  return is_overdue ? ReadyRank::kOverdue : ReadyRank::kLongRunning;
+// Rank of a long-running step: that of the task that is placed next. Short work
+// soon releases its worker.
+void RankLongRunning(const StepSpec& spec,
+                     const StepState& waiting,
+                     TimePoint now,
+                     ReadyKey& key) {
+  key.rank = static_cast<uint32_t>(ReadyRank::kLongRunning);
+  if (waiting.ready_tasks.empty())
+    return;
+  const Task& next = waiting.tasks[waiting.ready_tasks.back()];
+  if (!IsOverdue(spec, next, now))
+    return;
+  key.rank = static_cast<uint32_t>(
+      IsLost(spec, next, now) ? ReadyRank::kLost : ReadyRank::kOverdue);
+  key.latest_start = next.ready_since;
 }
 
 }  // namespace
@@ -114,8 +123,7 @@
                .step = step,
                .iteration = &iteration};
   if (step_spec.long_running) {
-    key.rank = static_cast<uint32_t>(
-        LongRunningRank(step_spec, iteration.steps[step], now));
+    RankLongRunning(step_spec, std::as_const(iteration.steps[step]), now, key);
   } else if (state.options.features.overload_order) {
     RankUnderOverload(state, now, key);
   } else if (now + CriticalPath(spec, step) > ObjectiveOf(state, iteration)) {
@@ -124,8 +132,29 @@
   return key;
 }
 
-bool HasLostWorker(const Task& task) {
-  return task.run > RunNumber();
+bool IsLost(const StepSpec& spec, const Task& task, TimePoint now) {
+  return task.has_run && IsOverdue(spec, task, now);
+}
+
+void OrderReadyTasks(const StepSpec& spec, StepState& step, TimePoint now) {
+  if (!spec.long_running || step.ready_tasks.size() < 2)
+    return;
+  const TaskList& tasks = step.tasks;
+  // The last one is placed first.
+  const auto is_placed_later = [&](uint32_t a, uint32_t b) {
+    const bool is_lost = IsLost(spec, tasks[a], now);
+    if (is_lost != IsLost(spec, tasks[b], now))
+      return !is_lost;
+    return tasks[a].ready_since > tasks[b].ready_since;
+  };
+  if (!std::is_sorted(step.ready_tasks.begin(), step.ready_tasks.end(),
+                      is_placed_later))
+    std::stable_sort(step.ready_tasks.begin(), step.ready_tasks.end(),
+                     is_placed_later);
+}
+
+bool IsWaitKnown(const Task& task) {
+  return task.ready_since != TimePoint();
 }
 
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now) {
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -13,6 +13,7 @@
 
 /** Order within a priority. */
 enum class ReadyRank : uint8_t {
+  kLost,     // overdue long-running tasks that have had a run
   kOverdue,  // long-running tasks, and late work that has a turn
   kStarted,  // on time, with work that is running or done
   kOnTime,
@@ -26,7 +27,9 @@
  * priority, steps that can still meet their objective go before steps that
  * cannot, so that a burst makes some jobs late instead of all. Long-running
  * tasks come last, because they never release their worker while short work
- * soon does. Equal steps go in order of arrival.
+ * soon does, until they are overdue: then first those that had a run, and both
+ * kinds by the time for which they have had none. Equal steps go in order of
+ * arrival.
  *
  * With `overload_order` a job that has started goes first, by the time at which
  * its step must start. Of the others that can meet their objective the newest
@@ -44,9 +47,16 @@
  * worker with enough capacity: it must not be without a worker for 3 s. */
 bool IsOverdue(const StepSpec& spec, const Task& task, TimePoint now);
 
-/** True if the task had a worker before, as far as its run number tells: a move
- * to another cell raises it, too. */
-bool HasLostWorker(const Task& task);
+/** True if an overdue long-running task has had a run. */
+bool IsLost(const StepSpec& spec, const Task& task, TimePoint now);
+
+/** Orders the step's ready tasks: lost ones are placed first, and of both kinds
+ * those that have waited longest. */
+void OrderReadyTasks(const StepSpec& spec, StepState& step, TimePoint now);
+
+/** True if `Task::ready_since` is known: an owner that has restored the task
+ * may not know it. */
+bool IsWaitKnown(const Task& task);
 
 }  // namespace cowslipmast::sched
 
--- a/src/sched/progress.cc
+++ b/src/sched/progress.cc
@@ -13,6 +13,7 @@
 #include "src/sched/job_parts.h"
 #include "src/sched/jobs.h"
 #include "src/sched/silent_ends.h"
+#include "src/sched/stored_waits.h"
 #include "src/sched/workers.h"
 
 namespace cowslipmast::sched {
@@ -166,6 +167,8 @@
   const auto silent_ends = stored.find("q");
   if (silent_ends != stored.end())
     ApplySilentEnds(state, iteration, *silent_ends);
+  if (const auto waits = stored.find("w"); waits != stored.end())
+    ApplyWaits(state, iteration, *waits);
   // The coordinator alone knows when an iteration is done.
   if (IsCoordinator(job) ? iteration.unfinished_steps == 0
                          : iteration.is_closed)
@@ -219,6 +222,9 @@
   json silent_ends = EncodeSilentEnds(state, iteration);
   if (!silent_ends.empty())
     stored["q"] = std::move(silent_ends);
+  json waits = EncodeWaits(state, iteration);
+  if (!waits.empty())
+    stored["w"] = std::move(waits);
   const std::vector<uint8_t> bytes = json::to_cbor(stored);
   return {bytes.begin(), bytes.end()};
 }
--- a/src/sched/relocation.cc
+++ b/src/sched/relocation.cc
@@ -103,7 +103,7 @@
   std::vector<Resources> needs;
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
-    if (next->rank != overdue) {
+    if (next->rank > overdue) {
       next = state.ready_steps.lower_bound(
           ReadyKey{.priority = next->priority + 1});
       continue;
--- a/src/sched/run_outcome.cc
+++ b/src/sched/run_outcome.cc
@@ -1,6 +1,7 @@
 #include "src/sched/run_outcome.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,23 @@
   EndJob(state, job, JobState::kFailed, now);
 }
 
+// Time since the run that is listed as lapsed ended: with its lease, or at some
+// time since the claim of an owner that has granted none.
+Duration TimeSinceLapse(const State& state,
+                        int32_t worker,
+                        const TaskRef& ref,
+                        TimePoint now) {
+  const auto& instance = state.workers[static_cast<size_t>(worker)].instance;
+  if (!SpecOf(ref).long_running || !instance || !instance->clock)
+    return Duration(0);
+  if (instance->heard_lease_end == WorkerClock(0))
+    return now - state.claimed_at;
+  return std::max(
+      Duration(0),
+      Duration(std::chrono::milliseconds(instance->clock->count() -
+                                         instance->heard_lease_end.count())));
+}
+
 }  // namespace
 
 void ApplyRunOutcome(State& state,
@@ -87,6 +105,7 @@
   if (task.worker != worker || task.run != ended.run)
     return;
   NoteStart(*ref->iteration->job);
+  task.has_run = true;
   LogDecision(state, RunOutcomeName(ended.outcome), *ref,
               "end=" + std::to_string(ended.number));
   if (!ended.checkpoint.empty())
@@ -107,7 +126,8 @@
       return;
     case RunOutcome::kLeaseExpired:
       ++state.counters.lease_expired;
-      break;
+      RequeueTask(state, *ref, now, TimeSinceLapse(state, worker, *ref, now));
+      return;
     case RunOutcome::kStopped:
     case RunOutcome::kGangMemberEnded:
     case RunOutcome::kGangIncomplete:
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -120,6 +120,10 @@
   worker.lease_expiry = now;
 }
 
+void NoteWallTime(State& state, TimePoint now, WallTime wall) {
+  state.wall_origin = wall - now.time_since_epoch();
+}
+
 // Stored jobs are read in no particular order. Those that are read later, as
 // they are accepted, follow.
 void RestoreOrderOfArrival(State& state) {
@@ -146,7 +150,7 @@
       ResumeWaits(state, *iteration, now);
       UnblockSteps(state, *iteration, now);
     }
-    RepeatMessages(state, job);
+    RepeatMessages(state, job, now);
     return;
   }
   if (job.state != JobState::kFailed && job.state != JobState::kCancelled &&
@@ -160,7 +164,7 @@
       ResumeWaits(state, *iteration, now);
       UnblockSteps(state, *iteration, now);
     }
-    RepeatMessages(state, job);
+    RepeatMessages(state, job, now);
     return;
   }
   const JobState end = job.state;
@@ -256,6 +260,7 @@
                        TimePoint now,
                        WallTime wall) {
   State& state = m_impl->state;
+  NoteWallTime(state, now, wall);
   if (state.jobs.contains(spec.id) || state.deleted_jobs.contains(spec.id))
     return;
   Job& job = AddJobWithoutIterations(state, spec, now, wall);
@@ -282,6 +287,7 @@
 void Scheduler::AddTransfer(const JobTransfer& transfer,
                             TimePoint now,
                             WallTime wall) {
+  NoteWallTime(m_impl->state, now, wall);
   if (!m_impl->state.deleted_jobs.contains(transfer.job.id))
     ApplyTransfer(m_impl->state, transfer, now, wall);
 }
@@ -316,6 +322,7 @@
 void Scheduler::SetCellLoads(std::vector<CellLoad> loads, TimePoint now) {
   m_impl->state.cell_loads = std::move(loads);
   m_impl->state.cell_loads_at = now;
+  CountRecentMoves(m_impl->state, now);
 }
 
 std::string Scheduler::OwnInterference() const {
@@ -530,6 +537,7 @@
   State& state = m_impl->state;
   Plan plan;
   state.needs_plan = false;
+  NoteWallTime(state, now, wall);
   CreateDueIterations(state, now, wall);
   RequeueTasksOfExpiredLeases(state, now);
   EndWaitForLateProofs(state, now);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -94,10 +94,16 @@
   /** Workers whose `silent_tasks` have a run of the task that may have ended at
    * its start; part of the task's record. */
   std::vector<int32_t> silent_workers;
+  /** A worker has had a run of the task, in any cell and under any owner. */
+  bool has_run = false;
   uint32_t other_cell = kThisCell;  // that runs the task
   uint32_t came_from = kThisCell;   // the cell that moved the task here
-  TimePoint ready_since;            // while the task waits for a worker
-  TimePoint ready_here_since;       // in this cell
+  /** It has had no worker since it was moved here. */
+  bool has_just_moved = false;
+  /** While the task waits for a worker. Of a long-running one the last time at
+   * which it is known to have had a run, in any cell and under any owner. */
+  TimePoint ready_since;
+  TimePoint ready_here_since;  // in this cell
   std::string checkpoint;
   /** A listing requested after this time shows the run if it is present; not
    * set while the start command is on its way. */
@@ -245,6 +251,8 @@
   TimePoint clock_received_at;
   /** Latest lease end sent to it, on its clock. */
   WorkerClock latest_lease_end;
+  /** As above, when it was last heard: it may not have received a later one. */
+  WorkerClock heard_lease_end;
   /** Number of the last listed run outcome that was applied, that was part of a
    * plan, and whose plan was stored. */
   uint64_t outcomes_applied = 0;
@@ -317,6 +325,32 @@
   std::deque<TimePoint> begun;
 };
 
+/** A lost task that was moved just now, which the loads of its new cell do not
+ * show yet. */
+struct RecentMove {
+  CellId target;
+  ServiceId service;
+  LostTask task;
+  TimePoint at;
+};
+
+/** Free capacity that is kept from new long-running tasks. */
+struct KeptCapacity {
+  int32_t worker = kNoWorker;  // index into `State::workers`
+  Resources need;
+  uint32_t priority = 0;
+  bool is_for_other_cell = false;
+  std::string label;  // of that task
+};
+
+/** Since when a worker's free capacity, as it is, may be kept for other cells.
+ */
+struct KeptPlace {
+  TimePoint since;
+  TimePoint seen;  // by the last plan
+  Resources free;
+};
+
 /** Order in which waiting steps get workers; the smallest is first. */
 struct ReadyKey {
   uint32_t priority = 0;
@@ -356,11 +390,14 @@
 struct State {
   SchedulerOptions options;
   TimePoint claimed_at;
+  /** Wall time at `TimePoint()`, by the latest reading of both clocks. */
+  WallTime wall_origin;
   bool restored = false;  // all stored progress has been replayed
   /** Loads of the other cells, with the changes that this owner has planned,
    * and when they were measured. */
   std::vector<CellLoad> cell_loads;
   TimePoint cell_loads_at;
+  std::deque<RecentMove> recent_moves;
   /** To be sent once the next plan is stored. */
   std::vector<CellMessage> messages;
   /** Cancellations of jobs that other cells run; may be sent at once. */
@@ -371,6 +408,8 @@
   LookAhead look_ahead;
   CapacityHolds capacity_holds;
   Relocations relocations;
+  std::vector<KeptCapacity> kept_capacity;   // since the last plan
+  std::map<int32_t, KeptPlace> kept_places;  // by worker
   std::optional<TimePoint> interference_stored_at;
   LeaseNotes lease_notes;
   /** Needs of the tasks that have a worker in this cell. */
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -12,6 +12,7 @@
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
 #include "src/sched/jobs_without_run.h"
+#include "src/sched/kept_capacity.h"
 #include "src/sched/order.h"
 #include "src/sched/overload_order.h"
 #include "src/sched/pacing.h"
@@ -44,18 +45,13 @@
   return static_cast<double>(cpu.count());
 }
 
-bool HasLabel(const WorkerState& worker, const std::string& label) {
-  return label.empty() ||
-         std::find(worker.info.labels.begin(), worker.info.labels.end(),
-                   label) != worker.info.labels.end();
-}
-
 bool HasCapacity(const State& state,
                  const WorkerState& worker,
                  const TaskRef& ref,
                  TimePoint now) {
-  return Fits(ReservedBy(SpecOf(ref)),
-              FreeCapacityFor(state, worker, ref, now));
+  return Fits(
+      ReservedBy(SpecOf(ref)),
+      FreeCapacityFor(state, worker, ref, now) - KeptFrom(state, worker, ref));
 }
 
 // True if the long-running tasks of the service, with one more of this step,
@@ -217,7 +213,19 @@
   std::optional<TaskRef> without_worker;
 };
 
-// Places the step's waiting tasks one by one.
+bool IsLongRunning(const ReadyKey& key) {
+  return key.iteration->job->spec.steps[key.step].long_running;
+}
+
+// True if the step's next task belongs behind those for which the key was made:
+// tasks of other steps may go first.
+bool BelongsLater(const State& state, const ReadyKey& key, TimePoint now) {
+  return IsLongRunning(key) &&
+         key < MakeReadyKey(state, *key.iteration, key.step, now);
+}
+
+// Places the step's waiting tasks one by one, as long as no task of another
+// step may go first.
 StepPlacement PlaceTasks(State& state,
                          const ReadyKey& key,
                          TimePoint now,
@@ -227,6 +235,8 @@
   std::optional<WorkerHeap> heap;
   std::vector<uint32_t> unplaced;
   while (!step.ready_tasks.empty()) {
+    if (unplaced.empty() && BelongsLater(state, key, now))
+      break;
     const uint32_t index = step.ready_tasks.back();
     const TaskRef ref{key.iteration, key.step, index};
     step.ready_tasks.pop_back();
@@ -399,12 +409,40 @@
   }
 }
 
-// Overdue tasks that now fit where capacity was held for them.
+// Steps whose next task has lost its run and is overdue, in order.
+std::vector<ReadyKey> FindLostSteps(const State& state, TimePoint now) {
+  const auto lost = static_cast<uint32_t>(ReadyRank::kLost);
+  std::vector<ReadyKey> steps;
+  for (auto next = state.ready_steps.begin();
+       next != state.ready_steps.end();) {
+    if (next->rank > lost) {
+      next = state.ready_steps.lower_bound(
+          ReadyKey{.priority = next->priority + 1});
+      continue;
+    }
+    steps.push_back(MakeReadyKey(state, *next->iteration, next->step, now));
+    ++next;
+  }
+  std::sort(steps.begin(), steps.end());
+  return steps;
+}
+
+// Lost tasks that now fit where capacity was held for them. They may be less
+// urgent than others, but one that has waited for longer is placed first.
 void PlaceOnHeldCapacity(State& state, TimePoint now, Plan& plan) {
-  for (const StepName& step : FindStepsWithFreeHold(state)) {
-    if (const auto ref = FindWaitingTask(state, step))
-      PlaceStep(state, MakeReadyKey(state, *ref->iteration, ref->step, now),
-                now, plan);
+  const std::vector<StepName> held = FindStepsWithFreeHold(state);
+  if (held.empty())
+    return;
+  for (const ReadyKey& key : FindLostSteps(state, now)) {
+    const std::vector<uint32_t>& ready =
+        key.iteration->steps[key.step].ready_tasks;
+    if (ready.empty())
+      continue;
+    const TaskRef next{key.iteration, key.step, ready.back()};
+    const bool has_hold =
+        std::find(held.begin(), held.end(), NameOfStep(key)) != held.end();
+    if (has_hold || FitsOnHeldCapacity(state, next, now))
+      PlaceStep(state, key, now, plan);
   }
 }
 
@@ -468,6 +506,12 @@
 
 }  // namespace
 
+bool HasLabel(const WorkerState& worker, const std::string& label) {
+  return label.empty() ||
+         std::find(worker.info.labels.begin(), worker.info.labels.end(),
+                   label) != worker.info.labels.end();
+}
+
 int32_t FindWorkerForTask(const State& state,
                           const TaskRef& ref,
                           TimePoint now) {
@@ -581,6 +625,27 @@
               is_opportunistic ? "opportunistic" : "");
 }
 
+namespace {
+
+// Long-running steps go where they belong by now before any of them is placed.
+void ReorderLongRunningSteps(State& state, TimePoint now) {
+  std::vector<ReadyKey> moved;
+  std::erase_if(state.ready_steps, [&](const ReadyKey& key) {
+    const StepSpec& spec = key.iteration->job->spec.steps[key.step];
+    if (!spec.long_running)
+      return false;
+    OrderReadyTasks(spec, key.iteration->steps[key.step], now);
+    const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
+    if (!(key < current) && !(current < key))
+      return false;
+    moved.push_back(current);
+    return true;
+  });
+  state.ready_steps.insert(moved.begin(), moved.end());
+}
+
+}  // namespace
+
 void PlaceReadyTasks(State& state, TimePoint now, Plan& plan) {
   if (state.options.features.overload_order)
     GiveTurnToLateWork(state, now);
@@ -592,8 +657,11 @@
   if (looks_ahead)
     ReviewReservations(state, now);
   ReviewHolds(state, now);
+  ReorderLongRunningSteps(state, now);
   PlaceRelocatedTasks(state, now, plan);
   PlaceOnHeldCapacity(state, now, plan);
+  state.kept_capacity.clear();
+  bool has_kept = false;
   for (auto next = state.ready_steps.begin();
        next != state.ready_steps.end();) {
     const ReadyKey key = *next;
@@ -603,6 +671,11 @@
       continue;
     }
     const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
+    if (key < current && IsLongRunning(key)) {
+      state.ready_steps.insert(current);
+      next = state.ready_steps.erase(next);
+      continue;
+    }
     if (key < current || current < key) {
       state.counters.late_steps += BecameLate(key, current) ? 1 : 0;
       reordered.push_back(current);
@@ -611,6 +684,10 @@
     }
     StepState& step = key.iteration->steps[key.step];
     step.examined_at = now;
+    if (!has_kept && IsNewLongRunning(key)) {
+      has_kept = true;
+      KeepForTasksThatHadRuns(state, now);
+    }
     // Says nothing of the steps of other workspaces, which may have room.
     if (IsHeldBackByCap(state, key)) {
       step.is_ruled_out = false;
@@ -628,6 +705,12 @@
       next = state.ready_steps.erase(next);
       continue;
     }
+    if (BelongsLater(state, key, now)) {
+      state.ready_steps.insert(
+          MakeReadyKey(state, *key.iteration, key.step, now));
+      next = state.ready_steps.erase(next);
+      continue;
+    }
     if (placement.without_worker && !IsHeldBackByCap(state, key)) {
       if (!IsHeldBackByReservation(state, *placement.without_worker, now))
         unplaced_steps.Add(state, *placement.without_worker, now);
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -2,6 +2,7 @@
 #define COWSLIPMAST_SRC_SCHED_TASK_PLACEMENT_H_
 
 #include <optional>
+#include <string>
 
 #include "src/sched/state.h"
 #include "src/sched/worker_score.h"
@@ -50,6 +51,9 @@
                                    const TaskRef& ref,
                                    TimePoint now);
 
+/** True if the worker has the label, or none is asked for. */
+bool HasLabel(const WorkerState& worker, const std::string& label);
+
 /** True if only the worker's free capacity, its reservations and what the
  * service as a whole has left may keep the task off it. */
 bool MayRunOn(const State& state,
--- a/src/sched/task_transfers.cc
+++ b/src/sched/task_transfers.cc
@@ -29,12 +29,19 @@
 constexpr Duration kMinWaitWithoutWorker = milliseconds(500);
 // By then the cell has held capacity for the task if any could be displaced.
 constexpr Duration kMinWaitToReclaim = milliseconds(1900);
-// A task that has come from another cell waits here until the loads of the
-// other cells have been read again. The longer it has waited in all, the less
-// another move helps; still it must not miss capacity for 3 s.
-constexpr Duration kMinStayOfMovedTask = milliseconds(500);
-constexpr Duration kMaxStayOfMovedTask = milliseconds(2000);
+// A task waits here until the loads of the other cells have been read again.
+// The longer it has waited in all, the less another move helps; still it must
+// not miss capacity for 3 s.
+constexpr Duration kMinStay = milliseconds(500);
+constexpr Duration kMaxStay = milliseconds(2000);
 constexpr int kStayShareOfWait = 4;
+// Where no cell has room a lost task waits for as long as a cell takes to see
+// room that came free elsewhere, and then goes where it is served sooner.
+constexpr Duration kMinStayBeforeRebalance = milliseconds(1000);
+// Before a lost task goes back to where room must be reclaimed for it.
+constexpr Duration kMinStayBeforeReturn = milliseconds(4000);
+// From a move until a load that shows the task in its new cell is here.
+constexpr Duration kMaxAgeOfRecentMove = milliseconds(800);
 // Short and best-effort steps considered in one plan; bounds its duration while
 // many wait. The next plan goes on with the others.
 constexpr size_t kMaxShortStepsConsidered = 64;
@@ -77,12 +84,24 @@
          (!SpecOf(key).gang || IsWholeStepReady(step));
 }
 
-bool HasWaitedFor(const ReadyKey& key, Duration wait, TimePoint now) {
+// Time for which the task has waited and was known to. No cell could have moved
+// it while a lease of its lost worker lasted.
+Duration KnownWait(const State& state, const Task& task, TimePoint now) {
+  const Duration waited = now - task.ready_since;
+  return task.has_run ? std::max(now - task.ready_here_since,
+                                 waited - state.options.lease)
+                      : waited;
+}
+
+bool HasWaitedFor(const State& state,
+                  const ReadyKey& key,
+                  Duration wait,
+                  TimePoint now) {
   const Task& oldest = OldestTask(key);
-  const Duration waited = now - oldest.ready_since;
-  const Duration stay = std::clamp(waited / kStayShareOfWait,
-                                   kMinStayOfMovedTask, kMaxStayOfMovedTask);
-  return waited >= wait && now - oldest.ready_here_since >= stay;
+  const Duration stay = std::clamp(
+      KnownWait(state, oldest, now) / kStayShareOfWait, kMinStay, kMaxStay);
+  return now - oldest.ready_since >= wait &&
+         now - oldest.ready_here_since >= stay;
 }
 
 // A long-running task soon gets capacity that is kept for short work.
@@ -95,10 +114,12 @@
                                                : kMinWaitWithoutWorker;
 }
 
-// Number of the step's tasks for which the cell has capacity; nothing if it is
-// not known to have any, and all of them go there.
+// Number of the step's tasks for which the cell has capacity. Where it is not
+// known to have any, a lost task goes alone, to wait there for a shorter time;
+// tasks that cannot run here go all.
 size_t CountTasksToMove(const ServiceLoad& load,
                         const WaitingWork& work,
+                        bool could_run_here,
                         size_t ready) {
   if (work.min_tasks > 1)
     return ready;
@@ -112,7 +133,20 @@
     return std::min(ready, fitting);
   const size_t reclaimable =
       work.may_reclaim ? CountReclaimableTasks(load, work) : 0;
-  return reclaimable > 0 ? std::min(ready, reclaimable) : ready;
+  if (reclaimable > 0)
+    return std::min(ready, reclaimable);
+  return could_run_here && work.may_rebalance ? std::min<size_t>(ready, 1)
+                                              : ready;
+}
+
+void AddToLoads(State& state, const RecentMove& move) {
+  for (CellLoad& load : state.cell_loads) {
+    ServiceLoad* service = load.cell == move.target
+                               ? FindServiceLoad(load, move.service)
+                               : nullptr;
+    if (service != nullptr)
+      AddLostTask(*service, move.task);
+  }
 }
 
 // Takes the capacity for tasks that move out of the loads, so that the next
@@ -130,15 +164,45 @@
     load.waiting += need;
 }
 
+// Counts lost tasks that move among those of their new cell: in this plan, and
+// until the loads of that cell show them.
+void CountMove(State& state,
+               const WaitingWork& work,
+               CellId target,
+               size_t tasks,
+               CellLoad& own,
+               TimePoint now) {
+  if (!work.without_run)
+    return;
+  const LostTask moved{
+      .need = work.task_need, .waited = *work.without_run, .label = work.label};
+  ServiceLoad* from = FindServiceLoad(own, work.service);
+  for (size_t i = 0; i < tasks; ++i) {
+    if (from != nullptr)
+      TakeLostTask(*from, moved.waited);
+    state.recent_moves.push_back({target, work.service, moved, now});
+    AddToLoads(state, state.recent_moves.back());
+  }
+}
+
 WaitingWork DescribeOverdueWork(const State& state,
                                 const ReadyKey& key,
                                 TimePoint now) {
   WaitingWork work = DescribeWork(state, key, now);
   work.kind = OverdueKindOf(SpecOf(key));
-  work.may_reclaim = SpecOf(key).long_running && !SpecOf(key).best_effort &&
-                     !SpecOf(key).gang && HasLostWorker(OldestTask(key)) &&
-                     now - OldestTask(key).ready_since >= kMinWaitToReclaim;
-  const uint32_t came_from = OldestTask(key).came_from;
+  const Task& oldest = OldestTask(key);
+  const Duration waited = now - oldest.ready_since;
+  const bool is_lost = SpecOf(key).long_running && !SpecOf(key).best_effort &&
+                       !SpecOf(key).gang && oldest.has_run;
+  if (is_lost)
+    work.without_run = waited;
+  work.load_age = now - state.cell_loads_at;
+  work.may_reclaim = is_lost && waited >= kMinWaitToReclaim;
+  work.may_rebalance = work.may_reclaim &&
+                       now - oldest.ready_here_since >= kMinStayBeforeRebalance;
+  work.has_just_moved = is_lost && oldest.has_just_moved &&
+                        now - oldest.ready_here_since < kMinStayBeforeReturn;
+  const uint32_t came_from = oldest.came_from;
   if (came_from != kThisCell)
     work.came_from = CellId(came_from);
   for (const Task& task : key.iteration->steps[key.step].tasks) {
@@ -153,11 +217,11 @@
 // this cell could ever run them.
 std::optional<TaskMove> ChooseTaskMove(State& state,
                                        const ReadyKey& key,
-                                       const CellLoad& own,
+                                       CellLoad& own,
                                        TimePoint now) {
   const WaitingWork work = DescribeOverdueWork(state, key, now);
   const size_t held = CountHolds(state, key);
-  if (!HasWaitedFor(key, MinWait(key, own, work), now) ||
+  if (!HasWaitedFor(state, key, MinWait(key, own, work), now) ||
       held >= key.iteration->steps[key.step].ready_tasks.size())
     return std::nullopt;
   auto target = CellOfOversizedStep(state, key);
@@ -174,13 +238,18 @@
         other.cell == *target ? FindServiceLoad(other, work.service) : nullptr;
     if (load == nullptr)
       continue;
-    tasks = CountTasksToMove(*load, work, tasks);
+    const ServiceLoad* own_load = FindServiceLoad(own, work.service);
+    const bool could_run_here =
+        own_load != nullptr && CouldRun(*own_load, work);
+    tasks = CountTasksToMove(*load, work, could_run_here, tasks);
     TakeCapacity(*load, work, tasks);
   }
+  CountMove(state, work, *target, tasks, own, now);
   return TaskMove{key, *target, tasks};
 }
 
-// Steps that may have to leave: all long-running ones, and some of the others.
+// Steps that may have to leave: all long-running ones, in order, and some of
+// the others.
 std::vector<ReadyKey> StepsToConsider(State& state, TimePoint now) {
   std::vector<ReadyKey> steps;
   std::vector<ReadyKey> others;
@@ -188,13 +257,20 @@
       state.next_step_to_move
           ? state.ready_steps.lower_bound(*state.next_step_to_move)
           : state.ready_steps.begin();
-  const auto add = [&](const ReadyKey& key) {
-    if (!MayMoveTasks(key) || !HasWaitedFor(key, kMinWaitWithoutWorker, now))
-      return;
-    (SpecOf(key).long_running ? steps : others).push_back(key);
+  const auto is_due = [&](const ReadyKey& key) {
+    return MayMoveTasks(key) &&
+           HasWaitedFor(state, key, kMinWaitWithoutWorker, now);
   };
-  std::for_each(next, state.ready_steps.end(), add);
-  std::for_each(state.ready_steps.begin(), next, add);
+  for (const ReadyKey& key : state.ready_steps) {
+    if (SpecOf(key).long_running && is_due(key))
+      steps.push_back(key);
+  }
+  const auto add_other = [&](const ReadyKey& key) {
+    if (!SpecOf(key).long_running && is_due(key))
+      others.push_back(key);
+  };
+  std::for_each(next, state.ready_steps.end(), add_other);
+  std::for_each(state.ready_steps.begin(), next, add_other);
   state.next_step_to_move.reset();
   if (others.size() > kMaxShortStepsConsidered) {
     state.next_step_to_move = others[kMaxShortStepsConsidered];
@@ -261,6 +337,14 @@
 
 }  // namespace
 
+void CountRecentMoves(State& state, TimePoint now) {
+  std::deque<RecentMove>& moves = state.recent_moves;
+  while (!moves.empty() && now - moves.front().at > kMaxAgeOfRecentMove)
+    moves.pop_front();
+  for (const RecentMove& move : moves)
+    AddToLoads(state, move);
+}
+
 void PlanTaskTransfers(State& state, TimePoint now) {
   if (!HasFreshLoads(state, now))
     return;
--- a/src/sched/task_transfers.h
+++ b/src/sched/task_transfers.h
@@ -9,6 +9,10 @@
  * called after tasks were placed. */
 void PlanTaskTransfers(State& state, TimePoint now);
 
+/** Adds tasks that were moved just now to new loads, which may not show them
+ * yet. */
+void CountRecentMoves(State& state, TimePoint now);
+
 }  // namespace cowslipmast::sched
 
 #endif  // COWSLIPMAST_SRC_SCHED_TASK_TRANSFERS_H_
--- a/src/sched/transfers.cc
+++ b/src/sched/transfers.cc
@@ -311,11 +311,11 @@
   job.end_messages_planned = static_cast<uint32_t>(cells.size());
 }
 
-void RepeatMessages(State& state, const Job& job) {
+void RepeatMessages(State& state, const Job& job, TimePoint now) {
   // A cell that hands on tasks of the job has received it.
   if (job.moved_to && !job.coordinator)
     SendTransfer(state, job, Duration(0));
-  RepeatPartMessages(state, job);
+  RepeatPartMessages(state, job, now);
   if (job.is_cancelled)
     ForwardCancellation(state, job);
 }
--- a/src/sched/transfers.h
+++ b/src/sched/transfers.h
@@ -27,7 +27,7 @@
 
 /** Plans to send the transfers, cancellations and ends of a restored job again,
  * as the previous owner may not have sent them. */
-void RepeatMessages(State& state, const Job& job);
+void RepeatMessages(State& state, const Job& job, TimePoint now);
 
 /** Plans to pass a cancellation on to the cells that run parts of the job. */
 void ForwardCancellation(State& state, const Job& job);
--- a/src/sched/unplaced_steps.cc
+++ b/src/sched/unplaced_steps.cc
@@ -4,6 +4,7 @@
 
 #include "src/sched/health.h"
 #include "src/sched/jobs.h"
+#include "src/sched/kept_capacity.h"
 #include "src/sched/order.h"
 #include "src/sched/worker_score.h"
 
@@ -41,6 +42,7 @@
       .overdue = overdue,
       .last_attempt = last_attempt,
       .leaves_reserve = spec.long_running && !spec.best_effort && !overdue,
+      .is_new_long_running = IsNewLongRunning(ref),
       .opportunistic = OpportunisticLimitsInOrder(state, ref, now)};
 }
 
@@ -66,6 +68,8 @@
                (unplaced.overdue || !required.overdue) &&
                (!unplaced.last_attempt || required.last_attempt) &&
                (!unplaced.leaves_reserve || required.leaves_reserve) &&
+               (!unplaced.is_new_long_running ||
+                required.is_new_long_running) &&
                unplaced.service == required.service &&
                unplaced.priority <= required.priority &&
                unplaced.best_effort == required.best_effort &&
--- a/src/sched/unplaced_steps.h
+++ b/src/sched/unplaced_steps.h
@@ -26,10 +26,11 @@
     Resources need;
     ImageIndex image = 0;  // of best-effort steps
     bool best_effort = false;
-    bool restricted = false;      // may go to some workers only
-    bool overdue = false;         // may go to untrusted workers as well
-    bool last_attempt = false;    // needs a worker without failures
-    bool leaves_reserve = false;  // leaves capacity to short work
+    bool restricted = false;           // may go to some workers only
+    bool overdue = false;              // may go to untrusted workers as well
+    bool last_attempt = false;         // needs a worker without failures
+    bool leaves_reserve = false;       // leaves capacity to short work
+    bool is_new_long_running = false;  // leaves places to those that had runs
     OpportunisticLimits opportunistic;
   };
   static Requirements RequirementsOf(const State& state,
--- a/src/sched/work_to_move.cc
+++ b/src/sched/work_to_move.cc
@@ -60,6 +60,7 @@
           .need = WaitingNeed(key),
           .task_need = spec.need,
           .max_per_worker = spec.max_per_worker,
+          .step_tasks = spec.count,
           .min_tasks = spec.gang ? spec.count : 1,
           .label = spec.label,
           .waited = WaitedFor(key, now),
@@ -75,7 +76,8 @@
           .failures = task.failures,
           .checkpoint = task.checkpoint,
           .waited = waited,
-          .crashes = task.crashes};
+          .crashes = task.crashes,
+          .has_run = task.has_run};
 }
 
 }  // namespace cowslipmast::sched
--- a/src/scheduler_process/cell_load_codec.cc
+++ b/src/scheduler_process/cell_load_codec.cc
@@ -1,5 +1,6 @@
 #include "src/scheduler_process/cell_load_codec.h"
 
+#include <chrono>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -32,6 +33,38 @@
   return pieces;
 }
 
+json EncodeLostTasks(const std::vector<LostTask>& tasks) {
+  json encoded = json::array();
+  for (const LostTask& task : tasks)
+    encoded.push_back({task.need.cpu.count(), task.need.memory.count(),
+                       task.need.accelerators.count(), task.priority,
+                       task.waited / std::chrono::milliseconds(1), task.label});
+  return encoded;
+}
+
+// A process of an earlier version tells none.
+std::vector<LostTask> DecodeLostTasks(const json& service, const char* name) {
+  std::vector<LostTask> tasks;
+  const auto encoded = service.find(name);
+  if (encoded == service.end())
+    return tasks;
+  for (const json& task : *encoded)
+    tasks.push_back(
+        {.need = {MilliCores(task.at(0).get<int64_t>()),
+                  Mebibytes(task.at(1).get<int64_t>()),
+                  Accelerators(task.at(2).get<int64_t>())},
+         .priority = task.at(3).get<uint32_t>(),
+         .waited = std::chrono::milliseconds(task.at(4).get<int64_t>()),
+         .label = task.at(5).get<std::string>()});
+  return tasks;
+}
+
+std::optional<uint32_t> DecodeLostTaskCount(const json& service) {
+  const auto count = service.find("lost_task_count");
+  return count == service.end() ? std::nullopt
+                                : std::optional(count->get<uint32_t>());
+}
+
 json EncodeLabels(const std::map<std::string, LabelLoad>& labels) {
   json encoded = json::object();
   for (const auto& [label, load] : labels)
@@ -65,7 +98,10 @@
           {"idle", load.idle.count()},
           {"labels", load.labels},
           {"free_pieces", EncodePieces(load.free_pieces)},
+          {"kept_places", EncodeLostTasks(load.kept_places)},
           {"reclaimable", EncodePieces(load.reclaimable)},
+          {"lost_tasks", EncodeLostTasks(load.lost_tasks)},
+          {"lost_task_count", load.lost_task_count.value_or(0)},
           {"worker_sizes", EncodePieces(load.worker_sizes)},
           {"by_label", EncodeLabels(load.by_label)}};
 }
@@ -85,7 +121,10 @@
           .idle = cpu("idle"),
           .labels = j.at("labels").get<std::vector<std::string>>(),
           .free_pieces = DecodePieces(j, "free_pieces"),
+          .kept_places = DecodeLostTasks(j, "kept_places"),
           .reclaimable = DecodePieces(j, "reclaimable"),
+          .lost_tasks = DecodeLostTasks(j, "lost_tasks"),
+          .lost_task_count = DecodeLostTaskCount(j),
           .worker_sizes = DecodePieces(j, "worker_sizes"),
           .by_label = DecodeLabels(j)};
 }
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -60,6 +60,8 @@
 struct Observations {
   std::vector<std::string> violations;
   std::map<TaskName, int> starts;
+  /** The last start of the task that no worker answered; it may run. */
+  std::map<TaskName, TimePoint> unanswered_starts;
   std::set<TaskName> done;
   /** Ended on workers that are gone, perhaps before their outcome was read. */
   std::set<TaskName> possibly_done;
--- a/tests/sched/simulated_runs.cc
+++ b/tests/sched/simulated_runs.cc
@@ -112,6 +112,7 @@
   }
   SimulatedWorker* worker = FindReachable(command.worker);
   if (worker == nullptr || !lease) {
+    m_observations.unanswered_starts[command.task] = m_now;
     m_scheduler->OnStartUnknown(command, m_now);
     return;
   }
