--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -627,6 +627,14 @@
 
 namespace {
 
+// Moves the step behind others that come next, and returns the next one.
+std::set<ReadyKey>::iterator MoveLater(State& state,
+                                       std::set<ReadyKey>::iterator step,
+                                       const ReadyKey& later) {
+  state.ready_steps.insert(later);
+  return state.ready_steps.erase(step);
+}
+
 // Long-running steps go where they belong by now before any of them is placed.
 void ReorderLongRunningSteps(State& state, TimePoint now) {
   std::vector<ReadyKey> moved;
@@ -672,8 +680,7 @@
     }
     const ReadyKey current = MakeReadyKey(state, *key.iteration, key.step, now);
     if (key < current && IsLongRunning(key)) {
-      state.ready_steps.insert(current);
-      next = state.ready_steps.erase(next);
+      next = MoveLater(state, next, current);
       continue;
     }
     if (key < current || current < key) {
@@ -706,9 +713,8 @@
       continue;
     }
     if (BelongsLater(state, key, now)) {
-      state.ready_steps.insert(
-          MakeReadyKey(state, *key.iteration, key.step, now));
-      next = state.ready_steps.erase(next);
+      next = MoveLater(state, next,
+                       MakeReadyKey(state, *key.iteration, key.step, now));
       continue;
     }
     if (placement.without_worker && !IsHeldBackByCap(state, key)) {
