--- a/src/sched/draining.cc
+++ b/src/sched/draining.cc
@@ -8,7 +8,6 @@
 #include "src/sched/capacity_holds.h"
 #include "src/sched/crash_suspects.h"
 #include "src/sched/jobs.h"
-#include "src/sched/order.h"
 #include "src/sched/relocation.h"
 #include "src/sched/reservations.h"
 #include "src/sched/task_placement.h"
@@ -34,17 +33,9 @@
 }
 
 // The next task of each step that has lost tasks, and may start.
-std::vector<TaskRef> FindLostTasks(const State& state) {
-  const auto lost = static_cast<uint32_t>(ReadyRank::kLost);
+std::vector<TaskRef> FindLostTasks(const State& state, TimePoint now) {
   std::vector<TaskRef> tasks;
-  for (auto next = state.ready_steps.begin();
-       next != state.ready_steps.end();) {
-    if (next->rank > lost) {
-      next = state.ready_steps.lower_bound(
-          ReadyKey{.priority = next->priority + 1});
-      continue;
-    }
-    const ReadyKey& key = *next++;
+  for (const ReadyKey& key : FindLostSteps(state, now)) {
     const std::vector<uint32_t>& ready =
         key.iteration->steps[key.step].ready_tasks;
     if (ready.empty() || IsHeldBackByCap(state, key))
@@ -127,7 +118,7 @@
         continue;
       if (HoldsRoom(state, ref)) {
         if (!lost)
-          lost = FindLostTasks(state);
+          lost = FindLostTasks(state, now);
         MoveIfRoom(state, *lost, static_cast<int32_t>(i), ref, now);
         continue;
       }
--- a/src/sched/task_placement.cc
+++ b/src/sched/task_placement.cc
@@ -409,24 +409,6 @@
   }
 }
 
-// Steps whose next task has lost its run and is overdue, in order.
-std::vector<ReadyKey> FindLostSteps(const State& state, TimePoint now) {
-  const auto lost = static_cast<uint32_t>(ReadyRank::kLost);
-  std::vector<ReadyKey> steps;
-  for (auto next = state.ready_steps.begin();
-       next != state.ready_steps.end();) {
-    if (next->rank > lost) {
-      next = state.ready_steps.lower_bound(
-          ReadyKey{.priority = next->priority + 1});
-      continue;
-    }
-    steps.push_back(MakeReadyKey(state, *next->iteration, next->step, now));
-    ++next;
-  }
-  std::sort(steps.begin(), steps.end());
-  return steps;
-}
-
 // Lost tasks that now fit where capacity was held for them. They may be less
 // urgent than others, but one that has waited for longer is placed first.
 void PlaceOnHeldCapacity(State& state, TimePoint now, Plan& plan) {
@@ -506,6 +488,23 @@
 
 }  // namespace
 
+std::vector<ReadyKey> FindLostSteps(const State& state, TimePoint now) {
+  const auto lost = static_cast<uint32_t>(ReadyRank::kLost);
+  std::vector<ReadyKey> steps;
+  for (auto next = state.ready_steps.begin();
+       next != state.ready_steps.end();) {
+    if (next->rank > lost) {
+      next = state.ready_steps.lower_bound(
+          ReadyKey{.priority = next->priority + 1});
+      continue;
+    }
+    steps.push_back(MakeReadyKey(state, *next->iteration, next->step, now));
+    ++next;
+  }
+  std::sort(steps.begin(), steps.end());
+  return steps;
+}
+
 bool HasLabel(const WorkerState& worker, const std::string& label) {
   return label.empty() ||
          std::find(worker.info.labels.begin(), worker.info.labels.end(),
--- a/src/sched/task_placement.h
+++ b/src/sched/task_placement.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/sched/state.h"
 #include "src/sched/worker_score.h"
@@ -51,6 +52,9 @@
                                    const TaskRef& ref,
                                    TimePoint now);
 
+/** Waiting steps whose next task has lost its run and is overdue, in order. */
+std::vector<ReadyKey> FindLostSteps(const State& state, TimePoint now);
+
 /** True if the worker has the label, or none is asked for. */
 bool HasLabel(const WorkerState& worker, const std::string& label);
 
