net: a large response that keeps arriving is not given up

Appends and other calls keep their timeouts. Result: store_client_test fails without it (the read is given up after 0.5 s).

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -25,6 +26,26 @@
   SteadyTime idle_since;
 };
 
+// When a call is given up.
+struct CallLimit {
+  SteadyTime deadline;
+  /** Later while the response arrives: this long after each part, but not after
+   * `latest`. */
+  Duration next_part{0};
+  SteadyTime latest;
+};
+
+CallLimit LimitAfter(Duration timeout) {
+  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+  return {.deadline = deadline, .next_part = Duration(0), .latest = deadline};
+}
+
+SteadyTime DeadlineOfNextPart(const CallLimit& limit) {
+  return std::clamp<SteadyTime>(
+      std::chrono::steady_clock::now() + limit.next_part, limit.deadline,
+      limit.latest);
+}
+
 // True if the peer closed the connection or sent unsolicited data; in both
 // cases a request written to it would get no valid response.
 bool IsStale(tcp::socket& socket) {
@@ -80,22 +101,29 @@
   asio::awaitable<std::optional<HttpResponse>> Exchange(
       beast::tcp_stream& stream,
       http::request<http::string_body> message,
+      CallLimit limit,
       bool& keep_alive,
       NetError& reason);
   asio::awaitable<void> ReadResponse(beast::tcp_stream& stream,
                                      beast::flat_buffer& buffer,
                                      Parser& parser,
+                                     const CallLimit& limit,
                                      beast::error_code& error);
+  asio::awaitable<std::optional<HttpResponse>> Call(Endpoint endpoint,
+                                                    HttpRequest request,
+                                                    CallLimit limit,
+                                                    NetError& reason,
+                                                    SteadyTime write_before);
   asio::awaitable<std::optional<HttpResponse>> CallOver(
       Endpoint endpoint,
       Connection connection,
       HttpRequest request,
-      SteadyTime deadline,
+      CallLimit limit,
       NetError& reason,
       InstanceReader instance_of = nullptr);
   asio::awaitable<std::optional<HttpResponse>> AskInstance(Endpoint endpoint,
                                                            InstanceQuery query,
-                                                           SteadyTime deadline,
+                                                           CallLimit limit,
                                                            NetError& reason);
   void ReturnToPool(const Endpoint& endpoint, Connection connection);
 
@@ -153,6 +181,7 @@
 asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::Exchange(
     beast::tcp_stream& stream,
     http::request<http::string_body> message,
+    CallLimit limit,
     bool& keep_alive,
     NetError& reason) {
   beast::error_code error;
@@ -170,7 +199,7 @@
   parser.body_limit(limits.max_response_bytes);
   if (message.method() == http::verb::head)
     parser.skip(true);
-  co_await ReadResponse(stream, buffer, parser, error);
+  co_await ReadResponse(stream, buffer, parser, limit, error);
   if (error) {
     reason = {ReadErrorKind(error), true, error.message()};
     co_return std::nullopt;
@@ -189,6 +218,7 @@
 asio::awaitable<void> HttpClient::Impl::ReadResponse(beast::tcp_stream& stream,
                                                      beast::flat_buffer& buffer,
                                                      Parser& parser,
+                                                     const CallLimit& limit,
                                                      beast::error_code& error) {
   const auto share =
       MessageBudget::Join(budget, [&stream] { stream.cancel(); });
@@ -197,6 +227,7 @@
     co_await http::async_read_some(
         stream, buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
+    stream.expires_at(DeadlineOfNextPart(limit));
     if (parser.is_done() || (fields == 0 && parser.is_header_done()))
       fields = HeldByFields(parser.get());
     share->SetBytes(fields + HeldBytes(parser.get().body(), buffer));
@@ -217,21 +248,48 @@
   pool.push_back(std::move(connection));
 }
 
+asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::Call(
+    Endpoint endpoint,
+    HttpRequest request,
+    CallLimit limit,
+    NetError& reason,
+    SteadyTime write_before) {
+  const auto self = shared_from_this();
+  std::optional<Connection> connection = TakeIdle(endpoint, std::nullopt);
+  if (connection) {
+    ++counters.reuses;
+  } else {
+    connection.emplace();
+    connection->stream = co_await Connect(endpoint, limit.deadline, reason);
+  }
+  if (!connection->stream) {
+    ++counters.failures;
+    co_return std::nullopt;
+  }
+  if (std::chrono::steady_clock::now() >= write_before) {
+    reason = {NetErrorKind::kTooLate, false, ""};
+    ReturnToPool(endpoint, std::move(*connection));
+    co_return std::nullopt;
+  }
+  co_return co_await CallOver(endpoint, std::move(*connection),
+                              std::move(request), limit, reason);
+}
+
 // Sends the request and keeps the connection if it is still usable. With
 // `instance_of`, the response tells the instance at the other end.
 asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::CallOver(
     Endpoint endpoint,
     Connection connection,
     HttpRequest request,
-    SteadyTime deadline,
+    CallLimit limit,
     NetError& reason,
     InstanceReader instance_of) {
   const auto self = shared_from_this();
-  connection.stream->expires_at(deadline);
+  connection.stream->expires_at(limit.deadline);
   bool keep_alive = false;
   std::optional<HttpResponse> response = co_await Exchange(
-      *connection.stream, ToBeast(endpoint, std::move(request)), keep_alive,
-      reason);
+      *connection.stream, ToBeast(endpoint, std::move(request)), limit,
+      keep_alive, reason);
   if (!response) {
     ++counters.failures;
     co_return std::nullopt;
@@ -248,17 +306,17 @@
 asio::awaitable<std::optional<HttpResponse>> HttpClient::Impl::AskInstance(
     Endpoint endpoint,
     InstanceQuery query,
-    SteadyTime deadline,
+    CallLimit limit,
     NetError& reason) {
   const auto self = shared_from_this();
   Connection connection;
-  connection.stream = co_await Connect(endpoint, deadline, reason);
+  connection.stream = co_await Connect(endpoint, limit.deadline, reason);
   if (!connection.stream) {
     ++counters.failures;
     co_return std::nullopt;
   }
   co_return co_await CallOver(endpoint, std::move(connection),
-                              std::move(query.request), deadline, reason,
+                              std::move(query.request), limit, reason,
                               std::move(query.instance_of));
 }
 
@@ -279,25 +337,23 @@
     NetError& reason,
     SteadyTime write_before) {
   const auto impl = m_impl;
-  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
-  std::optional<Connection> connection = impl->TakeIdle(endpoint, std::nullopt);
-  if (connection) {
-    ++impl->counters.reuses;
-  } else {
-    connection.emplace();
-    connection->stream = co_await impl->Connect(endpoint, deadline, reason);
-  }
-  if (!connection->stream) {
-    ++impl->counters.failures;
-    co_return std::nullopt;
-  }
-  if (std::chrono::steady_clock::now() >= write_before) {
-    reason = {NetErrorKind::kTooLate, false, ""};
-    impl->ReturnToPool(endpoint, std::move(*connection));
-    co_return std::nullopt;
-  }
-  co_return co_await impl->CallOver(endpoint, std::move(*connection),
-                                    std::move(request), deadline, reason);
+  co_return co_await impl->Call(std::move(endpoint), std::move(request),
+                                LimitAfter(timeout), reason, write_before);
+}
+
+asio::awaitable<std::optional<HttpResponse>> HttpClient::CallForTransfer(
+    Endpoint endpoint,
+    HttpRequest request,
+    TransferTimeouts timeouts,
+    NetError& reason) {
+  const auto impl = m_impl;
+  const SteadyTime begin = std::chrono::steady_clock::now();
+  const CallLimit limit{
+      .deadline = begin + timeouts.first_part,
+      .next_part = timeouts.next_part,
+      .latest = begin + std::max(timeouts.first_part, timeouts.whole)};
+  co_return co_await impl->Call(std::move(endpoint), std::move(request), limit,
+                                reason, SteadyTime::max());
 }
 
 asio::awaitable<std::optional<HttpResponse>> HttpClient::AskInstance(
@@ -306,9 +362,8 @@
     Duration timeout,
     NetError& reason) {
   const auto impl = m_impl;
-  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
-  co_return co_await impl->AskInstance(endpoint, std::move(query), deadline,
-                                       reason);
+  co_return co_await impl->AskInstance(endpoint, std::move(query),
+                                       LimitAfter(timeout), reason);
 }
 
 asio::awaitable<std::optional<HttpResponse>> HttpClient::CallInstance(
@@ -319,13 +374,13 @@
     Duration timeout,
     NetError& reason) {
   const auto impl = m_impl;
-  const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+  const CallLimit limit = LimitAfter(timeout);
   std::optional<Connection> connection = impl->TakeIdle(endpoint, instance);
   if (connection) {
     ++impl->counters.reuses;
   } else {
     std::optional<HttpResponse> answer =
-        co_await impl->AskInstance(endpoint, query, deadline, reason);
+        co_await impl->AskInstance(endpoint, query, limit, reason);
     if (!answer || answer->status != 200)
       co_return answer;
     const auto told = query.instance_of(*answer);
@@ -345,7 +400,7 @@
     }
   }
   co_return co_await impl->CallOver(endpoint, std::move(*connection),
-                                    std::move(request), deadline, reason);
+                                    std::move(request), limit, reason);
 }
 
 void HttpClient::DropIdle(const Endpoint& endpoint) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -42,6 +42,13 @@
   InstanceReader instance_of;
 };
 
+/** How long a call waits for a response that may be large. */
+struct TransferTimeouts {
+  Duration first_part;  // from the beginning of the call
+  Duration next_part;   // since the part before
+  Duration whole;       // from the beginning of the call
+};
+
 /** HTTP/1.1 client with a connection pool; no pipelining. */
 class HttpClient {
  public:
@@ -62,6 +69,14 @@
       std::chrono::steady_clock::time_point write_before =
           std::chrono::steady_clock::time_point::max());
 
+  /** As `Call`, but a response that keeps arriving is not given up: repeating
+   * the call would send all of it again over a link that may be full. */
+  asio::awaitable<std::optional<HttpResponse>> CallForTransfer(
+      Endpoint endpoint,
+      HttpRequest request,
+      TransferTimeouts timeouts,
+      NetError& reason);
+
   /** Sends the query on a new connection, which is kept for calls to the
    * instance that responds. */
   asio::awaitable<std::optional<HttpResponse>> AskInstance(Endpoint endpoint,
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -8,6 +8,7 @@
 #include "src/core/strings.h"
 #include "src/net/http_message.h"
 #include "src/net/http_server.h"
+#include "tests/net/slow_server.h"
 
 namespace cowslipmast::platform {
 namespace {
@@ -73,5 +74,37 @@
   CHECK(snapshot->end == 7000);
 }
 
+TEST_CASE("a large record that arrives slowly is read once", "[platform]") {
+  // The processes of a region read a new configuration over one link. Reads
+  // that are given up in the middle and repeated fill it twice.
+  constexpr size_t record_bytes = 300000;
+  asio::io_context io;
+  std::string records =
+      EncodeRecords({{"config", std::string(record_bytes, 'x')}});
+  std::string offsets(16, '\0');
+  offsets[7] = 1;  // the stream's end
+  SlowServer store(io, {.body = offsets + records,
+                        .parts = 20,
+                        .pause = std::chrono::milliseconds(100)});
+  const auto client = HttpClient::Make(io, HttpClientLimits{});
+  const sched::StorePort port = MakeStorePort(*client, store.endpoint(), 1);
+  std::optional<sched::TopicSnapshot> added;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        sched::StoreError error;
+        added = co_await port.follow(
+            sched::StoreStream(sched::StoreTopic::kOperator), 0,
+            std::chrono::milliseconds(1), error);
+        io.stop();
+      },
+      asio::detached);
+  io.run_for(seconds(5));
+  REQUIRE(added);
+  REQUIRE(added->records.size() == 1);
+  CHECK(added->records[0].value.size() == record_bytes);
+  CHECK(store.requests() == 1);
+}
+
 }  // namespace
 }  // namespace cowslipmast::platform
