scheduler_process: a process that hears the owner again does not claim its cell

Cause: a process that found the owner silent for 1.2 s waits for its claim delay, up to 2 s far from the store or when the store is slow, and then claims the cell without another look at the owner. Change: the process goes on checking the owner during the delay, which costs no time, and leaves it the cell as soon as it is healthy. Result: owner_election_test fails without it (the cell is claimed).

--- a/src/scheduler_process/claim_calls.cc
+++ b/src/scheduler_process/claim_calls.cc
@@ -177,7 +177,7 @@
 }
 
 // Claims the cell after the claim delay, unless another process has claimed it
-// by then.
+// by then or its owner is healthy after all.
 asio::awaitable<void> OwnerElection::Impl::ClaimAfterDelay(
     ElectedCell& cell,
     std::string_view why) {
@@ -185,8 +185,11 @@
     co_return;
   const FlagGuard guard(claiming);
   const auto before = cell.claim;
-  co_await Sleep(DelayWith(CountOwned()) +
-                 milliseconds(RandomBelow(random, kMaxClaimJitterMs)));
+  const Duration delay = DelayWith(CountOwned()) +
+                         milliseconds(RandomBelow(random, kMaxClaimJitterMs));
+  const bool heard = co_await HearsOwnerWithin(cell, delay);
+  if (heard)
+    co_return;
   const bool read = co_await ReadClaims();
   if (!read || stopped || cell.claim != before || !hooks.may_claim())
     co_return;
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -18,6 +18,8 @@
 // A response takes 25 ms between regions; a VM without processor time to spare
 // may need 100 ms more.
 constexpr Duration kHealthCheckTimeout = milliseconds(400);
+// Less time than this is not enough for a response.
+constexpr Duration kMinHealthCheckTimeout = milliseconds(50);
 // An owner proves its ownership every second; without the store for longer than
 // this it cannot start tasks.
 constexpr Duration kMaxProofAge = milliseconds(2200);
@@ -39,12 +41,6 @@
 constexpr Duration kMoveCheckInterval = milliseconds(5000);
 constexpr Duration kMinOwnershipBeforeMove = milliseconds(8000);
 
-enum class OwnerHealth {
-  kHealthy,
-  kUnresponsive,
-  kCannotOwn,  // it answers, but has given up the cell or lost the store
-};
-
 std::string_view OwnerHealthName(OwnerHealth answer) {
   switch (answer) {
     case OwnerHealth::kHealthy:
@@ -57,41 +53,6 @@
   return "";
 }
 
-// Asks the owner of the cell, and tells it that this process is a candidate.
-asio::awaitable<OwnerHealth> CheckOwner(HttpClient& client,
-                                        ElectedCell& cell,
-                                        Candidate candidate) {
-  HttpRequest request;
-  request.method = "POST";
-  request.path = MakeCellPath(cell.id, kHealthResource);
-  request.body = EncodeCandidate(candidate);
-  const CellClaim claim = *cell.claim;
-  const TimePoint sent_at = MonotonicNow();
-  NetError error;
-  const auto response = co_await client.Call(claim.control, std::move(request),
-                                             kHealthCheckTimeout, error);
-  if (cell.claim != claim)
-    co_return OwnerHealth::kHealthy;  // of an owner that is not one any more
-  if (!response) {
-    client.DropIdle(claim.control);
-    NoteSilence(cell.watch, sent_at);
-    co_return OwnerHealth::kUnresponsive;
-  }
-  const TimePoint now = MonotonicNow();
-  const auto health = DecodePeerHealth(response->body);
-  // A new owner may still wait for the store's response to its claim.
-  if (!health || !health->owning || health->epoch < claim.epoch)
-    co_return now - cell.watch.claimed_at < kMaxClaimTime
-        ? OwnerHealth::kUnresponsive
-        : OwnerHealth::kCannotOwn;
-  // A new owner reads its state and lists all workers before its first append.
-  if (!IsStartingUp(cell.watch, now) && health->proof_age &&
-      *health->proof_age > kMaxProofAge)
-    co_return OwnerHealth::kCannotOwn;
-  NoteResponse(cell.watch, health->response_timeout, now);
-  co_return OwnerHealth::kHealthy;
-}
-
 bool HasNoOwner(const ElectedCell& cell, const ProcessId& self) {
   return !cell.claim || cell.claim->released || cell.claim->process == self;
 }
@@ -126,6 +87,64 @@
   return ClaimDelay(SuitabilityWith(owned_cells));
 }
 
+// Asks the owner of the cell, and tells it that this process is a candidate.
+asio::awaitable<OwnerHealth> OwnerElection::Impl::CheckOwner(ElectedCell& cell,
+                                                             Duration timeout) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = MakeCellPath(cell.id, kHealthResource);
+  request.body = EncodeCandidate({.control = options.control,
+                                  .may_claim = hooks.may_claim(),
+                                  .uptime = MonotonicNow() - started,
+                                  .claim_delay = DelayWith(CountOwned())});
+  const CellClaim claim = *cell.claim;
+  const TimePoint sent_at = MonotonicNow();
+  NetError error;
+  const auto response =
+      co_await client.Call(claim.control, std::move(request), timeout, error);
+  if (cell.claim != claim)
+    co_return OwnerHealth::kHealthy;  // of an owner that is not one any more
+  if (!response) {
+    client.DropIdle(claim.control);
+    NoteSilence(cell.watch, sent_at);
+    co_return OwnerHealth::kUnresponsive;
+  }
+  const TimePoint now = MonotonicNow();
+  const auto health = DecodePeerHealth(response->body);
+  // A new owner may still wait for the store's response to its claim.
+  if (!health || !health->owning || health->epoch < claim.epoch)
+    co_return now - cell.watch.claimed_at < kMaxClaimTime
+        ? OwnerHealth::kUnresponsive
+        : OwnerHealth::kCannotOwn;
+  // A new owner reads its state and lists all workers before its first append.
+  if (!IsStartingUp(cell.watch, now) && health->proof_age &&
+      *health->proof_age > kMaxProofAge)
+    co_return OwnerHealth::kCannotOwn;
+  NoteResponse(cell.watch, health->response_timeout, now);
+  latest_response = now;
+  co_return OwnerHealth::kHealthy;
+}
+
+// Waits for `delay`, and meanwhile goes on checking the owner; true as soon as
+// it is healthy. Only the path to it may have been silent, such as over a link
+// that was full for a while.
+asio::awaitable<bool> OwnerElection::Impl::HearsOwnerWithin(ElectedCell& cell,
+                                                            Duration delay) {
+  const TimePoint end = MonotonicNow() + delay;
+  while (!stopped && !HasNoOwner(cell, options.process) &&
+         end - MonotonicNow() > kMinHealthCheckTimeout) {
+    const TimePoint next = MonotonicNow() + kHealthCheckInterval;
+    const Duration timeout =
+        std::min<Duration>(kHealthCheckTimeout, end - MonotonicNow());
+    const OwnerHealth health = co_await CheckOwner(cell, timeout);
+    if (health == OwnerHealth::kHealthy)
+      co_return true;
+    co_await Sleep(std::min(next, end) - MonotonicNow());
+  }
+  co_await Sleep(end - MonotonicNow());
+  co_return false;
+}
+
 // Reads the claims; true if another one of this cell is known now.
 asio::awaitable<bool> OwnerElection::Impl::HasNewClaim(ElectedCell& cell) {
   const auto before = cell.claim;
@@ -148,15 +167,9 @@
     co_return;
   }
   while (!stopped && cell.chart.state() == "following") {
-    const Candidate candidate{.control = options.control,
-                              .may_claim = hooks.may_claim(),
-                              .uptime = MonotonicNow() - started,
-                              .claim_delay = DelayWith(CountOwned())};
-    const OwnerHealth health = co_await CheckOwner(client, cell, candidate);
-    if (health == OwnerHealth::kHealthy) {
-      latest_response = MonotonicNow();
+    const OwnerHealth health = co_await CheckOwner(cell, kHealthCheckTimeout);
+    if (health == OwnerHealth::kHealthy)
       co_return;
-    }
     const bool changed = co_await HasNewClaim(cell);
     if (changed)
       co_return;
--- a/src/scheduler_process/owner_election_impl.h
+++ b/src/scheduler_process/owner_election_impl.h
@@ -14,6 +14,13 @@
 
 namespace cowslipmast::sched {
 
+/** What a check of a cell's owner has shown. */
+enum class OwnerHealth {
+  kHealthy,
+  kUnresponsive,
+  kCannotOwn,  // it answers, but has given up the cell or lost the store
+};
+
 /** One cell as this process sees it. */
 struct ElectedCell {
   ElectedCell(CellId cell_id, const CellChart& cell_chart)
@@ -59,6 +66,8 @@
   void CheckNextOwners();
   void StartCheck(ElectedCell& cell);
   asio::awaitable<void> CheckUntilSettled(CellId id);
+  asio::awaitable<OwnerHealth> CheckOwner(ElectedCell& cell, Duration timeout);
+  asio::awaitable<bool> HearsOwnerWithin(ElectedCell& cell, Duration delay);
   asio::awaitable<bool> HasNewClaim(ElectedCell& cell);
   asio::awaitable<void> MoveCellToBetterOwner();
   ElectedCell* Find(CellId id);
--- a/tests/scheduler_process/owner_election_test.cc
+++ b/tests/scheduler_process/owner_election_test.cc
@@ -1,6 +1,8 @@
 // The owner election beside a store in the test's thread. Guards against a
 // process that keeps reading the claims while it waits to claim a cell: with
 // large records and little processor time its own read then never ends in time.
+// And against a claim that nothing but a silent path called for: the owner may
+// answer again during the claim delay.
 
 #include "src/scheduler_process/owner_election.h"
 
@@ -10,6 +12,8 @@
 #include <string>
 
 #include "src/daemon/chart_files.h"
+#include "src/net/http_server.h"
+#include "src/scheduler_process/peer_health.h"
 
 namespace cowslipmast::sched {
 namespace {
@@ -92,5 +96,78 @@
   CHECK(store.reads <= 4);
 }
 
+// The owner of a cell, as another process hears it.
+struct HeardOwner {
+  explicit HeardOwner(asio::io_context& context) : io(context) {
+    NetError error;
+    server = HttpServer::Make(
+        io, {"127.0.0.1", 0}, HttpServerLimits(),
+        [this](HttpRequest) -> asio::awaitable<HttpResponse> {
+          asio::steady_timer timer(io);
+          while (silent) {
+            timer.expires_after(milliseconds(10));
+            co_await timer.async_wait(asio::use_awaitable);
+          }
+          co_return MakeJsonResponse(
+              200, EncodePeerHealth({.epoch = Epoch(1),
+                                     .owning = true,
+                                     .proof_age = milliseconds(100),
+                                     .response_timeout = Duration(0)}));
+        },
+        error);
+  }
+
+  Endpoint endpoint() const { return {"127.0.0.1", server->port()}; }
+
+  asio::io_context& io;
+  std::unique_ptr<HttpServer> server;
+  bool silent = false;
+};
+
+TEST_CASE("a process that does not hear the owner of a cell for a while",
+          "[scheduler-process]") {
+  // The path to the owner is silent for longer than an owner may be, and works
+  // again before the claim delay of a process far from the store is over.
+  asio::io_context io;
+  const auto client = HttpClient::Make(io, HttpClientLimits{});
+  HeardOwner owner(io);
+  OwnerElectionOptions options;
+  options.process = ProcessId("edge-0");
+  options.control = {"127.0.0.1", 9};
+  options.cores = 0.02;  // waits for 2 s before a claim
+  ClaimStore store(io);
+  store.records = {
+      MakeLayoutRecord({.version = kLayoutVersion, .cells = 1}),
+      MakeClaimRecord(CellId(0), CellClaim{.epoch = Epoch(1),
+                                           .process = ProcessId("edge-1"),
+                                           .control = owner.endpoint(),
+                                           .released = false,
+                                           .cores = 0.02})};
+  bool won = false;
+  OwnerElectionHooks hooks;
+  hooks.on_won = [&](CellId, Epoch) { won = true; };
+  hooks.may_claim = [] { return true; };
+  hooks.own_lag = [] { return Duration(0); };
+  const auto election = OwnerElection::Make(io, store.port, *client,
+                                            ReadCellChart(), options, hooks);
+  election->Start();
+  io.run_for(milliseconds(700));
+  REQUIRE(election->OwnerResponseAge(CellId(0)));
+  owner.silent = true;
+
+  SECTION("leaves it the cell if it hears it again before it claims") {
+    io.run_for(milliseconds(2500));
+    REQUIRE_FALSE(won);
+    owner.silent = false;
+    io.run_for(milliseconds(2500));
+    CHECK_FALSE(won);
+    CHECK(election->owner(CellId(0))->epoch == Epoch(1));
+  }
+  SECTION("claims the cell otherwise") {
+    io.run_for(milliseconds(5000));
+    CHECK(won);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
