sched: a new owner asks a worker before it takes its runs for gone

Cause: an owner that takes longer to restore its cell than the leases of the owner before last, as on VMs with little processor time after all processes were restarted at once, makes its first plan before it has read the list of workers and asked any of them. All leases are over by then, so every run of the cell is started again, although its worker answers and has its end. Change: the first plan waits for the list of workers, while the ownership is proved, and a worker of the list that this owner has yet to hear from, or to miss, keeps its runs.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -167,6 +167,13 @@
                       });
 }
 
+// True for a worker that this owner has asked for the first time, or is about
+// to ask: its answer may show ends that no owner has noted.
+bool IsYetToAnswer(const WorkerState& worker) {
+  return worker.reachability == Reachability::kUnknown && worker.listed &&
+         !worker.is_silent;
+}
+
 }  // namespace
 
 void ApplyListing(State& state,
@@ -220,7 +227,8 @@
   for (size_t i = 0; i < state.workers.size(); ++i) {
     const WorkerState& worker = state.workers[i];
     if (worker.reachability != Reachability::kReachable &&
-        !worker.tasks.empty() && now >= worker.lease_expiry)
+        !IsYetToAnswer(worker) && !worker.tasks.empty() &&
+        now >= worker.lease_expiry)
       HandleExpiredLease(state, static_cast<int32_t>(i), now);
   }
 }
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -82,6 +82,7 @@
   asio::awaitable<bool> Restore();
   asio::awaitable<std::optional<TopicSnapshot>> ReadNewest(StoreTopic topic);
   void ReplayRecords(const TopicSnapshot& jobs, const TopicSnapshot& progress);
+  asio::awaitable<void> AwaitWorkers();
   asio::awaitable<void> RefreshOwnershipProof();
   asio::awaitable<bool> PlanOnce();
   asio::awaitable<void> SendStopsRepeatedly();
@@ -124,6 +125,7 @@
   DecisionLog decisions;
   Duration plan_interval = kPlanInterval;
   bool restored = false;
+  bool knows_workers = false;
   bool stopped = false;
 };
 
@@ -254,6 +256,7 @@
     return gone;
   });
   driver->SetWorkers(known);
+  knows_workers = true;
   wake.Notify();
 }
 
@@ -472,6 +475,16 @@
     OnOwnershipLost();
 }
 
+// Before the first plan: a run whose lease is over counts as gone unless its
+// worker is to be asked.
+asio::awaitable<void> Cell::Impl::AwaitWorkers() {
+  while (!stopped && !knows_workers) {
+    co_await wake.Wait(kProofInterval);
+    if (!stopped)
+      co_await RefreshOwnershipProof();
+  }
+}
+
 asio::awaitable<void> Cell::Impl::Run() {
   const auto self = shared_from_this();
   const bool ready = co_await Restore();
@@ -484,6 +497,7 @@
   restored = true;
   StartFollowing();
   Spawn(io, "stops", SendStopsRepeatedly());
+  co_await AwaitWorkers();
   while (!stopped) {
     const TimePoint now = MonotonicNow();
     const Duration wait = scheduler->NextDue(now, WallNow()) - now;
--- a/tests/scheduler_process/cell_test.cc
+++ b/tests/scheduler_process/cell_test.cc
@@ -1,6 +1,6 @@
 // A cell with a store and a worker in the test's thread. Guards against faults
 // that only a cell shows whose first jobs are deleted again: short days end
-// before that.
+// before that. And against ended tasks that run again after a slow restore.
 
 #include "src/scheduler_process/cell.h"
 
@@ -32,6 +32,7 @@
     port.read_newest =
         [this](StoreStream stream,
                StoreError&) -> asio::awaitable<std::optional<TopicSnapshot>> {
+      co_await Sleep(read_delay[stream.topic]);
       TopicSnapshot snapshot;
       const StoredStream& stored = streams[stream.topic];
       snapshot.end = stored.history.size();
@@ -92,6 +93,7 @@
 
   std::map<StoreTopic, StoredStream> streams;
   std::map<StoreTopic, int> appends;
+  std::map<StoreTopic, Duration> read_delay;  // of the newest records
   /** Appends to this topic get no response. */
   std::optional<StoreTopic> refused;
   /** The next call that follows this topic learns that records were deleted. */
@@ -125,6 +127,35 @@
     manifest.policy.queues[QueueId("q")] =
         QueuePolicy{.service = ServiceId("pool")};
     store.Put(StoreTopic::kWorkers, "w", "a worker");
+    StartCell(Epoch(1), seconds(6));
+    RunFor(milliseconds(200));
+  }
+  ~RunningCell() {
+    cell->Stop();
+    RunFor(milliseconds(1500));
+  }
+
+  // As an owner that claims the cell.
+  void StartCell(Epoch epoch, Duration lease) {
+    RecordDecoders decoders;
+    decoders.worker = [](const KeyedRecord&) {
+      return std::optional(MakeWorker());
+    };
+    CellOptions options;
+    options.layout = {kLayoutVersion, 1};
+    options.epoch = epoch;
+    options.lease = lease;
+    options.scheduler.ended_job_retention = ended_job_retention;
+    CellHooks hooks;
+    hooks.manifest = [this]() -> const Manifest& { return manifest; };
+    hooks.own_lag = [] { return Duration(0); };
+    hooks.on_lost = [this] { lost = true; };
+    cell = Cell::Make(io, store.MakePort(), MakeWorkerPort(), decoders, options,
+                      std::move(hooks));
+    cell->Start();
+  }
+
+  WorkerPort MakeWorkerPort() {
     WorkerPort workers;
     workers.list =
         [this](
@@ -153,27 +184,7 @@
     workers.pace = [](WorkerInfo, PaceCommand,
                       uint64_t) -> asio::awaitable<bool> { co_return true; };
     workers.drop_connections = [](const WorkerInfo&) {};
-    RecordDecoders decoders;
-    decoders.worker = [](const KeyedRecord&) {
-      return std::optional(MakeWorker());
-    };
-    CellOptions options;
-    options.layout = {kLayoutVersion, 1};
-    options.epoch = Epoch(1);
-    options.lease = seconds(6);
-    options.scheduler.ended_job_retention = milliseconds(300);
-    CellHooks hooks;
-    hooks.manifest = [this]() -> const Manifest& { return manifest; };
-    hooks.own_lag = [] { return Duration(0); };
-    hooks.on_lost = [this] { lost = true; };
-    cell = Cell::Make(io, store.MakePort(), workers, decoders, options,
-                      std::move(hooks));
-    cell->Start();
-    RunFor(milliseconds(200));
-  }
-  ~RunningCell() {
-    cell->Stop();
-    RunFor(milliseconds(1500));
+    return workers;
   }
 
   void Submit(const std::string& id) {
@@ -206,6 +217,7 @@
   asio::io_context io;
   MemoryStore store;
   Manifest manifest;
+  Duration ended_job_retention = milliseconds(300);
   std::shared_ptr<Cell> cell;
   std::vector<ActiveRun> running;
   std::vector<EndedRun> ended;
@@ -269,5 +281,37 @@
   CHECK_FALSE(cell.cell->StatusOf(JobId(kFirst)));
 }
 
+TEST_CASE("an owner that restores its cell for longer than leases last",
+          "[scheduler-process]") {
+  // All processes start again at once, on VMs with little processor time.
+  RunningCell cell;
+  cell.ended_job_retention = seconds(60);
+  cell.Submit(kFirst);
+  cell.RunFor(milliseconds(300));
+  REQUIRE(cell.starts == 1);
+  cell.cell->Stop();
+  cell.RunFor(milliseconds(1500));
+  // No owner has noted this end.
+  cell.FinishRuns();
+  cell.store.read_delay[StoreTopic::kProgress] = seconds(4);
+  cell.StartCell(Epoch(2), milliseconds(100));
+
+  SECTION("does not start a task again that has ended") {
+    cell.RunFor(milliseconds(4800));
+    CHECK(cell.starts == 1);
+    CHECK(cell.cell->StatusOf(JobId(kFirst))->state == JobState::kCompleted);
+  }
+  SECTION("waits for the list of workers, and proves its ownership meanwhile") {
+    cell.store.read_delay[StoreTopic::kWorkers] = seconds(3);
+    cell.RunFor(milliseconds(6500));
+    CHECK(cell.starts == 1);
+    REQUIRE(cell.cell->ProofAge());
+    CHECK(*cell.cell->ProofAge() < seconds(2));
+    cell.RunFor(milliseconds(1500));
+    CHECK(cell.starts == 1);
+    CHECK(cell.cell->StatusOf(JobId(kFirst))->state == JobState::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
