scheduler_process: start commands do not wait behind changes of pace

Changes of pace are sent as soon as a plan is made, its starts only once it is stored, some 18 ms later, so that a worker with best-effort work has a queue of changes before the start. The place of a long-running task that has ended stays open meanwhile.

Change: a start goes before the changes of pace that are not sent yet. Starts keep their order, stops still go first, and each change is sent. No call more.

The new test fails without the change (0 of 3 starts sent after 150 ms). scheduler_process_test: 204 assertions in 22 cases pass.

--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -61,6 +61,25 @@
   return std::min(margin, kMaxResponseMargin);
 }
 
+// Stops go first, then starts: a start that waits leaves capacity unused, and
+// a change of pace takes effect gradually anyway. Starts keep their order, and
+// so do changes of pace.
+void Insert(std::deque<Command>& commands, Command command) {
+  if (std::holds_alternative<StopRunCommand>(command)) {
+    commands.push_front(std::move(command));
+    return;
+  }
+  if (std::holds_alternative<PaceCommand>(command)) {
+    commands.push_back(std::move(command));
+    return;
+  }
+  const auto first_pace = std::find_if(
+      commands.begin(), commands.end(), [](const Command& waiting) {
+        return std::holds_alternative<PaceCommand>(waiting);
+      });
+  commands.insert(first_pace, std::move(command));
+}
+
 // True if the refusal of a repeated start command also tells what became of
 // the first one: the worker has seen the run, or will never run it.
 bool SettlesEarlierAttempt(StartRefusal refusal) {
@@ -233,10 +252,7 @@
   }
   WorkerChannel& channel = *found->second;
   const bool is_stop = std::holds_alternative<StopRunCommand>(command);
-  if (is_stop)
-    channel.commands.push_front(std::move(command));
-  else
-    channel.commands.push_back(std::move(command));
+  Insert(channel.commands, std::move(command));
   if (channel.active_senders >=
       (is_stop ? kMaxCommandsInProgressWithStop : kMaxCommandsInProgress))
     return;
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -1,7 +1,7 @@
 // Drives workers through a fake port whose responses the test chooses. Guards
-// against a run that is started a second time because an answer was lost, and
+// against a run that is started a second time because an answer was lost,
 // against a worker that is taken for silent although it is this process or the
-// worker that is slow.
+// worker that is slow, and against starts that wait for changes of pace.
 
 #include <catch2/catch.hpp>
 
@@ -48,9 +48,10 @@
                        WorkerCallError& error) {
       return List(std::move(request), error);
     };
-    port.start = [this](WorkerInfo, StartRunCommand, uint64_t,
+    port.start = [this](WorkerInfo, StartRunCommand command, uint64_t,
                         WorkerClock) -> asio::awaitable<StartOutcome> {
       const size_t call = start_calls++;
+      started.push_back(command.task);
       co_return call < start_outcomes.size() ? start_outcomes[call]
                                              : StartOutcome{true, {}};
     };
@@ -59,7 +60,10 @@
       ++stop_calls;
       co_return false;
     };
-    port.pace = [](WorkerInfo, PaceCommand, uint64_t) -> asio::awaitable<bool> {
+    port.pace = [this](WorkerInfo, PaceCommand,
+                       uint64_t) -> asio::awaitable<bool> {
+      ++pace_calls;
+      co_await Sleep(pace_response_time);
       co_return true;
     };
     port.drop_connections = [](const WorkerInfo&) {};
@@ -114,7 +118,10 @@
   std::shared_ptr<WorkerDriver> driver;
   std::vector<StartOutcome> start_outcomes;
   size_t start_calls = 0;
+  std::vector<TaskName> started;
   size_t stop_calls = 0;
+  size_t pace_calls = 0;
+  Duration pace_response_time{0};
   bool knows_cancellations = true;
   Duration own_lag{0};
   Duration response_time{0};
@@ -150,6 +157,46 @@
   }
 }
 
+TEST_CASE("a start command behind changes of pace", "[scheduler-process]") {
+  DrivenCell cell;
+  cell.AddWorkers({MakeWorker("w1")});
+  JobDefinition job = MakeOneTaskJob();
+  job.steps[0].count = 3;
+  cell.scheduler->AddJob(job, MonotonicNow(), WallNow());
+  const Plan plan = cell.MakePlan();
+  REQUIRE(plan.starts.size() == 3);
+  // Two commands are in progress at a time, so eight take four response times.
+  cell.pace_response_time = milliseconds(100);
+  for (int i = 0; i < 8; ++i)
+    cell.driver->Send(PaceCommand{plan.starts[0].worker, plan.starts[0].task,
+                                  plan.starts[0].run, 50});
+  cell.RunFor(milliseconds(10));
+  REQUIRE(cell.pace_calls == 2);
+  for (const StartRunCommand& start : plan.starts)
+    cell.driver->Send(start);
+
+  SECTION("waits only for those in progress") {
+    cell.RunFor(milliseconds(150));
+    CHECK(cell.started.size() == 3);
+    SECTION("and keeps none of them from being sent") {
+      cell.RunFor(milliseconds(400));
+      CHECK(cell.pace_calls == 8);
+    }
+  }
+  SECTION("does not overtake another start command") {
+    cell.RunFor(milliseconds(550));
+    REQUIRE(cell.started.size() == 3);
+    for (size_t i = 0; i < 3; ++i)
+      CHECK(cell.started[i] == plan.starts[i].task);
+  }
+  SECTION("is itself overtaken by a stop") {
+    cell.driver->Send(
+        StopRunCommand{plan.starts[2].worker, TaskName(), RunNumber(1)});
+    cell.RunFor(milliseconds(20));
+    CHECK(cell.stop_calls == 1);
+  }
+}
+
 TEST_CASE("an owner that is behind", "[scheduler-process]") {
   // Guards against tasks that start seconds after their job's cancellation was
   // acknowledged, because the owner has not read it (run trouble-3 of
