sched: a worker of which nothing is heard counts as unreachable

Cause: a task of a lost worker waits again only once the loop that lists the worker has reported its silence. If that loop ends or hangs (its coroutine is spawned without a handler for failures, and its channel is not made anew), the worker stays reachable for good: its tasks are taken for running although their lease has ended, and each start that is sent there puts the end of the lease off. Nothing but a change of owner frees them. It was found by reading; no play or log shows that the loop ended there.

Change: the owner notes when it last heard each worker, and takes one that it has not heard for 12 s for unreachable. Then no lease is extended, and its tasks run elsewhere once the lease has ended, as with reported silence. A process that made no plan for 2 s has not asked either, and starts to count anew.

--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -185,6 +185,7 @@
     state.needs_plan = true;
   worker_state.reachability = Reachability::kReachable;
   worker_state.is_silent = false;
+  worker_state.last_heard = now;
   if (!worker_state.instance)
     worker_state.instance.emplace();
   InstanceState& instance = *worker_state.instance;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -24,6 +24,7 @@
 #include "src/sched/task_placement.h"
 #include "src/sched/task_transfers.h"
 #include "src/sched/transfers.h"
+#include "src/sched/unheard_workers.h"
 #include "src/sched/waiting_tasks.h"
 #include "src/sched/workers.h"
 
@@ -540,6 +541,7 @@
   state.needs_plan = false;
   NoteWallTime(state, now, wall);
   CreateDueIterations(state, now, wall);
+  FindUnheardWorkers(state, now);
   RequeueTasksOfExpiredLeases(state, now);
   EndWaitForLateProofs(state, now);
   StopTasksOfDrainingWorkers(state, now);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -269,6 +269,7 @@
   std::deque<int64_t> leaving_start_times_ms;
   /** The last listing request had no response. */
   bool is_silent = false;
+  TimePoint last_heard;  // of the last listing
   /** The instance that answered last, unless it is known to have ended. */
   std::optional<InstanceState> instance;
   /** From this time on nothing runs there unless a lease is extended. */
@@ -463,6 +464,7 @@
   std::map<TaskName, std::map<RunNumber, TimePoint>> awaited_proofs;
   uint64_t next_sequence = 1;
   bool needs_plan = true;
+  std::optional<TimePoint> last_plan_at;
   SchedulerCounters counters;
   std::vector<Decision> decisions;
 };
--- a/tests/sched/simulated_cell.cc
+++ b/tests/sched/simulated_cell.cc
@@ -301,7 +301,7 @@
     // As the worker driver does, until the leases have expired.
     const bool is_followed =
         !worker.removed || m_scheduler->IsFollowed(worker.info.id);
-    if (is_followed && m_now >= worker.next_listing)
+    if (is_followed && !worker.hangs_listings && m_now >= worker.next_listing)
       SendListing(worker);
   }
   if (!m_pending_plan)
--- a/tests/sched/simulated_cell.h
+++ b/tests/sched/simulated_cell.h
@@ -34,6 +34,9 @@
   bool up = true;
   bool removed = false;  // for ever; see `RemoveWorker`
   bool reachable = true;
+  /** The owner's requests for listings never end, even if the worker is gone.
+   */
+  bool hangs_listings = false;
   bool fails_all = false;
   bool refuses_starts = false;  // as an unhealthy worker
   bool stalls_all_runs = false;
