--- a/tests/sched/job_parts_hunt_test.cc
+++ b/tests/sched/job_parts_hunt_test.cc
@@ -43,6 +43,7 @@
     m_has_load = false;
     m_checker.NoteEndOfLoad();
     RunLoad(seconds(30), 0);
+    m_checker.CheckEnd();
   }
 
   /** Ends what lasts, and waits until ended jobs are deleted. */
--- a/tests/sched/long_day.cc
+++ b/tests/sched/long_day.cc
@@ -127,6 +127,7 @@
   m_has_load = false;
   m_checker.NoteEndOfLoad();
   RunLoad(kTimeAfterLoad, 0);
+  m_checker.CheckEnd();
 }
 
 // Half of the days have a change of all owners in the last seconds of the load.
--- a/tests/sched/start_order_test.cc
+++ b/tests/sched/start_order_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +21,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kTick = milliseconds(250);
+// Longer than a lease and a search for room.
+constexpr Duration kTimeAfterLoad = seconds(30);
 
 /** A cell full of long-running tasks, whose workers are lost and replaced. */
 class LossyDay {
@@ -36,8 +39,13 @@
     RunFor(seconds(12), false);
     RunFor(seconds(40), true);
     RunFor(seconds(15), false);
+    EndLoad();
   }
 
+  /** Long-running tasks without a run in the end, with a worker that has room.
+   */
+  std::vector<std::string> FindForgotten() const;
+
   const StartOrderChecker& checker() const { return m_checker; }
   const std::vector<std::string>& violations() const {
     return m_cell.observations().violations;
@@ -84,6 +92,7 @@
 
   void AddJob(const JobDefinition& job) {
     m_last_job = job.id.value();
+    m_jobs.emplace(job.id, job);
     m_checker.AddJob(job);
     m_cell.Submit(job);
   }
@@ -96,6 +105,7 @@
     const auto [id, cores] = m_long_running[index];
     m_cell.Cancel(id);
     m_checker.RemoveJob(JobId(id));
+    m_jobs.erase(JobId(id));
     m_asked -= cores;
     m_long_running.erase(m_long_running.begin() +
                          static_cast<std::ptrdiff_t>(index));
@@ -157,6 +167,17 @@
     });
   }
 
+  // Half of the jobs end, so that there is room, and nothing else happens.
+  void EndLoad() {
+    for (size_t i = m_long_running.size() / 2; i > 0; --i)
+      CancelOne();
+    const TimePoint end = m_cell.now() + kTimeAfterLoad;
+    while (m_cell.now() < end) {
+      EndFaults();
+      m_cell.Advance();
+    }
+  }
+
   void RunFor(Duration duration, bool has_faults) {
     const TimePoint end = m_cell.now() + duration;
     while (m_cell.now() < end) {
@@ -185,12 +206,53 @@
   int64_t m_asked = 0;
   int m_next_job = 0;
   std::string m_last_job;
+  std::map<JobId, JobDefinition> m_jobs;  // that are not cancelled
   std::vector<std::pair<std::string, int64_t>> m_long_running;
   std::vector<std::pair<size_t, TimePoint>> m_leaving;
   std::vector<std::pair<size_t, TimePoint>> m_cut;
   std::string m_log;
 };
 
+bool HasRoomFor(const SimulatedWorker& worker,
+                const StepSpec& step,
+                const JobId& job,
+                const std::map<JobId, JobDefinition>& jobs) {
+  const std::vector<std::string>& labels = worker.info.labels;
+  if (!worker.up || !worker.reachable || worker.info.draining ||
+      (!step.label.empty() &&
+       std::find(labels.begin(), labels.end(), step.label) == labels.end()))
+    return false;
+  Resources free = worker.info.capacity;
+  uint32_t of_job = 0;
+  for (const auto& [task, run] : worker.running) {
+    const auto running = jobs.find(task.job);
+    if (running != jobs.end())
+      free -= running->second.steps[task.step].need;
+    of_job += task.job == job ? 1 : 0;
+  }
+  return Fits(step.need, free) &&
+         (step.max_per_worker == 0 || of_job < step.max_per_worker);
+}
+
+std::vector<std::string> LossyDay::FindForgotten() const {
+  std::vector<std::string> forgotten;
+  for (const auto& [id, job] : m_jobs) {
+    const StepSpec& step = job.steps[0];
+    for (uint32_t index = 0; step.long_running && index < step.count; ++index) {
+      const auto worker = m_cell.WorkerOf({id, 0, 0, index});
+      if (worker && m_cell.worker(*worker).up)
+        continue;
+      for (size_t i = 0; i < m_cell.worker_count(); ++i) {
+        if (HasRoomFor(m_cell.worker(i), step, id, m_jobs))
+          forgotten.push_back(id.value() + "." + std::to_string(index) +
+                              " waits beside room on " +
+                              m_cell.worker(i).info.id.value());
+      }
+    }
+  }
+  return forgotten;
+}
+
 size_t CountDoubleRuns(const std::vector<std::string>& violations) {
   return static_cast<size_t>(std::count_if(
       violations.begin(), violations.end(), [](const std::string& violation) {
@@ -205,6 +267,7 @@
                << " starts checked\n"
                << day.Describe());
   CHECK(day.checker().found().empty());
+  CHECK(day.FindForgotten() == std::vector<std::string>());
   CHECK(CountDoubleRuns(day.violations()) == 0);
 }
 
--- a/tests/sched/waiting_work_checker.cc
+++ b/tests/sched/waiting_work_checker.cc
@@ -16,6 +16,8 @@
 constexpr Duration kWaitAfterLastRun = seconds(6);
 constexpr Duration kWaitAfterLoad = seconds(14);
 constexpr Duration kMaxOverTarget = seconds(4);
+// Far longer than any wait for room that a cell holds, a lease or a move.
+constexpr Duration kMaxWaitAtEnd = seconds(12);
 
 Resources ReservedBy(const StepSpec& spec) {
   Resources need = spec.need;
@@ -45,10 +47,12 @@
                                     label) != info.labels.end();
 }
 
-int64_t WaitingCores(SimulatedCell& cell, const QueuePolicy& policy) {
+int64_t WaitingCores(SimulatedCell& cell,
+                     const QueuePolicy& policy,
+                     MilliCores ServiceLoad::*kind) {
   for (const ServiceLoad& load : cell.scheduler().Load(cell.now()).services) {
     if (load.service == policy.service)
-      return load.waiting_long_running.count() / 1000;
+      return (load.*kind).count() / 1000;
   }
   return 0;
 }
@@ -91,6 +95,8 @@
   for (const auto& [id, job] : m_system.jobs()) {
     if ((load_is_over || HasLongRunningStep(job)) && IsOwed(job))
       ObserveJob(job, load_is_over);
+    if (m_end_of_load)
+      ObserveRoomForWaiting(job, CountDueIterations(job, m_system.now()));
   }
 }
 
@@ -204,6 +210,94 @@
   }
 }
 
+bool WaitingWorkChecker::WaitsForRun(const JobDefinition& job,
+                                     const TaskName& task) const {
+  const auto last_run = m_last_run.find(task);
+  if (last_run != m_last_run.end() && last_run->second == m_system.now())
+    return false;
+  const StepSpec& spec = job.steps[task.step];
+  if (spec.long_running)
+    return true;
+  const auto is_done = [this](const TaskName& name) {
+    return m_system.IsDone(name) || m_system.IsPossiblyDone(name);
+  };
+  if (!spec.gang)
+    return !is_done(task);
+  // The end of one member of a gang is that of all.
+  for (TaskName member = FirstOfStep(task); member.index < spec.count;
+       ++member.index) {
+    if (is_done(member))
+      return false;
+  }
+  return true;
+}
+
+// Whether there is room for best-effort work depends on what it may do to the
+// tasks beside it, which runs and workers do not show.
+void WaitingWorkChecker::ObserveRoomForWaiting(const JobDefinition& job,
+                                               uint32_t iterations) {
+  const bool is_owed = IsOwed(job);
+  for (uint32_t iteration = 0; iteration < iterations; ++iteration) {
+    for (uint32_t step = 0; step < job.steps.size(); ++step) {
+      if (job.steps[step].best_effort)
+        continue;
+      std::optional<bool> could_run;
+      for (uint32_t index = 0; index < job.steps[step].count; ++index) {
+        const TaskName task{job.id, iteration, step, index};
+        const bool waits = is_owed && WaitsForRun(job, task);
+        if (waits && !could_run)
+          could_run =
+              AreEarlierStepsDone(job, iteration, step) && HasRoom(job, step);
+        if (waits && *could_run)
+          m_beside_room_since.emplace(task, m_system.now());
+        else
+          m_beside_room_since.erase(task);
+      }
+    }
+  }
+}
+
+void WaitingWorkChecker::CheckEnd() {
+  const bool has_room_for_all = HasRoomForAllShortWork();
+  for (const auto& [task, since] : m_beside_room_since) {
+    const JobDefinition& job = m_system.jobs().at(task.job);
+    const bool is_due = job.steps[task.step].long_running || has_room_for_all;
+    if (is_due && m_system.now() - since >= kMaxWaitAtEnd)
+      Add(task, since, "waits at the end beside room on" + DescribeRoom(task));
+  }
+}
+
+// Full cells keep their queues of short work, however little room another one
+// has.
+bool WaitingWorkChecker::HasRoomForAllShortWork() const {
+  MilliCores needed(0);
+  for (const auto& [id, job] : m_system.jobs()) {
+    if (!IsOwed(job))
+      continue;
+    for (uint32_t i = 0; i < CountDueIterations(job, m_system.now()); ++i) {
+      for (uint32_t step = 0; step < job.steps.size(); ++step) {
+        for (uint32_t k = 0; k < job.steps[step].count; ++k) {
+          if (!job.steps[step].long_running &&
+              WaitsForRun(job, {job.id, i, step, k}))
+            needed += job.steps[step].need.cpu;
+        }
+      }
+    }
+  }
+  MilliCores free(0);
+  for (size_t i = 0; i < m_system.size(); ++i) {
+    for (size_t k = 0; k < m_system.cell(i).worker_count(); ++k) {
+      const SimulatedWorker& worker = m_system.cell(i).worker(k);
+      if (!IsUsable(worker))
+        continue;
+      free += worker.info.capacity.cpu;
+      for (const auto& [task, run] : worker.running)
+        free -= m_system.jobs().at(task.job).steps[task.step].need.cpu;
+    }
+  }
+  return needed <= free;
+}
+
 bool WaitingWorkChecker::WaitsTooLong(std::map<TaskName, TimePoint>& since,
                                       const TaskName& task,
                                       bool waits) {
@@ -286,6 +380,32 @@
   return fitting >= 2;
 }
 
+bool WaitingWorkChecker::HasRoom(const JobDefinition& job,
+                                 uint32_t step) const {
+  const uint32_t needed = job.steps[step].gang ? job.steps[step].count : 1;
+  for (size_t i = 0; i < m_system.size(); ++i) {
+    uint32_t fitting = 0;
+    for (size_t k = 0; k < m_system.cell(i).worker_count(); ++k)
+      fitting += CountFitting(m_system.cell(i).worker(k), job, step, needed);
+    if (fitting >= needed)
+      return true;
+  }
+  return false;
+}
+
+std::string WaitingWorkChecker::DescribeRoom(const TaskName& task) const {
+  const JobDefinition& job = m_system.jobs().at(task.job);
+  std::string text;
+  for (size_t i = 0; i < m_system.size(); ++i) {
+    for (size_t k = 0; k < m_system.cell(i).worker_count(); ++k) {
+      const SimulatedWorker& worker = m_system.cell(i).worker(k);
+      if (CountFitting(worker, job, task.step, 1) > 0)
+        text += " " + worker.info.id.value();
+    }
+  }
+  return text;
+}
+
 std::string WaitingWorkChecker::DescribeCapacity(const TaskName& task) const {
   const JobDefinition& job = m_system.jobs().at(task.job);
   std::string text;
@@ -310,7 +430,11 @@
             " cores: long-running " + std::to_string(long_running / 1000) +
             ", short " + std::to_string(short_work / 1000) +
             ", long-running that wait " +
-            std::to_string(WaitingCores(m_system.cell(i), PolicyOf(job))) +
+            std::to_string(WaitingCores(m_system.cell(i), PolicyOf(job),
+                                        &ServiceLoad::waiting_long_running)) +
+            ", short that wait " +
+            std::to_string(WaitingCores(m_system.cell(i), PolicyOf(job),
+                                        &ServiceLoad::waiting)) +
             ", fits " + std::to_string(fitting);
   }
   const StepSpec& spec = job.steps[task.step];
--- a/tests/sched/waiting_work_checker.h
+++ b/tests/sched/waiting_work_checker.h
@@ -34,6 +34,10 @@
   void NoteFault() { m_last_fault = m_system.now(); }
   /** No job is submitted after this. */
   void NoteEndOfLoad() { m_end_of_load = m_system.now(); }
+  /** At the end of a day: adds each task that has waited for 12 s beside a
+   * worker with room for it, and names that worker. Short work counts only if
+   * there is room for all of it, and best-effort work does not. */
+  void CheckEnd();
 
   /** Each step with tasks that were found waiting, once. */
   const std::vector<WaitingWork>& found() const { return m_found; }
@@ -57,6 +61,13 @@
                            uint32_t iteration,
                            uint32_t step) const;
   bool HasCapacityForTwo(const JobDefinition& job, uint32_t step) const;
+  /** Whether the task is accepted, due, and neither runs nor is done. */
+  bool WaitsForRun(const JobDefinition& job, const TaskName& task) const;
+  void ObserveRoomForWaiting(const JobDefinition& job, uint32_t iterations);
+  /** Whether one cell has room for the task, or for all members of a gang. */
+  bool HasRoom(const JobDefinition& job, uint32_t step) const;
+  bool HasRoomForAllShortWork() const;
+  std::string DescribeRoom(const TaskName& task) const;
   /** Number of such tasks that the worker could run now, up to `limit`. */
   uint32_t CountFitting(const SimulatedWorker& worker,
                         const JobDefinition& job,
@@ -78,7 +89,9 @@
   std::map<JobId, size_t> m_running;         // in this observation
   std::map<TaskName, TimePoint> m_long_running_since;
   std::map<TaskName, TimePoint> m_over_target_since;
-  std::map<TaskName, TimePoint> m_job_since;           // by a task of the job
+  std::map<TaskName, TimePoint> m_job_since;  // by a task of the job
+  /** Since when it waits beside room, once no job is submitted any more. */
+  std::map<TaskName, TimePoint> m_beside_room_since;
   std::set<std::pair<std::string, TaskName>> m_known;  // by rule
   std::map<TaskName, std::vector<std::string>> m_decisions;
   /** Last `run_waits` of a step's tasks, by the first one. */
--- a/tests/sched/waiting_work_checker_test.cc
+++ b/tests/sched/waiting_work_checker_test.cc
@@ -96,5 +96,45 @@
   CHECK(checker.found()[0].task == TaskName{JobId("critical"), 0, 0, 0});
 }
 
+TEST_CASE("what waits at the end of a day beside room", "[sched]") {
+  SimulatedCells system(2, 2, 16);
+  system.SetQueue("batch", MakePolicy(2, 3));
+  WaitingWorkChecker checker(system);
+  const std::string id = system.MakeIdFor(0, "l");
+  system.Submit(MakeJob(id, "batch", {MakeLongRunningStep(1, 2)}));
+  checker.Run(seconds(5));
+  REQUIRE(system.CountRunning(id) == 1);
+  checker.NoteEndOfLoad();
+  // Without an owner of its cell nothing starts it again.
+  system.cell(0).RemoveOwner(true);
+  system.cell(0).StopWorker(*system.cell(0).WorkerOf({JobId(id), 0, 0, 0}));
+
+  SECTION("is found with the workers that have room") {
+    for (int i = 0; i < 15; ++i) {
+      checker.Run(seconds(1));
+      checker.NoteFault();
+    }
+    CHECK(checker.found().empty());
+    checker.CheckEnd();
+    REQUIRE(checker.found().size() == 1);
+    CHECK(checker.found()[0].task == TaskName{JobId(id), 0, 0, 0});
+    CHECK(checker.found()[0].rule.find(" w8000") != std::string::npos);
+  }
+  SECTION("is not taken for forgotten after a short time") {
+    checker.Run(seconds(6));
+    checker.CheckEnd();
+    CHECK(checker.found().empty());
+  }
+  SECTION("is not found if no worker has room") {
+    for (size_t i = 0; i < system.size(); ++i) {
+      for (size_t k = 0; k < 2; ++k)
+        system.cell(i).worker(k).reachable = false;
+    }
+    checker.Run(seconds(15));
+    checker.CheckEnd();
+    CHECK(checker.found().empty());
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
--- a/tests/sched/waiting_work_hunt_test.cc
+++ b/tests/sched/waiting_work_hunt_test.cc
@@ -50,6 +50,7 @@
       CancelLongRunningJobs(0.7);
     m_checker.NoteEndOfLoad();
     RunLoad(seconds(22), 0);
+    m_checker.CheckEnd();
   }
 
   const WaitingWorkChecker& checker() const { return m_checker; }
