sched: a new owner does not wait for good for a worker that never answers

Cause: since a worker of the list that a new owner has yet to hear from, or to miss, keeps its runs although all leases are over. If the request to it neither ends nor fails, that lasts for good: tasks of a lost worker have no run until the owner changes again, or the worker leaves the list.

Change: the watch for unheard workers (12 s) covers those that have not answered this owner yet. The time counts from its first plan, or from when it learned of the worker. Only workers with tasks are logged.

--- a/src/sched/unheard_workers.cc
+++ b/src/sched/unheard_workers.cc
@@ -17,6 +17,8 @@
 constexpr Duration kMaxPlanPause = std::chrono::seconds(2);
 
 void LogUnheard(State& state, const WorkerState& worker, Duration unheard) {
+  if (worker.tasks.empty())
+    return;
   Decision decision;
   decision.event = "worker_unheard";
   decision.worker = worker.info.id;
@@ -30,17 +32,19 @@
 void FindUnheardWorkers(State& state, TimePoint now) {
   const std::optional<TimePoint> before =
       std::exchange(state.last_plan_at, now);
-  const bool was_away = before && now - *before > kMaxPlanPause;
+  const bool was_away = !before || now - *before > kMaxPlanPause;
   for (size_t i = 0; i < state.workers.size(); ++i) {
     WorkerState& worker = state.workers[i];
-    if (worker.reachability != Reachability::kReachable)
+    if (worker.is_silent || worker.reachability == Reachability::kUnreachable)
       continue;
-    if (was_away)
+    // A new owner asks each worker once it is listed.
+    if (was_away || worker.last_heard == TimePoint())
       worker.last_heard = now;
     if (now - worker.last_heard < kMaxUnheard)
       continue;
     LogUnheard(state, worker, now - worker.last_heard);
-    worker.reachability = Reachability::kUnreachable;
+    if (worker.reachability == Reachability::kReachable)
+      worker.reachability = Reachability::kUnreachable;
     worker.is_silent = true;
     NoteSilence(state, static_cast<int32_t>(i));
   }
--- a/tests/sched/unheard_worker_test.cc
+++ b/tests/sched/unheard_worker_test.cc
@@ -31,6 +31,13 @@
     CHECK(cell.CountRunning("l") == 2);
     CHECK(cell.observations().violations.empty());
   }
+  SECTION("its tasks run elsewhere although the owner changes with its loss") {
+    cell.StopWorker(*lost);
+    cell.ReplaceOwner();
+    cell.Run(seconds(30));
+    CHECK(cell.CountRunning("l") == 2);
+    CHECK(cell.observations().violations.empty());
+  }
   SECTION("although starts are sent to it") {
     cell.StopWorker(*lost);
     for (int i = 0; i < 25; ++i) {
