scheduler_process: a call to a worker that fails with an exception has a result

A start stayed planned for good; after two such, no start left for that worker; an unlisted worker stayed reachable. Change: the exception is logged and counts as a call without a response; the calls after it go on.

--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <exception>
 #include <map>
 #include <set>
 #include <utility>
@@ -80,6 +81,13 @@
   commands.insert(first_pace, std::move(command));
 }
 
+// A call that ends with an exception must neither end the calls after it nor
+// leave the scheduler without a result.
+void LogFailure(std::string_view task, const std::exception& error) {
+  LogEvent("background_task_failed",
+           {{"task", task}, {"detail", error.what()}});
+}
+
 // True if the refusal of a repeated start command also tells what became of
 // the first one: the worker has seen the run, or will never run it.
 bool SettlesEarlierAttempt(StartRefusal refusal) {
@@ -108,6 +116,7 @@
   std::optional<InstanceTerms> TermsFor(const WorkerId& id, TimePoint now);
   void Enqueue(const WorkerId& worker, Command command);
   asio::awaitable<void> SendCommands(WorkerChannelPtr channel);
+  void HandleFailedCommand(const Command& command);
   asio::awaitable<void> Execute(WorkerChannelPtr channel,
                                 StartRunCommand command);
   asio::awaitable<void> Execute(WorkerChannelPtr channel,
@@ -235,7 +244,16 @@
   const auto self = shared_from_this();
   while (!stopped &&
          (channel->listed || scheduler.IsFollowed(channel->info.id))) {
-    const Duration pause = co_await ListOnce(channel);
+    Duration pause = kPauseAfterError;
+    bool failed = false;
+    try {
+      pause = co_await ListOnce(channel);
+    } catch (const std::exception& error) {
+      LogFailure("worker_listing", error);
+      failed = true;
+    }
+    if (failed && !stopped)
+      HandleListingError(*channel, WorkerCallError::kNoResponse);
     if (!stopped && pause.count() > 0)
       co_await Sleep(pause);
   }
@@ -260,6 +278,16 @@
   Spawn(io, "worker_commands", SendCommands(found->second));
 }
 
+// The call may have been carried out before it failed.
+void WorkerDriver::Impl::HandleFailedCommand(const Command& command) {
+  ++counters.failed_commands;
+  if (const auto* start = std::get_if<StartRunCommand>(&command))
+    scheduler.OnStartUnknown(*start, MonotonicNow());
+  else if (const auto* pace = std::get_if<PaceCommand>(&command))
+    scheduler.OnPaceUnknown(*pace);
+  hooks.on_event();
+}
+
 asio::awaitable<void> WorkerDriver::Impl::SendCommands(
     WorkerChannelPtr channel) {
   const auto self = shared_from_this();
@@ -267,12 +295,17 @@
     Command command = std::move(channel->commands.front());
     channel->commands.pop_front();
     ++counters.commands;
-    if (auto* start = std::get_if<StartRunCommand>(&command))
-      co_await Execute(channel, *start);
-    else if (auto* stop = std::get_if<StopRunCommand>(&command))
-      co_await Execute(channel, *stop);
-    else
-      co_await Execute(channel, std::get<PaceCommand>(command));
+    bool failed = false;
+    try {
+      co_await std::visit(
+          [&](const auto& waiting) { return Execute(channel, waiting); },
+          command);
+    } catch (const std::exception& error) {
+      LogFailure("worker_commands", error);
+      failed = true;
+    }
+    if (failed && !stopped)
+      HandleFailedCommand(command);
   }
   --channel->active_senders;
 }
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/loop_lag.h"
 #include "src/scheduler_process/worker_driver.h"
@@ -51,6 +53,8 @@
     port.start = [this](WorkerInfo, StartRunCommand command, uint64_t,
                         WorkerClock) -> asio::awaitable<StartOutcome> {
       const size_t call = start_calls++;
+      if (start_fails)
+        throw std::runtime_error("no memory");
       started.push_back(command.task);
       co_return call < start_outcomes.size() ? start_outcomes[call]
                                              : StartOutcome{true, {}};
@@ -87,6 +91,8 @@
                    std::clamp<Duration>(response_time, milliseconds(5),
                                         request.response_margin));
     error = WorkerCallError::kNoResponse;
+    if (listing_fails)
+      throw std::runtime_error("no memory");
     last_request = request;
     if (response_time > request.response_margin)
       co_return std::nullopt;
@@ -118,6 +124,8 @@
   std::shared_ptr<WorkerDriver> driver;
   std::vector<StartOutcome> start_outcomes;
   size_t start_calls = 0;
+  bool start_fails = false;
+  bool listing_fails = false;
   std::vector<TaskName> started;
   size_t stop_calls = 0;
   size_t pace_calls = 0;
@@ -157,6 +165,52 @@
   }
 }
 
+TEST_CASE("a call to a worker that ends with an exception",
+          "[scheduler-process]") {
+  // Otherwise the scheduler takes the run for planned, or the worker for
+  // reachable, for as long as this process owns the cell.
+  DrivenCell cell;
+  cell.AddWorkers({MakeWorker("w1")});
+
+  SECTION("is a start without a response") {
+    JobDefinition job = MakeOneTaskJob();
+    job.steps[0].count = 3;
+    cell.scheduler->AddJob(job, MonotonicNow(), WallNow());
+    const Plan plan = cell.MakePlan();
+    REQUIRE(plan.starts.size() == 3);
+    cell.start_fails = true;
+    cell.driver->Send(plan.starts[0]);
+    cell.driver->Send(plan.starts[1]);
+    cell.RunFor(milliseconds(50));
+    CHECK(cell.driver->counters().failed_commands == 2);
+
+    SECTION("whose run is replaced once the worker does not list it") {
+      cell.start_fails = false;
+      cell.RunFor(milliseconds(3000));
+      cell.MakePlan();
+      CHECK(cell.scheduler->TakeStops(MonotonicNow()).size() == 2);
+    }
+    SECTION("after which other starts are sent") {
+      cell.start_fails = false;
+      cell.driver->Send(plan.starts[2]);
+      cell.RunFor(milliseconds(50));
+      CHECK(cell.started.size() == 1);
+    }
+  }
+  SECTION("is a listing without a response") {
+    cell.listing_fails = true;
+    cell.RunFor(milliseconds(2000));
+    CHECK(cell.driver->counters().failed_listings > 0);
+
+    SECTION("after which the worker is listed again") {
+      const uint64_t listings = cell.driver->counters().listings;
+      cell.listing_fails = false;
+      cell.RunFor(milliseconds(2000));
+      CHECK(cell.driver->counters().listings > listings);
+    }
+  }
+}
+
 TEST_CASE("a start command behind changes of pace", "[scheduler-process]") {
   DrivenCell cell;
   cell.AddWorkers({MakeWorker("w1")});
