scheduler_process: one silent path does not take a cell from an owner that others reach

Cause: a process claimed a cell 1.2 s and a claim delay after its last answer from the owner, whatever the owner still stored and whoever else reached it. Change: an owner adds proof-of-hearing to what it stores anyway, at most every 0.5 s: how long ago another process last asked it. A process that does not hear the owner reads that record when the silence begins and before its claim, and postpones the claim while the record is new and tells of a request since the silence began; until 4 s of silence. An idle owner may store nothing between the two looks; then the claim comes as before.

--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -9,6 +9,7 @@
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/decision_log.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/hearing_proof.h"
 #include "src/scheduler_process/job_record_deleter.h"
 #include "src/scheduler_process/job_stream_keys.h"
 #include "src/scheduler_process/message_sender.h"
@@ -75,7 +76,10 @@
         decoders(record_decoders),
         options(cell_options),
         hooks(std::move(cell_hooks)),
-        writer(store_port, cell_options.cell, cell_options.epoch),
+        writer(store_port,
+               cell_options.cell,
+               cell_options.epoch,
+               hooks.heard_at),
         wake(context) {}
 
   asio::awaitable<void> Run();
@@ -286,6 +290,7 @@
   apply(JobRecordKind::kTransfer);
   for (const KeyedRecord& record : progress.records) {
     if (!record.value.empty() && record.key != kProofKey &&
+        record.key != kHearingKey &&
         !scheduler->RestoreProgress({record.key, record.value}))
       LogEvent("progress_unreadable", {{"key", record.key}});
   }
--- a/src/scheduler_process/cell.h
+++ b/src/scheduler_process/cell.h
@@ -28,6 +28,9 @@
   std::function<const Manifest&()> manifest;
   /** Delay with which this process handles its events. */
   std::function<Duration()> own_lag;
+  /** Time since boot at which another process last reached this one; nothing if
+   * none did. Empty: the owner stores no proof of it. */
+  std::function<std::optional<TimePoint>()> heard_at;
   /** Called once when a later owner has taken over the cell. */
   std::function<void()> on_lost;
 };
--- a/src/scheduler_process/claim_calls.cc
+++ b/src/scheduler_process/claim_calls.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/scheduler_process/cell_path.h"
+#include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
 #include "src/scheduler_process/owner_election_impl.h"
 
@@ -133,6 +134,38 @@
   co_await ReadClaims();
 }
 
+// Reads what the present owner has stored of being reached; nothing without a
+// response.
+asio::awaitable<std::optional<ProofLook>> OwnerElection::Impl::LookAtProof(
+    const ElectedCell& cell) {
+  ProofLook look{.requested_at = MonotonicNow(), .proof = std::nullopt};
+  StoreError error;
+  const auto record =
+      co_await store.read_record(StoreStream(StoreTopic::kProgress, cell.id),
+                                 std::string(kHearingKey), error);
+  if (!record)
+    co_return std::nullopt;
+  look.proof = DecodeHearingProof(record->value);
+  // An earlier owner may have stored it.
+  if (look.proof && (!cell.claim || look.proof->epoch != cell.claim->epoch))
+    look.proof.reset();
+  co_return look;
+}
+
+// True if only this process does not hear the owner.
+asio::awaitable<bool> OwnerElection::Impl::MustPostpone(ElectedCell& cell) {
+  if (!cell.watch.first_look || !cell.watch.first_look->proof)
+    co_return false;
+  const auto look = co_await LookAtProof(cell);
+  if (!look || !PostponeClaim(cell.watch, *look, MonotonicNow()))
+    co_return false;
+  LogEvent("claim_postponed",
+           {{"cell", static_cast<int64_t>(cell.id.value())},
+            {"epoch", static_cast<int64_t>(look->proof->epoch.value())},
+            {"heard_ms", ToMillis(look->proof->heard_age)}});
+  co_return true;
+}
+
 // Stores the claim unless a later one of the cell is stored. The claim may be
 // stored although no response came; it is then read back.
 asio::awaitable<bool> OwnerElection::Impl::StoreClaim(ElectedCell& cell,
@@ -177,7 +210,7 @@
 }
 
 // Claims the cell after the claim delay, unless another process has claimed it
-// by then or its owner is healthy after all.
+// by then, its owner is healthy after all, or others reach the owner.
 asio::awaitable<void> OwnerElection::Impl::ClaimAfterDelay(
     ElectedCell& cell,
     std::string_view why) {
@@ -190,6 +223,9 @@
   const bool heard = co_await HearsOwnerWithin(cell, delay);
   if (heard)
     co_return;
+  const bool postponed = co_await MustPostpone(cell);
+  if (postponed)
+    co_return;
   const bool read = co_await ReadClaims();
   if (!read || stopped || cell.claim != before || !hooks.may_claim())
     co_return;
--- a/src/scheduler_process/owner_election.cc
+++ b/src/scheduler_process/owner_election.cc
@@ -173,6 +173,10 @@
     const bool changed = co_await HasNewClaim(cell);
     if (changed)
       co_return;
+    if (health == OwnerHealth::kUnresponsive && !cell.watch.first_look) {
+      if (const auto look = co_await LookAtProof(cell))
+        NoteFirstLook(cell.watch, *look);
+    }
     // Only an owner that does not respond may be merely busy.
     if (health == OwnerHealth::kCannotOwn ||
         IsOwnerGone(cell.watch, MonotonicNow())) {
@@ -292,10 +296,16 @@
 }
 
 void OwnerElection::OnHealthRequest(CellId cell, const Candidate& candidate) {
+  if (candidate.control != m_impl->options.control)
+    m_impl->heard_at = BootTimeNow();
   if (ElectedCell* found = m_impl->Find(cell))
     NoteCandidate(found->candidates, candidate, MonotonicNow());
 }
 
+std::optional<TimePoint> OwnerElection::HeardAt() const {
+  return m_impl->heard_at;
+}
+
 asio::awaitable<std::optional<CellClaim>> OwnerElection::AcceptOffer(
     CellId cell,
     Epoch epoch) {
--- a/src/scheduler_process/owner_election.h
+++ b/src/scheduler_process/owner_election.h
@@ -66,6 +66,9 @@
   /** To be called on each health request; records the process that sent it as a
    * candidate. */
   void OnHealthRequest(CellId cell, const Candidate& candidate);
+  /** Time since boot of the last health request of another process; nothing
+   * before the first. */
+  std::optional<TimePoint> HeardAt() const;
   /** Claims the cell that the owner of `epoch` offers; returns this process's
    * claim, nothing if it did not win. */
   asio::awaitable<std::optional<CellClaim>> AcceptOffer(CellId cell,
--- a/src/scheduler_process/owner_election_impl.h
+++ b/src/scheduler_process/owner_election_impl.h
@@ -82,6 +82,9 @@
   void AcceptTable(const ClaimTable& table);
   void AcceptClaim(ElectedCell& cell, const CellClaim& claim);
   asio::awaitable<bool> Append(KeyedRecord record, uint64_t at);
+  asio::awaitable<std::optional<ProofLook>> LookAtProof(
+      const ElectedCell& cell);
+  asio::awaitable<bool> MustPostpone(ElectedCell& cell);
   asio::awaitable<bool> StoreClaim(ElectedCell& cell, CellClaim claim);
   asio::awaitable<void> TryToClaim(ElectedCell& cell);
   asio::awaitable<void> ClaimAfterDelay(ElectedCell& cell,
@@ -108,6 +111,8 @@
   size_t rounds = 0;      // of checks
   bool claiming = false;  // one claim at a time, so that the delays hold
   std::optional<TimePoint> latest_response;
+  // Time since boot of the last health request of another process.
+  std::optional<TimePoint> heard_at;
   TimePoint last_move_check = started;
   bool stopped = false;
 };
--- a/src/scheduler_process/owner_watch.cc
+++ b/src/scheduler_process/owner_watch.cc
@@ -27,6 +27,12 @@
 // A process that is late itself waits for others first.
 constexpr int kDelayPerLag = 4;
 constexpr Duration kMaxLagDelay = milliseconds(2000);
+// An owner stores its proof every second at least.
+constexpr Duration kProofPeriod = milliseconds(1200);
+// Three requests of another process in a row would have failed by then.
+constexpr Duration kMaxHeardAge = milliseconds(1200);
+// Of a silence for which claims are postponed.
+constexpr Duration kMaxPostponedSilence = milliseconds(4000);
 
 }  // namespace
 
@@ -34,12 +40,16 @@
   watch = OwnerWatch{.claimed_at = now,
                      .responded_at = now,
                      .silent_since = std::nullopt,
-                     .response_timeout = std::nullopt};
+                     .response_timeout = std::nullopt,
+                     .first_look = std::nullopt,
+                     .postponed_until = std::nullopt};
 }
 
 void NoteResponse(OwnerWatch& watch, Duration response_timeout, TimePoint now) {
   watch.responded_at = now;
   watch.silent_since.reset();
+  watch.first_look.reset();
+  watch.postponed_until.reset();
   watch.response_timeout = std::max(kMinResponseTimeout, response_timeout);
 }
 
@@ -55,6 +65,8 @@
 bool IsOwnerGone(const OwnerWatch& watch, TimePoint now) {
   if (!watch.silent_since)
     return false;
+  if (watch.postponed_until && now < *watch.postponed_until)
+    return false;
   // The last response may be some seconds old, as other cells were checked
   // since.
   const TimePoint last_heard =
@@ -66,6 +78,30 @@
   return now - last_heard >= timeout;
 }
 
+void NoteFirstLook(OwnerWatch& watch, const ProofLook& look) {
+  if (watch.silent_since && !watch.first_look)
+    watch.first_look = look;
+}
+
+bool PostponeClaim(OwnerWatch& watch, const ProofLook& look, TimePoint now) {
+  if (!watch.silent_since || !watch.first_look || !watch.first_look->proof ||
+      !look.proof)
+    return false;
+  const HearingProof& first = *watch.first_look->proof;
+  if (look.proof->epoch != first.epoch || look.proof->number <= first.number)
+    return false;
+  // The proof was made after the first look, so what it has heard within the
+  // time from the silence to that look it has heard during the silence.
+  const Duration max_heard_age = std::min(
+      watch.first_look->requested_at - *watch.silent_since, kMaxHeardAge);
+  if (look.proof->heard_age > max_heard_age ||
+      now - *watch.silent_since >= kMaxPostponedSilence)
+    return false;
+  watch.first_look = look;
+  watch.postponed_until = now + kProofPeriod;
+  return true;
+}
+
 bool IsReserve(const Suitability& suitability) {
   return suitability.cores < suitability.largest_cores * kReserveShare;
 }
--- a/src/scheduler_process/owner_watch.h
+++ b/src/scheduler_process/owner_watch.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "cowslipmast/units.h"
+#include "src/scheduler_process/hearing_proof.h"
 
 namespace cowslipmast::sched {
 
@@ -17,6 +18,13 @@
  * responses for at least this long after its claim. */
 inline constexpr Duration kOwnerStartupPeriod = std::chrono::milliseconds(4000);
 
+/** A look at the owner's proof of hearing in the store. */
+struct ProofLook {
+  TimePoint requested_at;
+  /** Nothing if the owner is of a version that stores none. */
+  std::optional<HearingProof> proof;
+};
+
 /** What a process has heard from the owner of a cell. */
 struct OwnerWatch {
   TimePoint claimed_at;
@@ -26,6 +34,10 @@
   /** How long the owner asks others to wait for its responses; nothing before
    * its first one. */
   std::optional<Duration> response_timeout;
+  /** Of this silence. */
+  std::optional<ProofLook> first_look;
+  /** The owner counts as present until then. */
+  std::optional<TimePoint> postponed_until;
 };
 
 /** A new owner is known. */
@@ -37,6 +49,14 @@
  * under load: they must not be replaced by one that has to read everything
  * again. */
 bool IsOwnerGone(const OwnerWatch& watch, TimePoint now);
+/** To be called with the first look during a silence. */
+void NoteFirstLook(OwnerWatch& watch, const ProofLook& look);
+/** To be called just before a claim with a look at the store; true if the claim
+ * has to wait because only this process does not hear the owner. It has then
+ * stored a proof since the first look, and was reached by another process since
+ * the silence began. Postpones for a bounded time, since callers of this
+ * process cannot reach the cell meanwhile. */
+bool PostponeClaim(OwnerWatch& watch, const ProofLook& look, TimePoint now);
 /** True for a while after the claim, when the owner has no proof yet. */
 bool IsStartingUp(const OwnerWatch& watch, TimePoint now);
 
--- a/src/scheduler_process/platform_ports.h
+++ b/src/scheduler_process/platform_ports.h
@@ -82,6 +82,12 @@
   std::function<asio::awaitable<std::optional<TopicSnapshot>>(StoreStream,
                                                               StoreError&)>
       read_newest;
+  /** Newest record of a key, with an empty value if there is none. Cheap for
+   * the last keys of a stream: those that follow are read as well. */
+  std::function<asio::awaitable<std::optional<KeyedRecord>>(StoreStream,
+                                                            std::string key,
+                                                            StoreError&)>
+      read_record;
   /** Reads records from an offset on, waiting up to `wait` for one; `end` of
    * the result is the offset to read on from. */
   std::function<asio::awaitable<std::optional<
--- a/src/scheduler_process/progress_writer.cc
+++ b/src/scheduler_process/progress_writer.cc
@@ -7,6 +7,7 @@
 #include "src/sched/interference_codec.h"
 #include "src/scheduler_process/clock.h"
 #include "src/scheduler_process/event_log.h"
+#include "src/scheduler_process/hearing_proof.h"
 
 namespace cowslipmast::sched {
 
@@ -19,6 +20,8 @@
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 // Half of the largest request body that the store accepts.
 constexpr size_t kMaxAppendBytes = 1024 * 1024;
+// A process that does not hear the owner looks twice within about a second.
+constexpr Duration kHearingProofInterval = std::chrono::milliseconds(500);
 
 // False for a record that the store would refuse each time. What this owner has
 // learned need not be stored; the other records are kept small where they are
@@ -34,8 +37,14 @@
 
 }  // namespace
 
-ProgressWriter::ProgressWriter(const StorePort& store, CellId cell, Epoch epoch)
-    : m_store(store), m_cell(cell), m_epoch(epoch) {}
+ProgressWriter::ProgressWriter(const StorePort& store,
+                               CellId cell,
+                               Epoch epoch,
+                               HeardAt heard_at)
+    : m_store(store),
+      m_cell(cell),
+      m_epoch(epoch),
+      m_heard_at(std::move(heard_at)) {}
 
 asio::awaitable<bool> ProgressWriter::AppendUntilAnswered(
     AppendRequest request) {
@@ -76,8 +85,26 @@
   co_return co_await Store(std::move(proof));
 }
 
+// Goes with records that are stored anyway.
+std::optional<ProgressRecord> ProgressWriter::MakeHearingRecord() {
+  const auto heard_at = m_heard_at ? m_heard_at() : std::nullopt;
+  const TimePoint now = BootTimeNow();
+  if (!heard_at || (m_hearing_proven_at &&
+                    now - *m_hearing_proven_at < kHearingProofInterval))
+    return std::nullopt;
+  m_hearing_proven_at = now;
+  return ProgressRecord{
+      std::string(kHearingKey),
+      EncodeHearingProof(
+          {.epoch = m_epoch,
+           .number = ++m_hearing_proofs,
+           .heard_age = std::max(Duration(0), now - *heard_at)})};
+}
+
 asio::awaitable<bool> ProgressWriter::Store(
     std::vector<ProgressRecord> records) {
+  if (auto hearing = MakeHearingRecord())
+    records.push_back(std::move(*hearing));
   std::erase_if(records, [](const ProgressRecord& record) {
     return !FitsIntoStore(record);
   });
--- a/src/scheduler_process/progress_writer.h
+++ b/src/scheduler_process/progress_writer.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPMAST_SRC_SCHEDULER_PROCESS_PROGRESS_WRITER_H_
 #define COWSLIPMAST_SRC_SCHEDULER_PROCESS_PROGRESS_WRITER_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -20,7 +21,14 @@
  * proves the ownership: no later owner had fenced the stream. */
 class ProgressWriter {
  public:
-  ProgressWriter(const StorePort& store, CellId cell, Epoch epoch);
+  /** Time since boot at which another process last reached this one; nothing if
+   * none did. */
+  using HeardAt = std::function<std::optional<TimePoint>()>;
+
+  ProgressWriter(const StorePort& store,
+                 CellId cell,
+                 Epoch epoch,
+                 HeardAt heard_at = nullptr);
 
   /** Sets the epoch, so that appends of previous owners are refused. Retries
    * until the store answers; false once a later owner has fenced the stream. */
@@ -40,10 +48,14 @@
 
  private:
   asio::awaitable<bool> AppendUntilAnswered(AppendRequest request);
+  std::optional<ProgressRecord> MakeHearingRecord();
 
   StorePort m_store;
   CellId m_cell;
   Epoch m_epoch;
+  HeardAt m_heard_at;
+  uint64_t m_hearing_proofs = 0;
+  std::optional<TimePoint> m_hearing_proven_at;
   uint64_t m_sequence = 0;
   std::optional<TimePoint> m_proven_at;
   bool m_stop_retrying = false;
--- a/src/scheduler_process/scheduler_process.cc
+++ b/src/scheduler_process/scheduler_process.cc
@@ -187,6 +187,7 @@
     return manifest_follower->manifest();
   };
   hooks.own_lag = [this] { return lag->Recent(); };
+  hooks.heard_at = [this] { return election->HeardAt(); };
   hooks.on_lost = [this, id] { DropLostCell(id); };
   auto cell = Cell::Make(io, ports.store, ports.workers, ports.decoders,
                          options, std::move(hooks));
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -74,6 +74,56 @@
   CHECK(snapshot->end == 7000);
 }
 
+TEST_CASE("one of the last records of a stream is read", "[platform]") {
+  asio::io_context io;
+  std::string path;
+  std::string body =
+      R"({"items":[{"key":"q0","value":"djE=","offset":4},)"
+      R"({"key":"q1","value":"djI=","offset":6}],"more":true,"end":9})";
+  NetError net_error;
+  const auto server = HttpServer::Make(
+      io, Endpoint{"127.0.0.1", 0}, HttpServerLimits(),
+      [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        path = request.path;
+        co_return MakeJsonResponse(200, body);
+      },
+      net_error);
+  REQUIRE(server);
+  const auto client = HttpClient::Make(io, HttpClientLimits{});
+  const sched::StorePort port =
+      MakeStorePort(*client, Endpoint{"127.0.0.1", server->port()}, 4);
+  std::optional<sched::KeyedRecord> record;
+  sched::StoreError error;
+  const auto read_record = [&](std::string key) -> asio::awaitable<void> {
+    record = co_await port.read_record(
+        sched::StoreStream(sched::StoreTopic::kProgress, sched::CellId(2)),
+        std::move(key), error);
+    io.stop();
+  };
+  const auto read = [&](const std::string& key) {
+    asio::co_spawn(io, read_record(key), asio::detached);
+    io.run_for(seconds(5));
+  };
+  SECTION("in one call, from just before its key") {
+    read("q1");
+    REQUIRE(record);
+    CHECK(record->key == "q1");
+    CHECK(record->value == "v2");
+    CHECK(path == "/log-newest?topic=keyed.progress&part=2&depends-on=q");
+  }
+  SECTION("as empty if there is none") {
+    read("q2");
+    REQUIRE(record);
+    CHECK(record->value.empty());
+  }
+  SECTION("or not at all if the page cannot be read") {
+    body = R"({"items":[{"key":"q1","value":7}]})";
+    read("q1");
+    CHECK_FALSE(record);
+    CHECK(error.kind == sched::StoreErrorKind::kMalformedResponse);
+  }
+}
+
 TEST_CASE("a large record that arrives slowly is read once", "[platform]") {
   // The processes of a region read a new configuration over one link. Reads
   // that are given up in the middle and repeated fill it twice.
--- a/tests/platform/test_system.cc
+++ b/tests/platform/test_system.cc
@@ -116,6 +116,7 @@
     const sched::StorePort& store,
     const std::atomic<bool>& unreachable) {
   using sched::AppendRequest;
+  using sched::KeyedRecord;
   using sched::StoreError;
   using sched::StoreStream;
   using sched::TopicSnapshot;
@@ -135,6 +136,14 @@
       co_return std::nullopt;
     co_return co_await store.read_newest(stream, reason);
   };
+  port.read_record =
+      [store, &unreachable](
+          StoreStream stream, std::string key,
+          StoreError& reason) -> asio::awaitable<std::optional<KeyedRecord>> {
+    if (unreachable)
+      co_return std::nullopt;
+    co_return co_await store.read_record(stream, std::move(key), reason);
+  };
   port.follow =
       [store, &unreachable](
           StoreStream stream, uint64_t from, Duration wait,
--- a/tests/scheduler_process/owner_election_test.cc
+++ b/tests/scheduler_process/owner_election_test.cc
@@ -2,7 +2,7 @@
 // process that keeps reading the claims while it waits to claim a cell: with
 // large records and little processor time its own read then never ends in time.
 // And against a claim that nothing but a silent path called for: the owner may
-// answer again during the claim delay.
+// answer again during the claim delay, or other processes may reach it.
 
 #include "src/scheduler_process/owner_election.h"
 
@@ -13,6 +13,7 @@
 
 #include "src/daemon/chart_files.h"
 #include "src/net/http_server.h"
+#include "src/scheduler_process/hearing_proof.h"
 #include "src/scheduler_process/peer_health.h"
 
 namespace cowslipmast::sched {
@@ -21,7 +22,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Holds one topic, that of the claims.
+// Holds the claims, and what the owner of the only cell tells of being reached.
 struct ClaimStore {
   explicit ClaimStore(asio::io_context& context) : io(context) {
     port.append = [this](AppendRequest request,
@@ -36,6 +37,16 @@
       ++reads;
       co_return TopicSnapshot{records, records.size()};
     };
+    port.read_record =
+        [this](StoreStream, std::string key,
+               StoreError&) -> asio::awaitable<std::optional<KeyedRecord>> {
+      ++looks;
+      KeyedRecord record{std::move(key), ""};
+      if (heard_age)
+        record.value = EncodeHearingProof(
+            {.epoch = Epoch(1), .number = ++proofs, .heard_age = *heard_age});
+      co_return record;
+    };
     port.follow =
         [this](StoreStream, uint64_t from, Duration wait,
                StoreError&) -> asio::awaitable<std::optional<TopicSnapshot>> {
@@ -50,6 +61,10 @@
   StorePort port;
   std::vector<KeyedRecord> records;
   int reads = 0;
+  /** Nothing: the owner is of an earlier version. */
+  std::optional<Duration> heard_age;
+  uint64_t proofs = 0;
+  int looks = 0;
 };
 
 CellChart ReadCellChart() {
@@ -166,6 +181,27 @@
   SECTION("claims the cell otherwise") {
     io.run_for(milliseconds(5000));
     CHECK(won);
+    CHECK(store.looks == 1);
+  }
+  SECTION("leaves it the cell while other processes reach it") {
+    store.heard_age = milliseconds(100);
+    io.run_for(milliseconds(5000));
+    CHECK_FALSE(won);
+
+    SECTION("but not for ever") {
+      io.run_for(milliseconds(4500));
+      CHECK(won);
+    }
+    SECTION("and for good once it hears it") {
+      owner.silent = false;
+      io.run_for(milliseconds(4500));
+      CHECK_FALSE(won);
+    }
+  }
+  SECTION("claims the cell if no other process reaches the owner either") {
+    store.heard_age = seconds(3);
+    io.run_for(milliseconds(5000));
+    CHECK(won);
   }
 }
 
