--- a/tests/processes/large_manifest.py
+++ b/tests/processes/large_manifest.py
@@ -19,6 +19,7 @@
 import os
 import random
 import re
+import socket
 import sys
 import tempfile
 
@@ -134,9 +135,33 @@
         return status, content
 
 
+drawn_ports = set()
+
+
+def draw_port():
+    """A free port that no connection of the link can take before its process
+    listens: below those that the system gives out.
+    Not from the seed: tests of several trees may run at the same time."""
+    while True:
+        port = random.randrange(20000, 32000)
+        if port in drawn_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                drawn_ports.add(port)
+                return port
+            except OSError:
+                pass
+
+
 class Process(world2.Process):
     program = None
 
+    def draw_ports(self):
+        self.frontend, self.readiness, self.control = [draw_port()
+                                                       for _ in range(3)]
+
     def command(self):
         seeds = ",".join("127.0.0.1:%d" % p.control
                          for p in self.world.processes
@@ -178,9 +203,8 @@
 
     async def start_near(self):
         for minion in self.minions:
-            await minion.server.start()
+            minion.server.port = draw_port()
             await self.reach_over_link(self.far_ports, minion.server.port)
-            await minion.server.stop()
         for _ in range(NEAR):
             await self.add_process(is_far=False)
         return await self.start()
