scheduler_process: a last look at the owner before a claim; paces do not wait for blocked starts

A start command that waits until cancellations are known keeps the changes of pace behind it that were there first. Change: if the claim is late by more than 400 ms, the owner is checked once more (a dead owner is then claimed 0.4 s later); such starts let changes of pace pass. Result: two sections of owner_election_test and one of worker_driver_test failed before, pass now. Two more test cases of cell_test fail and are not mended: 'one lost response of a worker is not its end' (2 starts of an ended task) and 'an owner that cannot read the list of workers' (a cancelled job is still shown as queued).

--- a/src/scheduler_process/claim_calls.cc
+++ b/src/scheduler_process/claim_calls.cc
@@ -25,6 +25,8 @@
 // Random part of the delay: candidates at equal distance rarely claim at the
 // same time.
 constexpr size_t kMaxClaimJitterMs = 150;
+// An owner may have recovered if it was checked longer ago.
+constexpr Duration kMaxCheckAge = milliseconds(400);
 
 }  // namespace
 
@@ -187,10 +189,17 @@
   const auto before = cell.claim;
   const Duration delay = DelayWith(CountOwned()) +
                          milliseconds(RandomBelow(random, kMaxClaimJitterMs));
-  const bool heard = co_await HearsOwnerWithin(cell, delay);
+  const TimePoint due = MonotonicNow() + delay;
+  bool heard = co_await HearsOwnerWithin(cell, delay);
   if (heard)
     co_return;
   const bool read = co_await ReadClaims();
+  // This process was paused, or the store is slow.
+  if (cell.claim == before && cell.claim && !cell.claim->released &&
+      MonotonicNow() - due > kMaxCheckAge)
+    heard = co_await HearsOwnerWithin(cell, kMaxCheckAge);
+  if (heard)
+    co_return;
   if (!read || stopped || cell.claim != before || !hooks.may_claim())
     co_return;
   if (cell.chart.HandleEvent("owner_missed") != "claim")
--- a/src/scheduler_process/worker_driver.cc
+++ b/src/scheduler_process/worker_driver.cc
@@ -80,6 +80,22 @@
   commands.insert(first_pace, std::move(command));
 }
 
+// Starts that have to wait themselves keep no change of pace back.
+Command TakeNext(std::deque<Command>& commands, bool may_start) {
+  auto next = commands.begin();
+  if (!may_start && std::holds_alternative<StartRunCommand>(*next)) {
+    const auto first_pace =
+        std::find_if(next, commands.end(), [](const Command& waiting) {
+          return std::holds_alternative<PaceCommand>(waiting);
+        });
+    if (first_pace != commands.end())
+      next = first_pace;
+  }
+  Command taken = std::move(*next);
+  commands.erase(next);
+  return taken;
+}
+
 // True if the refusal of a repeated start command also tells what became of
 // the first one: the worker has seen the run, or will never run it.
 bool SettlesEarlierAttempt(StartRefusal refusal) {
@@ -264,8 +280,7 @@
     WorkerChannelPtr channel) {
   const auto self = shared_from_this();
   while (!stopped && !channel->commands.empty()) {
-    Command command = std::move(channel->commands.front());
-    channel->commands.pop_front();
+    Command command = TakeNext(channel->commands, hooks.knows_cancellations());
     ++counters.commands;
     if (auto* start = std::get_if<StartRunCommand>(&command))
       co_await Execute(channel, *start);
--- a/tests/scheduler_process/cell_test.cc
+++ b/tests/scheduler_process/cell_test.cc
@@ -157,11 +157,15 @@
 
   WorkerPort MakeWorkerPort() {
     WorkerPort workers;
-    workers.list =
-        [this](
-            const WorkerInfo&, ListRequest request,
-            WorkerCallError&) -> asio::awaitable<std::optional<WorkerListing>> {
+    workers.list = [this](const WorkerInfo&, ListRequest request,
+                          WorkerCallError& error)
+        -> asio::awaitable<std::optional<WorkerListing>> {
       co_await Sleep(std::max<Duration>(request.wait, milliseconds(5)));
+      if (lost_listings > 0) {
+        --lost_listings;
+        error = WorkerCallError::kNoResponse;
+        co_return std::nullopt;
+      }
       WorkerListing listing;
       listing.clock = WorkerClock(ToMillis(MonotonicNow().time_since_epoch()));
       listing.start_time_ms = 1;
@@ -222,6 +226,7 @@
   std::vector<ActiveRun> running;
   std::vector<EndedRun> ended;
   int starts = 0;
+  int lost_listings = 0;  // requests that get no response
   bool lost = false;
 };
 
@@ -313,5 +318,46 @@
   }
 }
 
+TEST_CASE("one lost response of a worker is not its end",
+          "[scheduler-process]") {
+  // The first request of an owner whose state took longer to read than leases
+  // last; the worker has an end that no owner has noted.
+  RunningCell cell;
+  cell.ended_job_retention = seconds(60);
+  cell.Submit(kFirst);
+  cell.RunFor(milliseconds(300));
+  REQUIRE(cell.starts == 1);
+  cell.cell->Stop();
+  cell.RunFor(milliseconds(1500));
+  cell.FinishRuns();
+  cell.store.read_delay[StoreTopic::kProgress] = seconds(4);
+  cell.lost_listings = 1;
+  cell.StartCell(Epoch(2), milliseconds(100));
+  cell.RunFor(milliseconds(5500));
+  CHECK(cell.starts == 1);
+  CHECK(cell.cell->StatusOf(JobId(kFirst))->state == JobState::kCompleted);
+}
+
+TEST_CASE("an owner that cannot read the list of workers",
+          "[scheduler-process]") {
+  // It proves its ownership, so that no other process claims the cell.
+  RunningCell cell;
+  cell.ended_job_retention = seconds(60);
+  cell.cell->Stop();
+  cell.RunFor(milliseconds(1500));
+  cell.store.read_delay[StoreTopic::kWorkers] = seconds(60);
+  cell.StartCell(Epoch(2), milliseconds(100));
+  cell.RunFor(milliseconds(500));
+  cell.Submit(kFirst);
+  cell.RunFor(milliseconds(300));
+
+  SECTION("shows that a job is cancelled") {
+    cell.Cancel(kFirst);
+    cell.RunFor(seconds(2));
+    REQUIRE(cell.cell->StatusOf(JobId(kFirst)));
+    CHECK(cell.cell->StatusOf(JobId(kFirst))->state == JobState::kCancelled);
+  }
+}
+
 }  // namespace
 }  // namespace cowslipmast::sched
--- a/tests/scheduler_process/owner_election_test.cc
+++ b/tests/scheduler_process/owner_election_test.cc
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "src/daemon/chart_files.h"
 #include "src/net/http_server.h"
@@ -34,6 +35,9 @@
         [this](StoreStream,
                StoreError&) -> asio::awaitable<std::optional<TopicSnapshot>> {
       ++reads;
+      asio::steady_timer timer(io);
+      timer.expires_after(read_delay);
+      co_await timer.async_wait(asio::use_awaitable);
       co_return TopicSnapshot{records, records.size()};
     };
     port.follow =
@@ -50,6 +54,7 @@
   StorePort port;
   std::vector<KeyedRecord> records;
   int reads = 0;
+  Duration read_delay{0};
 };
 
 CellChart ReadCellChart() {
@@ -163,6 +168,27 @@
     CHECK_FALSE(won);
     CHECK(election->owner(CellId(0))->epoch == Epoch(1));
   }
+  SECTION(
+      "leaves it the cell if it was itself paused until the owner answers") {
+    io.run_for(milliseconds(2500));
+    REQUIRE_FALSE(won);
+    owner.silent = false;
+    std::this_thread::sleep_for(seconds(3));
+    io.run_for(milliseconds(2500));
+    CHECK_FALSE(won);
+  }
+  SECTION("leaves it the cell if it answers while the claims are read slowly") {
+    io.run_for(milliseconds(2500));
+    REQUIRE_FALSE(won);
+    const int reads = store.reads;
+    store.read_delay = milliseconds(900);
+    for (int i = 0; i < 300 && store.reads == reads; ++i)
+      io.run_for(milliseconds(10));
+    REQUIRE(store.reads > reads);
+    owner.silent = false;
+    io.run_for(milliseconds(2500));
+    CHECK_FALSE(won);
+  }
   SECTION("claims the cell otherwise") {
     io.run_for(milliseconds(5000));
     CHECK(won);
--- a/tests/scheduler_process/worker_driver_test.cc
+++ b/tests/scheduler_process/worker_driver_test.cc
@@ -189,6 +189,12 @@
     for (size_t i = 0; i < 3; ++i)
       CHECK(cell.started[i] == plan.starts[i].task);
   }
+  SECTION("keeps none of them back while it waits for cancellations") {
+    cell.knows_cancellations = false;
+    cell.RunFor(milliseconds(600));
+    CHECK(cell.started.empty());
+    CHECK(cell.pace_calls == 8);
+  }
   SECTION("is itself overtaken by a stop") {
     cell.driver->Send(
         StopRunCommand{plan.starts[2].worker, TaskName(), RunNumber(1)});
