--- a/include/cowslipmast/sched/scheduler.h
+++ b/include/cowslipmast/sched/scheduler.h
@@ -247,6 +247,9 @@
   std::vector<std::pair<JobId, uint32_t>> TakeEndedIterations();
   /** True if something has changed since the last plan was made. */
   bool NeedsPlan() const;
+  /** False, after a restore, until the platform's list of workers has been
+   * read: no run counts as gone before. */
+  void SetWorkersKnown(bool known);
   /** True if, since the last plan was made, a long-running run has ended while
    * other long-running tasks waited: its capacity is unused until a plan. */
   bool HasAwaitedCapacity() const;
--- a/src/sched/listing.cc
+++ b/src/sched/listing.cc
@@ -171,7 +171,7 @@
 // to ask: its answer may show ends that no owner has noted.
 bool IsYetToAnswer(const WorkerState& worker) {
   return worker.reachability == Reachability::kUnknown && worker.listed &&
-         !worker.is_silent;
+         worker.unanswered_requests < kMinUnansweredRequests;
 }
 
 }  // namespace
@@ -192,6 +192,7 @@
     state.needs_plan = true;
   worker_state.reachability = Reachability::kReachable;
   worker_state.is_silent = false;
+  worker_state.unanswered_requests = 0;
   worker_state.last_heard = now;
   if (!worker_state.instance)
     worker_state.instance.emplace();
@@ -225,6 +226,9 @@
 }
 
 void RequeueTasksOfExpiredLeases(State& state, TimePoint now) {
+  // Which workers are to be asked is not known yet.
+  if (!state.knows_workers)
+    return;
   for (size_t i = 0; i < state.workers.size(); ++i) {
     const WorkerState& worker = state.workers[i];
     if (worker.reachability != Reachability::kReachable &&
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -409,6 +409,7 @@
   if (worker == nullptr)
     return;
   worker->is_silent = true;
+  ++worker->unanswered_requests;
   NoteSilence(state, FindWorkerIndex(state, id));
   if (worker->reachability == Reachability::kReachable)
     worker->reachability = Reachability::kUnreachable;
@@ -619,6 +620,10 @@
   return m_impl->state.needs_plan;
 }
 
+void Scheduler::SetWorkersKnown(bool known) {
+  m_impl->state.knows_workers = known;
+}
+
 bool Scheduler::HasAwaitedCapacity() const {
   return m_impl->has_awaited_capacity;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -232,6 +232,10 @@
   kUnreachable,
 };
 
+/** A new owner takes a worker that it has not heard yet for silent after this
+ * many requests: one response may be lost. */
+inline constexpr uint32_t kMinUnansweredRequests = 2;
+
 /** A worker's health, derived from the outcomes of its runs. */
 struct WorkerHealth {
   uint32_t failure_streak = 0;  // failed runs since the last completed one
@@ -269,7 +273,8 @@
   std::deque<int64_t> leaving_start_times_ms;
   /** The last listing request had no response. */
   bool is_silent = false;
-  TimePoint last_heard;  // of the last listing
+  uint32_t unanswered_requests = 0;  // listing requests, in a row
+  TimePoint last_heard;              // of the last listing
   /** The instance that answered last, unless it is known to have ended. */
   std::optional<InstanceState> instance;
   /** From this time on nothing runs there unless a lease is extended. */
@@ -464,6 +469,8 @@
   std::map<TaskName, std::map<RunNumber, TimePoint>> awaited_proofs;
   uint64_t next_sequence = 1;
   bool needs_plan = true;
+  /** False until the platform's list of workers has been read. */
+  bool knows_workers = true;
   std::optional<TimePoint> last_plan_at;
   SchedulerCounters counters;
   std::vector<Decision> decisions;
--- a/src/sched/unheard_workers.cc
+++ b/src/sched/unheard_workers.cc
@@ -46,6 +46,7 @@
     if (worker.reachability == Reachability::kReachable)
       worker.reachability = Reachability::kUnreachable;
     worker.is_silent = true;
+    worker.unanswered_requests = kMinUnansweredRequests;
     NoteSilence(state, static_cast<int32_t>(i));
   }
 }
--- a/src/scheduler_process/cell.cc
+++ b/src/scheduler_process/cell.cc
@@ -79,7 +79,6 @@
   asio::awaitable<bool> Restore();
   asio::awaitable<std::optional<TopicSnapshot>> ReadNewest(StoreTopic topic);
   void ReplayRecords(const TopicSnapshot& jobs, const TopicSnapshot& progress);
-  asio::awaitable<void> AwaitWorkers();
   asio::awaitable<void> RefreshOwnershipProof();
   asio::awaitable<bool> PlanOnce();
   asio::awaitable<void> PauseBetweenPlans();
@@ -123,7 +122,6 @@
   DecisionLog decisions;
   Duration last_plan_took{0};
   bool restored = false;
-  bool knows_workers = false;
   bool stopped = false;
 };
 
@@ -254,7 +252,7 @@
     return gone;
   });
   driver->SetWorkers(known);
-  knows_workers = true;
+  scheduler->SetWorkersKnown(true);
   wake.Notify();
 }
 
@@ -321,6 +319,7 @@
     co_return false;
   ReplayRecords(*job_records, *progress);
   scheduler->FinishRestore(MonotonicNow());
+  scheduler->SetWorkersKnown(false);
   LogEvent(
       "cell_restored",
       {{"cell", static_cast<int64_t>(options.cell.value())},
@@ -491,16 +490,6 @@
     OnOwnershipLost();
 }
 
-// Before the first plan: a run whose lease is over counts as gone unless its
-// worker is to be asked.
-asio::awaitable<void> Cell::Impl::AwaitWorkers() {
-  while (!stopped && !knows_workers) {
-    co_await wake.Wait(kProofInterval);
-    if (!stopped)
-      co_await RefreshOwnershipProof();
-  }
-}
-
 asio::awaitable<void> Cell::Impl::Run() {
   const auto self = shared_from_this();
   const bool ready = co_await Restore();
@@ -513,7 +502,6 @@
   restored = true;
   StartFollowing();
   Spawn(io, "stops", SendStopsRepeatedly());
-  co_await AwaitWorkers();
   while (!stopped) {
     const TimePoint now = MonotonicNow();
     const Duration wait = scheduler->NextDue(now, WallNow()) - now;
