--- a/tests/scheduler_process/cell_test.cc
+++ b/tests/scheduler_process/cell_test.cc
@@ -233,7 +233,7 @@
 const char kFirst[] = "00000000000000a1";
 const char kSecond[] = "00000000000000a2";
 
-TEST_CASE("an ended job is deleted", "[scheduler-process]") {
+TEST_CASE("an ended job is deleted", "[scheduler-process][cell]") {
   RunningCell cell;
   cell.Cancel(kFirst);
   cell.Submit(kFirst);
@@ -267,7 +267,7 @@
 }
 
 TEST_CASE("a follower reads a job again that is being deleted",
-          "[scheduler-process]") {
+          "[scheduler-process][cell]") {
   // Guards against a job that runs a second time: the platform compacts the
   // history at any time, and the newest records are read again after that.
   RunningCell cell;
@@ -287,7 +287,7 @@
 }
 
 TEST_CASE("an owner that restores its cell for longer than leases last",
-          "[scheduler-process]") {
+          "[scheduler-process][cell]") {
   // All processes start again at once, on VMs with little processor time.
   RunningCell cell;
   cell.ended_job_retention = seconds(60);
@@ -319,7 +319,7 @@
 }
 
 TEST_CASE("one lost response of a worker is not its end",
-          "[scheduler-process]") {
+          "[scheduler-process][cell]") {
   // The first request of an owner whose state took longer to read than leases
   // last; the worker has an end that no owner has noted.
   RunningCell cell;
@@ -339,7 +339,7 @@
 }
 
 TEST_CASE("an owner that cannot read the list of workers",
-          "[scheduler-process]") {
+          "[scheduler-process][cell]") {
   // It proves its ownership, so that no other process claims the cell.
   RunningCell cell;
   cell.ended_job_retention = seconds(60);
--- a/tests/scheduler_process/owner_election_test.cc
+++ b/tests/scheduler_process/owner_election_test.cc
@@ -81,7 +81,7 @@
 }
 
 TEST_CASE("a process that claims its cell again after a restart",
-          "[scheduler-process]") {
+          "[scheduler-process][election]") {
   asio::io_context io;
   const auto client = HttpClient::Make(io, HttpClientLimits{});
   OwnerElectionOptions options;
@@ -145,7 +145,7 @@
 };
 
 TEST_CASE("a process that does not hear the owner of a cell for a while",
-          "[scheduler-process]") {
+          "[scheduler-process][election]") {
   // The path to the owner is silent for longer than an owner may be, and works
   // again before the claim delay of a process far from the store is over.
   asio::io_context io;
